Tie the core together: request life, entry side, duties

Each caller's request passes through one state machine in which not run is possible only before sent. The entry side tells each shard's dispatcher what waits and which slots it holds; a full demand makes its receiver the dispatcher, so that differing views of the members leave no router without one. A dispatcher out of reach for 300 ms is replaced by this router's own fraction of the slots.

A claim is made before queueing: claiming after the grant was ruled out, since the slot would stand idle for an append and a read of the log.

Compiled and linted only; the parts it joins are still in the making.

--- /dev/null
+++ b/src/libcamphorshunt/coreimpl.cpp
@@ -0,0 +1,340 @@
+#include "coreimpl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorshunt {
+
+namespace {
+
+/** Within this time after a flush, further news waits for the next tick, to be sent together. */
+constexpr auto flushSpacing = Duration(5ms);
+
+/** A drain waits no longer than this for the log to take what it was told of claims. */
+constexpr auto longestClaimsDrain = Duration(30s);
+
+template <typename Part> auto makePartSettings(const CoreSettings& settings) -> Part
+{
+    auto part = Part {};
+    part.router = idOf<RouterId>(settings.name);
+    part.incarnation = settings.incarnation;
+    part.seed = settings.seed;
+    return part;
+}
+
+auto makeMembershipSettings(const CoreSettings& settings) -> MembershipSettings
+{
+    auto part = MembershipSettings {};
+    part.self = idOf<RouterId>(settings.name);
+    part.incarnation = settings.incarnation;
+    part.name = settings.name;
+    part.seed = settings.seed;
+    return part;
+}
+
+auto makeClaimsSettings(const CoreSettings& settings) -> ClaimsBookSettings
+{
+    auto part = makePartSettings<ClaimsBookSettings>(settings);
+    part.wallOffset = settings.wallOffset;
+    return part;
+}
+
+} // namespace
+
+auto Core::create(const CoreSettings& settings) -> Result<std::unique_ptr<Core>>
+{
+    if (settings.name.empty())
+        return failure(Error::Code::Invalid, "name", "must not be empty");
+    return std::unique_ptr<Core>(std::make_unique<CoreImpl>(settings));
+}
+
+CoreImpl::CoreImpl(const CoreSettings& settings)
+    : settings_(settings)
+    , self_(idOf<RouterId>(settings.name))
+    , membership_(Membership::create(makeMembershipSettings(settings)))
+    , documents_(DocumentBook::create(makePartSettings<DocumentBookSettings>(settings)))
+    , claims_(ClaimsBook::create(makeClaimsSettings(settings)))
+    , duties_(self_, settings.incarnation, settings.seed)
+    , flow_(self_, settings.incarnation, *claims_, duties_)
+{
+}
+
+auto CoreImpl::handle(Time now, const Event& event, Actions& actions) -> void
+{
+    const auto begin = actions.size();
+    std::visit([&](const auto& value) { apply(now, value, actions); }, event);
+    settle(now, actions, begin);
+}
+
+/** Lets every consequence of an event take effect before the next event. */
+auto CoreImpl::settle(Time now, Actions& actions, std::size_t begin) -> void
+{
+    applyDocuments(actions);
+    applyMembers(now);
+    if (ownersStale_)
+        updateOwners(now);
+    flow_.advance(now, actions);
+    do {
+        flush(now, actions);
+        while (deliverToSelf(now, actions, begin)) { }
+        duties_.grant(now, actions);
+    } while (deliverToSelf(now, actions, begin));
+    updateReadiness(actions);
+    drainStep(now, actions);
+}
+
+auto CoreImpl::deliverToSelf(Time now, Actions& actions, std::size_t begin) -> bool
+{
+    auto own = std::vector<PeerMessage> {};
+    const auto isOwn = [this](const Action& action) {
+        const auto* const send = std::get_if<SendPeer>(&action);
+        return send && send->router == self_;
+    };
+    auto kept = actions.begin() + static_cast<std::ptrdiff_t>(begin);
+    for (auto action = kept; action != actions.end(); ++action) {
+        if (isOwn(*action)) {
+            own.push_back(std::move(std::get<SendPeer>(*action).message));
+            continue;
+        }
+        if (kept != action)
+            *kept = std::move(*action);
+        ++kept;
+    }
+    actions.erase(kept, actions.end());
+
+    for (const auto& message : own)
+        std::visit([&](const auto& value) { receive(now, self_, value, actions); }, message);
+    return !own.empty();
+}
+
+auto CoreImpl::flush(Time now, Actions& actions) -> void
+{
+    const auto due = now - lastFlush_ >= flushSpacing;
+    auto sent = false;
+    for (auto& [id, entry] : flow_.entries()) {
+        if (!due && !entry.ownsEveryShard())
+            continue;
+        const auto before = actions.size();
+        entry.flush(now, actions);
+        sent = sent || actions.size() != before;
+    }
+    if (due && sent)
+        lastFlush_ = now;
+}
+
+auto CoreImpl::applyDocuments(Actions& actions) -> void
+{
+    const auto changed = documents_->takeChanged();
+    for (const auto service : changed) {
+        const auto document = documents_->document(service);
+        flow_.setDocument(document);
+        duties_.setDocument(document);
+        actions.emplace_back(
+            WriteLog { LogLevel::Info, "document-in-force", { { "service", document->service } } });
+        ownersStale_ = true;
+    }
+    if (!changed.empty())
+        membership_->setVersions(documents_->versions());
+}
+
+auto CoreImpl::applyMembers(Time now) -> void
+{
+    for (const auto& change : membership_->takeChanges()) {
+        if (change.state == MemberState::Dead)
+            duties_.routerLost(now, change.router);
+        ownersStale_ = true;
+    }
+}
+
+auto CoreImpl::updateOwners(Time now) -> void
+{
+    ownersStale_ = false;
+    for (auto& [id, entry] : flow_.entries()) {
+        auto owners = std::vector<RouterId> {};
+        for (auto shard = std::uint32_t {}; shard < entry.document()->dispatch.shards; ++shard)
+            owners.push_back(membership_->owner({ id, shard }));
+        entry.setOwners(now, owners);
+        entry.setRouters(membership_->expected());
+    }
+}
+
+auto CoreImpl::updateReadiness(Actions& actions) -> void
+{
+    const auto ready = !draining_ && !flow_.entries().empty();
+    if (ready == ready_)
+        return;
+    ready_ = ready;
+    actions.emplace_back(SetReady { ready });
+}
+
+auto CoreImpl::drainStep(Time now, Actions& actions) -> void
+{
+    if (!draining_ || exited_ || !flow_.isEmpty())
+        return;
+    if (claims_->hasUnwritten() && now - drainBegan_ < longestClaimsDrain)
+        return;
+    exited_ = true;
+    actions.emplace_back(WriteLog { LogLevel::Info, "drained", {} });
+    actions.emplace_back(Exit {});
+}
+
+auto CoreImpl::apply(Time now, const RequestArrived& arrived, Actions& actions) -> void
+{
+    flow_.handle(now, arrived, actions);
+}
+
+auto CoreImpl::apply(Time now, const CallerGone& gone, Actions& actions) -> void
+{
+    flow_.handle(now, gone, actions);
+}
+
+auto CoreImpl::apply(Time now, const AttemptProgress& progress, Actions& actions) -> void
+{
+    flow_.handle(now, progress);
+}
+
+auto CoreImpl::apply(Time now, const AttemptEnded& ended, Actions& actions) -> void
+{
+    flow_.handle(now, ended, actions);
+}
+
+auto CoreImpl::apply(Time now, const LoadReported& load, Actions& actions) -> void
+{
+    duties_.handle(now, load);
+}
+
+auto CoreImpl::apply(Time now, const LoadFailed& failed, Actions& actions) -> void
+{
+    duties_.handle(now, failed);
+}
+
+auto CoreImpl::apply(Time now, const PeerConnected& connected, Actions& actions) -> void
+{
+    membership_->handle(now, connected, actions);
+    duties_.routerLost(now, connected.router);
+    for (auto& [id, entry] : flow_.entries())
+        entry.peerConnected(now, connected.router);
+    claims_->peerConnected(now, connected.router, actions);
+}
+
+auto CoreImpl::apply(Time now, const PeerDisconnected& disconnected, Actions& actions) -> void
+{
+    membership_->handle(now, disconnected, actions);
+    duties_.routerLost(now, disconnected.router);
+    for (auto& [id, entry] : flow_.entries())
+        entry.peerDisconnected(now, disconnected.router);
+}
+
+auto CoreImpl::apply(Time now, const PeerReceived& received, Actions& actions) -> void
+{
+    std::visit(
+        [&](const auto& message) { receive(now, received.router, message, actions); }, received.message);
+}
+
+auto CoreImpl::apply(Time now, const LogRead& read, Actions& actions) -> void
+{
+    documents_->handle(now, read, actions);
+    claims_->handle(now, read, actions);
+}
+
+auto CoreImpl::apply(Time now, const LogUnavailable& unavailable, Actions& actions) -> void
+{
+    documents_->handle(now, unavailable, actions);
+    claims_->handle(now, unavailable, actions);
+}
+
+auto CoreImpl::apply(Time now, const AppendEnded& ended, Actions& actions) -> void
+{
+    documents_->handle(now, ended, actions);
+    claims_->handle(now, ended, actions);
+}
+
+auto CoreImpl::apply(Time now, const VmsListed& listed, Actions& actions) -> void
+{
+    membership_->handle(now, listed, actions);
+    auto leaving = std::vector<std::string> {};
+    for (const auto& vm : listed.vms) {
+        if (vm.role == VmRole::Upstream && vm.leaving)
+            leaving.push_back(vm.name);
+    }
+    duties_.setLeaving(leaving);
+    ownersStale_ = true;
+}
+
+auto CoreImpl::apply(Time now, const VmListUnavailable& unavailable, Actions& actions) -> void { }
+
+auto CoreImpl::apply(Time now, const DrainRequested& drain, Actions& actions) -> void
+{
+    if (draining_)
+        return;
+    draining_ = true;
+    drainBegan_ = now;
+    flow_.drain();
+    membership_->drain(now, actions);
+    ownersStale_ = true;
+    actions.emplace_back(WriteLog {
+        LogLevel::Info, "drain-begins", { { "requests", std::to_string(flow_.activeRequests()) } } });
+}
+
+auto CoreImpl::apply(Time now, const Tick& tick, Actions& actions) -> void
+{
+    membership_->tick(now, actions);
+    documents_->tick(now, actions);
+    claims_->tick(now, membership_->live().size(), actions);
+    duties_.tick(
+        now, [this](const ShardId& shard) { return membership_->owner(shard); }, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const Demand& demand, Actions& actions) -> void
+{
+    duties_.handle(now, from, demand, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const Grants& grants, Actions& actions) -> void
+{
+    flow_.handle(now, from, grants, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const Ends& ends, Actions& actions) -> void
+{
+    duties_.handle(now, from, ends);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const Totals& totals, Actions& actions) -> void
+{
+    duties_.handle(now, totals);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const Probe& probe, Actions& actions) -> void
+{
+    membership_->handle(now, from, probe, actions);
+    documents_->peerVersions(now, from, probe.versions, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const ProbeAck& ack, Actions& actions) -> void
+{
+    membership_->handle(now, from, ack, actions);
+    documents_->peerVersions(now, from, ack.versions, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const DocumentRequest& request, Actions& actions) -> void
+{
+    documents_->handle(now, from, request, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const DocumentTransfer& transfer, Actions& actions) -> void
+{
+    documents_->handle(now, transfer, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const ClaimsRequest& request, Actions& actions) -> void
+{
+    claims_->handle(now, from, request, actions);
+}
+
+auto CoreImpl::receive(Time now, RouterId from, const ClaimsTransfer& transfer, Actions& actions) -> void
+{
+    claims_->handle(now, transfer, actions);
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -0,0 +1,216 @@
+#include "dutytable.h"
+
+namespace camphorshunt {
+
+namespace {
+
+constexpr auto loadPollInterval = Duration(250ms);
+
+/** A duty that another router owns is kept while entry routers still ask for it here. */
+constexpr auto strayDutyTime = Duration(3s);
+
+} // namespace
+
+DutyTable::DutyTable(RouterId self, Incarnation incarnation, std::uint64_t seed)
+    : self_(self)
+    , incarnation_(incarnation)
+    , seed_(seed)
+{
+}
+
+auto DutyTable::setDocument(const std::shared_ptr<const Document>& document) -> void
+{
+    const auto id = document->id;
+    auto& service = services_[id];
+    const auto rebuilt = service.document
+        && (service.document->dispatch.policy != document->dispatch.policy
+            || service.document->dispatch.shards != document->dispatch.shards);
+    service.document = document;
+    service.health.setDocument(*document);
+    service.health.setLeaving(leaving_);
+    for (const auto& upstream : document->upstreams)
+        serviceOfUpstream_[upstream.id] = id;
+
+    if (rebuilt)
+        std::erase_if(duties_, [id](const auto& entry) { return entry.first.service == id; });
+    for (auto& [shard, duty] : duties_) {
+        if (shard.service == id)
+            duty.dirty = true;
+    }
+}
+
+auto DutyTable::setLeaving(std::span<const std::string> names) -> void
+{
+    leaving_.assign(names.begin(), names.end());
+    for (auto& [id, service] : services_)
+        service.health.setLeaving(leaving_);
+    for (auto& [shard, duty] : duties_)
+        duty.dirty = true;
+}
+
+auto DutyTable::takeDuty(Time now, const ShardId& shard, Actions& actions) -> Duty*
+{
+    const auto found = duties_.find(shard);
+    if (found != duties_.end())
+        return &found->second;
+
+    const auto service = services_.find(shard.service);
+    if (service == services_.end() || shard.index >= service->second.document->dispatch.shards)
+        return nullptr;
+
+    const auto& document = *service->second.document;
+    const auto settings = ShardSettings { shard, incarnation_, self_, document.dispatch, seed_ };
+    auto dispatcher = ShardDispatcher::create(document.dispatch.policy, settings);
+    if (!dispatcher) {
+        actions.emplace_back(WriteLog { LogLevel::Error, "policy-unknown",
+            { { "service", document.service }, { "reason", dispatcher.error().text() } } });
+        return nullptr;
+    }
+
+    actions.emplace_back(WriteLog { LogLevel::Info, "duty-taken",
+        { { "service", document.service }, { "shard", std::to_string(shard.index) } } });
+    auto& duty = duties_[shard];
+    duty.dispatcher = std::move(dispatcher).value();
+    duty.lastDemand = now;
+    return &duty;
+}
+
+auto DutyTable::configure(Time now, const ShardId& shard, Duty& duty) -> void
+{
+    auto& service = services_.at(shard.service);
+    duty.dispatcher->setUpstreams(service.health.capacities(now, shard.index));
+    auto weights = std::vector<OrganisationWeight> {};
+    weights.reserve(service.document->organisations.size());
+    for (const auto& organisation : service.document->organisations)
+        weights.push_back({ organisation.id, organisation.weight });
+    duty.dispatcher->setWeights(weights);
+    duty.dirty = false;
+}
+
+auto DutyTable::handle(Time now, RouterId from, const Demand& demand, Actions& actions) -> void
+{
+    // A full demand is an entry router's word that this router holds the duty. Two dispatchers for a
+    // while cost some order, no promise; refusing would leave that router without any.
+    auto* duty = static_cast<Duty*>(nullptr);
+    if (demand.full)
+        duty = takeDuty(now, demand.shard, actions);
+    else if (const auto found = duties_.find(demand.shard); found != duties_.end())
+        duty = &found->second;
+    if (!duty)
+        return;
+
+    duty->lastDemand = now;
+    duty->dispatcher->apply(now, from, demand);
+}
+
+auto DutyTable::handle(Time now, RouterId from, const Ends& ends) -> void
+{
+    const auto found = duties_.find(ends.shard);
+    if (found == duties_.end())
+        return;
+    found->second.lastDemand = now;
+    found->second.dispatcher->apply(now, from, ends);
+}
+
+auto DutyTable::handle(Time now, const Totals& totals) -> void
+{
+    for (auto& [shard, duty] : duties_) {
+        if (shard.service == totals.shard.service && shard.index != totals.shard.index)
+            duty.dispatcher->apply(now, totals);
+    }
+}
+
+auto DutyTable::handle(Time now, const LoadReported& load) -> void
+{
+    const auto service = serviceOfUpstream_.find(load.upstream);
+    if (service != serviceOfUpstream_.end())
+        services_[service->second].health.noteLoad(now, load);
+}
+
+auto DutyTable::handle(Time now, const LoadFailed& failed) -> void
+{
+    const auto service = serviceOfUpstream_.find(failed.upstream);
+    if (service != serviceOfUpstream_.end())
+        services_[service->second].health.noteLoadFailed(now, failed.upstream);
+}
+
+auto DutyTable::routerLost(Time now, RouterId router) -> void
+{
+    for (auto& [shard, duty] : duties_)
+        duty.dispatcher->dropRouter(now, router);
+}
+
+auto DutyTable::noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
+    -> void
+{
+    const auto found = services_.find(service);
+    if (found != services_.end())
+        found->second.health.noteEnd(now, upstream, result, leaving);
+}
+
+auto DutyTable::accepts(ServiceId service, UpstreamId upstream) const -> bool
+{
+    const auto found = services_.find(service);
+    return found != services_.end() && found->second.health.accepts(upstream);
+}
+
+auto DutyTable::pollLoads(Time now, Actions& actions) -> void
+{
+    if (now < nextPoll_)
+        return;
+    nextPoll_ = now + loadPollInterval;
+
+    for (const auto& [shard, duty] : duties_) {
+        const auto& document = *services_.at(shard.service).document;
+        for (const auto& upstream : document.upstreams) {
+            if (document.shardOf(upstream.id) == shard.index)
+                actions.emplace_back(PollLoad { upstream.id, upstream.endpoint, document.upstreamKind });
+        }
+    }
+}
+
+auto DutyTable::tellTotals(Time now, const std::function<RouterId(const ShardId&)>& owner, Actions& actions)
+    -> void
+{
+    for (auto& [shard, duty] : duties_) {
+        const auto shards = services_.at(shard.service).document->dispatch.shards;
+        if (shards < 2)
+            continue;
+        auto totals = duty.dispatcher->takeTotals(now);
+        if (totals.empty())
+            continue;
+        for (auto other = std::uint32_t {}; other < shards; ++other) {
+            if (other != shard.index)
+                actions.emplace_back(
+                    SendPeer { owner({ shard.service, other }), Totals { shard, incarnation_, totals } });
+        }
+    }
+}
+
+auto DutyTable::tick(Time now, const std::function<RouterId(const ShardId&)>& owner, Actions& actions) -> void
+{
+    std::erase_if(duties_, [&](const auto& entry) {
+        const auto stray = owner(entry.first) != self_ && now - entry.second.lastDemand > strayDutyTime;
+        if (stray) {
+            actions.emplace_back(WriteLog { LogLevel::Info, "duty-ended",
+                { { "service", services_.at(entry.first.service).document->service },
+                    { "shard", std::to_string(entry.first.index) } } });
+        }
+        return stray;
+    });
+    for (auto& [shard, duty] : duties_)
+        duty.dispatcher->setUpstreams(services_.at(shard.service).health.capacities(now, shard.index));
+    pollLoads(now, actions);
+    tellTotals(now, owner, actions);
+}
+
+auto DutyTable::grant(Time now, Actions& actions) -> void
+{
+    for (auto& [shard, duty] : duties_) {
+        if (duty.dirty)
+            configure(now, shard, duty);
+        duty.dispatcher->grant(now, actions);
+    }
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/dutytable.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "camphorshunt/action.h"
+#include "camphorshunt/document.h"
+#include "camphorshunt/event.h"
+#include "camphorshunt/ids.h"
+#include "camphorshunt/peermessage.h"
+#include "camphorshunt/time.h"
+
+#include "sharddispatcher.h"
+#include "upstreamhealth.h"
+
+namespace camphorshunt {
+
+/** The dispatchers that run on this router, one for each shard whose duty it holds. */
+class DutyTable {
+public:
+    DutyTable(RouterId self, Incarnation incarnation, std::uint64_t seed);
+
+    auto setDocument(const std::shared_ptr<const Document>& document) -> void;
+    /** Upstreams that the VM list marks as leaving, by name. */
+    auto setLeaving(std::span<const std::string> names) -> void;
+    /** Ends duties that belong to other routers and are no longer asked for. */
+    auto tick(Time now, const std::function<RouterId(const ShardId&)>& owner, Actions& actions) -> void;
+
+    auto handle(Time now, RouterId from, const Demand& demand, Actions& actions) -> void;
+    auto handle(Time now, RouterId from, const Ends& ends) -> void;
+    auto handle(Time now, const Totals& totals) -> void;
+    auto handle(Time now, const LoadReported& load) -> void;
+    auto handle(Time now, const LoadFailed& failed) -> void;
+    auto routerLost(Time now, RouterId router) -> void;
+    auto noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
+        -> void;
+    auto accepts(ServiceId service, UpstreamId upstream) const -> bool;
+
+    /** Hands out what is free; called once all that is known has been applied. */
+    auto grant(Time now, Actions& actions) -> void;
+
+    struct Duty {
+        std::unique_ptr<ShardDispatcher> dispatcher;
+        Time lastDemand;
+        bool dirty = true;
+    };
+    auto duties() const -> const std::map<ShardId, Duty>& { return duties_; }
+
+private:
+    struct Service {
+        std::shared_ptr<const Document> document;
+        UpstreamHealth health;
+    };
+
+    auto takeDuty(Time now, const ShardId& shard, Actions& actions) -> Duty*;
+    auto configure(Time now, const ShardId& shard, Duty& duty) -> void;
+    auto pollLoads(Time now, Actions& actions) -> void;
+    auto tellTotals(Time now, const std::function<RouterId(const ShardId&)>& owner, Actions& actions) -> void;
+
+    RouterId self_;
+    Incarnation incarnation_;
+    std::uint64_t seed_;
+    absl::flat_hash_map<ServiceId, Service> services_;
+    absl::flat_hash_map<UpstreamId, ServiceId> serviceOfUpstream_;
+    std::map<ShardId, Duty> duties_;
+    std::vector<std::string> leaving_;
+    Time nextPoll_ {};
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -0,0 +1,210 @@
+#include "entryservice.h"
+
+#include <algorithm>
+
+namespace camphorshunt {
+
+namespace {
+
+/** A dispatcher that is out of reach for longer no longer decides for this router. */
+constexpr auto dispatcherPatience = Duration(300ms);
+
+/** Streamed units are reported once they exceed the last report by this much. */
+constexpr auto chargeStep = 64.0;
+
+/** Marks grants that a router has given itself. */
+constexpr auto localGrantBit = std::uint64_t { 1 } << 63U;
+
+} // namespace
+
+EntryService::EntryService(RouterId self, ServiceId service, Incarnation incarnation)
+    : self_(self)
+    , service_(service)
+    , incarnation_(incarnation)
+{
+}
+
+auto EntryService::setDocument(std::shared_ptr<const Document> document) -> void
+{
+    document_ = std::move(document);
+    queue_.setLimits(document_->limits.queuePerOrganisation, document_->limits.queueTotal);
+}
+
+auto EntryService::setOwners(Time now, std::span<const RouterId> owners) -> void
+{
+    links_.resize(owners.size());
+    for (auto shard = std::size_t {}; shard < owners.size(); ++shard) {
+        auto& link = links_[shard];
+        if (link.owner == owners[shard])
+            continue;
+        link = Link {};
+        link.owner = owners[shard];
+        link.connected = link.owner == self_;
+        link.silentSince = now;
+    }
+}
+
+auto EntryService::peerConnected(Time now, RouterId router) -> void
+{
+    for (auto& link : links_) {
+        if (link.owner != router)
+            continue;
+        link.connected = true;
+        link.synced = false;
+        link.grantsSeen = 0;
+        link.silentSince = now;
+    }
+}
+
+auto EntryService::peerDisconnected(Time now, RouterId router) -> void
+{
+    for (auto& link : links_) {
+        if (link.owner != router)
+            continue;
+        link.connected = false;
+        link.synced = false;
+        link.silentSince = now;
+    }
+}
+
+auto EntryService::linkOf(std::uint32_t shard) -> Link*
+{
+    return shard < links_.size() ? &links_[shard] : nullptr;
+}
+
+auto EntryService::takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool
+{
+    const auto request = queue_.pop(slot.held.organisation, slot.held.requestClass);
+    if (!request)
+        return false;
+    assignments.push_back({ *request, slot.held.grant, slot.held.upstream });
+    held_.insert_or_assign(slot.held.grant, slot);
+    return true;
+}
+
+auto EntryService::applyGrants(
+    Time now, RouterId from, const Grants& grants, std::vector<Assignment>& assignments) -> void
+{
+    auto* const link = linkOf(grants.shard.index);
+    // Slots of a router that no longer has the duty are not used: its full demand was dropped.
+    if (!link || link->owner != from || !link->synced || grants.sequence <= link->grantsSeen)
+        return;
+
+    link->grantsSeen = grants.sequence;
+    link->silentSince = now;
+    for (const auto& grant : grants.grants) {
+        const auto held = HeldSlot { grant.id, grant.organisation, grant.requestClass, grant.upstream, 0.0 };
+        if (!document_->upstream(grant.upstream)
+            || !takeWaiting(assignments, { grants.shard.index, held, 0.0, false }))
+            link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true });
+    }
+}
+
+auto EntryService::localInUse(UpstreamId upstream) const -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(
+        held_, [upstream](const auto& entry) { return entry.second.held.upstream == upstream; }));
+}
+
+auto EntryService::admitLocally(Time now, std::vector<Assignment>& assignments) -> void
+{
+    if (!document_ || queue_.empty())
+        return;
+
+    for (const auto& upstream : document_->upstreams) {
+        const auto shard = document_->shardOf(upstream.id);
+        const auto* const link = linkOf(shard);
+        if (!link || link->connected || now - link->silentSince < dispatcherPatience || upstream.leaving)
+            continue;
+
+        const auto fraction = std::max<std::size_t>(1, upstream.slots / std::max<std::size_t>(1, routers_));
+        for (auto used = localInUse(upstream.id); used < fraction && !queue_.empty(); ++used) {
+            const auto waiting = queue_.all();
+            const auto& entry = *std::ranges::min_element(waiting, {}, &DemandEntry::requestClass);
+            const auto id
+                = GrantId { localGrantBit | ((incarnation_.value & 0x7fffffffU) << 32U) | ++localGrants_ };
+            takeWaiting(assignments,
+                { shard, { id, entry.organisation, entry.requestClass, upstream.id, 0.0 }, 0.0, true });
+        }
+    }
+}
+
+auto EntryService::charge(GrantId grant, double units) -> void
+{
+    const auto found = held_.find(grant);
+    if (found == held_.end())
+        return;
+
+    auto& slot = found->second;
+    slot.held.chargedUnits = units;
+    if (units - slot.reportedUnits < chargeStep)
+        return;
+    slot.reportedUnits = units;
+    if (auto* const link = linkOf(slot.shard))
+        link->charges.push_back({ grant, units });
+}
+
+auto EntryService::release(GrantId grant, double units, bool unused) -> void
+{
+    const auto found = held_.find(grant);
+    if (found == held_.end())
+        return;
+
+    const auto& slot = found->second;
+    if (auto* const link = linkOf(slot.shard))
+        link->ends.push_back({ grant, slot.held.organisation, slot.held.upstream, units, unused });
+    held_.erase(found);
+}
+
+auto EntryService::fullDemand(std::uint32_t shard) const -> Demand
+{
+    auto demand = Demand {};
+    demand.shard = { service_, shard };
+    demand.full = true;
+    demand.entries = queue_.all();
+    for (const auto& [grant, slot] : held_) {
+        if (slot.shard == shard)
+            demand.held.push_back(slot.held);
+    }
+    return demand;
+}
+
+auto EntryService::flushShard(
+    Time now, std::uint32_t shard, std::span<const DemandEntry> changes, Actions& actions) -> void
+{
+    auto& link = links_[shard];
+    if (!link.connected)
+        return;
+
+    if (!link.synced) {
+        // Ended slots are simply absent from a full demand; their service was charged by the old one.
+        link.synced = true;
+        link.grantsSeen = 0;
+        actions.emplace_back(SendPeer { link.owner, fullDemand(shard) });
+    } else if (!changes.empty()) {
+        auto demand = Demand { { service_, shard }, false, link.grantsSeen, {}, {} };
+        demand.entries.assign(changes.begin(), changes.end());
+        actions.emplace_back(SendPeer { link.owner, std::move(demand) });
+    }
+
+    if (!link.ends.empty() || !link.charges.empty()) {
+        auto ends = Ends { { service_, shard }, std::move(link.ends), std::move(link.charges) };
+        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
+    }
+    link.ends.clear();
+    link.charges.clear();
+}
+
+auto EntryService::flush(Time now, Actions& actions) -> void
+{
+    const auto changes = queue_.takeChanges();
+    for (auto shard = std::uint32_t {}; shard < links_.size(); ++shard)
+        flushShard(now, shard, changes, actions);
+}
+
+auto EntryService::ownsEveryShard() const -> bool
+{
+    return std::ranges::all_of(links_, [this](const auto& link) { return link.owner == self_; });
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/requestflow.cpp
@@ -0,0 +1,428 @@
+#include "requestflow.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorshunt {
+
+namespace {
+
+constexpr auto shortPause = Duration(1s);
+constexpr auto longPause = Duration(5s);
+
+/** Bytes of a body that make about one prompt token, when the caller gives no hint. */
+constexpr auto bytesPerToken = 4.0;
+
+/** Output tokens assumed when the caller gives no hint. */
+constexpr auto usualOutputTokens = 64.0;
+
+auto estimateUnits(const Document& document, const RequestArrived& arrived) -> double
+{
+    const auto prompt = arrived.promptTokens != 0 ? arrived.promptTokens : arrived.bodyBytes / bytesPerToken;
+    const auto output = arrived.outputTokens != 0 ? arrived.outputTokens : usualOutputTokens;
+    return document.dispatch.promptWeight * prompt + document.dispatch.outputWeight * output;
+}
+
+auto servedUnits(const Document& document, std::uint32_t promptTokens, std::uint32_t outputTokens) -> double
+{
+    return document.dispatch.promptWeight * promptTokens + document.dispatch.outputWeight * outputTokens;
+}
+
+auto mayHaveRun(AttemptResult result) -> bool
+{
+    return result != AttemptResult::NotSent && result != AttemptResult::Refused;
+}
+
+/** What a caller whose claim was not won is told. */
+auto claimAnswer(ClaimRefusal refusal) -> std::pair<RequestOutcome, std::string_view>
+{
+    switch (refusal) {
+    case ClaimRefusal::Unavailable:
+        return { RequestOutcome::NotRun, "claims-unavailable" };
+    case ClaimRefusal::KeyTooOld:
+        return { RequestOutcome::Unknown, "key-too-old" };
+    case ClaimRefusal::KeyFromFuture:
+        return { RequestOutcome::NotRun, "key-from-future" };
+    case ClaimRefusal::Running:
+        return { RequestOutcome::Unknown, "key-running" };
+    case ClaimRefusal::Done:
+        return { RequestOutcome::Done, "key-done" };
+    }
+    return { RequestOutcome::Unknown, "key-unknown" };
+}
+
+} // namespace
+
+RequestFlow::RequestFlow(RouterId self, Incarnation incarnation, ClaimsBook& claims, DutyTable& duties)
+    : self_(self)
+    , incarnation_(incarnation)
+    , claims_(claims)
+    , duties_(duties)
+{
+}
+
+auto RequestFlow::setDocument(std::shared_ptr<const Document> document) -> void
+{
+    const auto id = document->id;
+    retryBudgets_[id].setFraction(document->limits.retryFraction);
+    entries_.try_emplace(id, self_, id, incarnation_).first->second.setDocument(std::move(document));
+}
+
+auto RequestFlow::entry(ServiceId service) -> EntryService*
+{
+    const auto found = entries_.find(service);
+    return found == entries_.end() ? nullptr : &found->second;
+}
+
+auto RequestFlow::note(
+    const ActiveRequest& request, RequestStep step, RequestOutcome outcome, Actions& actions) const -> void
+{
+    actions.emplace_back(
+        NoteStep { request.id, step, request.organisation, request.document->id, request.upstream, outcome });
+}
+
+auto RequestFlow::admit(Time now, const RequestArrived& arrived, ActiveRequest& request) const
+    -> std::optional<Refusal>
+{
+    if (draining_)
+        return Refusal { 503, "draining", shortPause };
+    const auto found = entries_.find(idOf<ServiceId>(arrived.service));
+    if (found == entries_.end())
+        return entries_.empty() ? Refusal { 503, "no-document", shortPause }
+                                : Refusal { 404, "unknown-service", {} };
+
+    request.document = found->second.document();
+    const auto& document = *request.document;
+    const auto* const organisation = document.organisationByKeyDigest(arrived.keyDigest);
+    if (!organisation)
+        return Refusal { 401, "unauthorised", {} };
+    const auto* const operation = document.operation(arrived.operation);
+    if (!operation)
+        return Refusal { 404, "unknown-operation", {} };
+
+    const auto wished
+        = arrived.deadline > Duration::zero() ? arrived.deadline : document.limits.defaultDeadline;
+    request.organisation = organisation->id;
+    request.operation = *operation;
+    request.arrived = now;
+    request.deadline = now + std::min(wished, document.limits.longestDeadline);
+    request.estimatedUnits = estimateUnits(document, arrived);
+    request.keyed = !operation->repeatable;
+    request.life = RequestLife(request.keyed);
+    return std::nullopt;
+}
+
+auto RequestFlow::startClaim(
+    Time now, const RequestArrived& arrived, ActiveRequest& request, Actions& actions) -> bool
+{
+    const auto key = ClaimsBook::parseKey(arrived.idempotencyKey, request.document->id, request.organisation);
+    if (!key) {
+        refuse(now, request, { 400, "idempotency-key-required", {} }, actions);
+        return false;
+    }
+    const auto refusal = claims_.begin(now, request.id, *key, request.document->limits.keyWindow);
+    if (refusal) {
+        applyClaim(now, { request.id, false, *refusal }, actions);
+        return false;
+    }
+    note(request, RequestStep::ClaimAppended, {}, actions);
+    return true;
+}
+
+auto RequestFlow::handle(Time now, const RequestArrived& arrived, Actions& actions) -> void
+{
+    auto request = ActiveRequest {};
+    request.id = arrived.request;
+    if (const auto refusal = admit(now, arrived, request)) {
+        actions.emplace_back(AnswerCaller { arrived.request, refusal->status, RequestOutcome::NotRun,
+            std::string(refusal->reason), refusal->retryAfter });
+        return;
+    }
+
+    auto& active = requests_.add(std::move(request));
+    retryBudgets_[active.document->id].noteRequest(now);
+    if (!active.keyed)
+        enqueue(now, active, actions);
+    else
+        startClaim(now, arrived, active, actions);
+}
+
+auto RequestFlow::applyClaim(Time now, const ClaimDecision& decision, Actions& actions) -> void
+{
+    auto* const request = requests_.find(decision.request);
+    if (!request || request->life.state() != RequestState::Claiming)
+        return;
+
+    if (decision.won) {
+        request->life.claim();
+        note(*request, RequestStep::ClaimWon, {}, actions);
+        enqueue(now, *request, actions);
+        return;
+    }
+
+    // The claim is lost for good, so this request is not run, whatever became of its key.
+    const auto [outcome, reason] = claimAnswer(decision.refusal);
+    const auto status
+        = std::uint16_t { outcome == RequestOutcome::NotRun ? std::uint16_t { 503 } : std::uint16_t { 409 } };
+    const auto pause = outcome == RequestOutcome::NotRun ? shortPause : Duration::zero();
+    request->life.endNotRun();
+    actions.emplace_back(AnswerCaller { request->id, status, outcome, std::string(reason), pause });
+    note(*request, RequestStep::Ended, outcome, actions);
+    requests_.erase(request->id);
+}
+
+auto RequestFlow::enqueue(Time now, ActiveRequest& request, Actions& actions) -> void
+{
+    auto* const service = entry(request.document->id);
+    const auto pushed = service->queue().push({ request.id, request.organisation,
+        request.operation.requestClass, request.estimatedUnits, request.deadline });
+    if (pushed.refused) {
+        refuse(now, request, { 429, "queue-full", longPause }, actions);
+        return;
+    }
+    note(request, RequestStep::Queued, {}, actions);
+    if (!pushed.dropped)
+        return;
+    if (auto* const dropped = requests_.find(*pushed.dropped))
+        refuse(now, *dropped, { 429, "queue-full", longPause }, actions);
+}
+
+auto RequestFlow::handle(Time now, RouterId from, const Grants& grants, Actions& actions) -> void
+{
+    auto* const service = entry(grants.shard.service);
+    if (!service)
+        return;
+    auto assignments = std::vector<Assignment> {};
+    service->applyGrants(now, from, grants, assignments);
+    assign(now, *service, assignments, actions);
+}
+
+auto RequestFlow::assign(
+    Time now, EntryService& service, std::span<const Assignment> assignments, Actions& actions) -> void
+{
+    for (const auto& assignment : assignments) {
+        auto* const request = requests_.find(assignment.request);
+        const auto usable = request && duties_.accepts(request->document->id, assignment.upstream);
+        if (!usable) {
+            service.release(assignment.grant, 0.0, true);
+            if (request)
+                enqueue(now, *request, actions);
+            continue;
+        }
+        request->grant = assignment.grant;
+        request->upstream = assignment.upstream;
+        note(*request, RequestStep::Granted, {}, actions);
+        send(now, *request, actions);
+    }
+}
+
+auto RequestFlow::send(Time now, ActiveRequest& request, Actions& actions) -> void
+{
+    if (!request.life.send()) {
+        entry(request.document->id)->release(request.grant, 0.0, true);
+        return;
+    }
+    const auto& document = *request.document;
+    const auto* upstream = document.upstream(request.upstream);
+    if (!upstream)
+        upstream = entry(document.id)->document()->upstream(request.upstream);
+
+    ++request.attempts;
+    const auto& limits = document.limits;
+    actions.emplace_back(SendAttempt { request.id, request.attempts, request.upstream, upstream->endpoint,
+        document.upstreamKind, request.operation.name, request.keyed, request.eventsPassed, 0,
+        limits.connectTimeout, limits.firstByteTimeout, limits.gapTimeout });
+    note(request, RequestStep::Sent, {}, actions);
+}
+
+auto RequestFlow::handle(Time now, const AttemptProgress& progress) -> void
+{
+    auto* const request = requests_.find(progress.request);
+    if (!request || request->attempts != progress.attempt)
+        return;
+    entry(request->document->id)
+        ->charge(request->grant, servedUnits(*request->document, 0, progress.outputTokens));
+}
+
+auto RequestFlow::handle(Time now, const AttemptEnded& ended, Actions& actions) -> void
+{
+    auto* const request = requests_.find(ended.request);
+    if (!request || request->attempts != ended.attempt || request->life.state() != RequestState::Sent)
+        return;
+
+    duties_.noteEnd(now, request->document->id, request->upstream, ended.result, ended.leaving);
+    const auto units = servedUnits(*request->document, ended.promptTokens, ended.outputTokens);
+    entry(request->document->id)->release(request->grant, units, ended.result == AttemptResult::NotSent);
+    request->eventsPassed = ended.eventsPassed;
+    request->headPassed = request->headPassed || ended.headPassed;
+    if (ended.eventsPassed > 0)
+        request->streamedFrom = request->upstream;
+    finishAttempt(now, *request, ended, actions);
+}
+
+auto RequestFlow::finishAttempt(Time now, ActiveRequest& request, const AttemptEnded& ended, Actions& actions)
+    -> void
+{
+    if (ended.result == AttemptResult::Complete || ended.result == AttemptResult::Failed) {
+        const auto outcome
+            = ended.result == AttemptResult::Complete ? RequestOutcome::Done : RequestOutcome::Failed;
+        request.headPassed = true;
+        conclude(request, outcome, 200, {}, actions);
+        request.life.endSent();
+        if (request.keyed)
+            claims_.settle(now, request.id);
+        requests_.erase(request.id);
+        return;
+    }
+    if (request.detached) {
+        request.life.endSent();
+        // Nothing left this VM, so the caller's next try under this key may run.
+        if (request.keyed && ended.result == AttemptResult::NotSent)
+            claims_.abandon(now, request.id);
+        requests_.erase(request.id);
+        return;
+    }
+    handleNoAnswer(now, request, ended, actions);
+}
+
+auto RequestFlow::handleNoAnswer(
+    Time now, ActiveRequest& request, const AttemptEnded& ended, Actions& actions) -> void
+{
+    const auto ran = mayHaveRun(ended.result);
+    // A keyed request that an upstream refused did reach it: its key stays used, see promises.md.
+    if (request.keyed && ended.result == AttemptResult::Refused) {
+        conclude(request, RequestOutcome::Failed, 503, "upstream-refused", actions);
+        request.life.endSent();
+        claims_.settle(now, request.id);
+        requests_.erase(request.id);
+        return;
+    }
+
+    const auto again = (!request.keyed || !ran) && mayRetry(now, request);
+    if (ran)
+        request.life.retry();
+    else
+        request.life.unsend();
+
+    if (again) {
+        note(request, RequestStep::Retried, {}, actions);
+        enqueue(now, request, actions);
+        return;
+    }
+    if (request.life.endNotRun()) {
+        actions.emplace_back(
+            AnswerCaller { request.id, 503, RequestOutcome::NotRun, "upstream-unreachable", shortPause });
+        note(request, RequestStep::Ended, RequestOutcome::NotRun, actions);
+        forget(now, request);
+        return;
+    }
+    conclude(request, RequestOutcome::Unknown, 502, "upstream-lost", actions);
+    request.life.endSent();
+    requests_.erase(request.id);
+}
+
+auto RequestFlow::mayRetry(Time now, const ActiveRequest& request) -> bool
+{
+    if (draining_ || now >= request.deadline)
+        return false;
+    return retryBudgets_[request.document->id].tryTake(now);
+}
+
+auto RequestFlow::handle(Time now, const CallerGone& gone, Actions& actions) -> void
+{
+    auto* const request = requests_.find(gone.request);
+    if (!request || request->detached)
+        return;
+
+    if (request->life.endNotRun()) {
+        note(*request, RequestStep::Ended, RequestOutcome::NotRun, actions);
+        forget(now, *request);
+        return;
+    }
+    request->detached = true;
+    if (request->life.state() == RequestState::Queued) {
+        entry(request->document->id)->queue().remove(request->id);
+        request->life.endSent();
+        requests_.erase(request->id);
+        return;
+    }
+    if (!request->keyed)
+        actions.emplace_back(CancelAttempt { request->id, request->attempts });
+}
+
+auto RequestFlow::expire(Time now, ActiveRequest& request, Actions& actions) -> void
+{
+    if (request.detached)
+        return;
+    if (request.life.endNotRun()) {
+        actions.emplace_back(
+            AnswerCaller { request.id, 504, RequestOutcome::NotRun, "deadline", shortPause });
+        note(request, RequestStep::Ended, RequestOutcome::NotRun, actions);
+        forget(now, request);
+        return;
+    }
+
+    conclude(request, RequestOutcome::Unknown, 504, "deadline", actions);
+    request.detached = true;
+    if (request.life.state() == RequestState::Queued) {
+        entry(request.document->id)->queue().remove(request.id);
+        request.life.endSent();
+        requests_.erase(request.id);
+        return;
+    }
+    if (!request.keyed)
+        actions.emplace_back(CancelAttempt { request.id, request.attempts });
+}
+
+auto RequestFlow::advance(Time now, Actions& actions) -> void
+{
+    for (const auto& decision : claims_.takeDecisions())
+        applyClaim(now, decision, actions);
+
+    for (const auto id : requests_.takeExpired(now)) {
+        if (auto* const request = requests_.find(id))
+            expire(now, *request, actions);
+    }
+
+    for (auto& [id, service] : entries_) {
+        auto assignments = std::vector<Assignment> {};
+        service.admitLocally(now, assignments);
+        assign(now, service, assignments, actions);
+    }
+}
+
+auto RequestFlow::refuse(Time now, ActiveRequest& request, const Refusal& refusal, Actions& actions) -> void
+{
+    if (!request.life.endNotRun()) {
+        conclude(request, RequestOutcome::Unknown, 502, refusal.reason, actions);
+        request.life.endSent();
+        requests_.erase(request.id);
+        return;
+    }
+    actions.emplace_back(AnswerCaller { request.id, refusal.status, RequestOutcome::NotRun,
+        std::string(refusal.reason), refusal.retryAfter });
+    note(request, RequestStep::Ended, RequestOutcome::NotRun, actions);
+    forget(now, request);
+}
+
+auto RequestFlow::conclude(ActiveRequest& request, RequestOutcome outcome, std::uint16_t status,
+    std::string_view reason, Actions& actions) -> void
+{
+    if (request.detached)
+        return;
+    if (request.headPassed)
+        actions.emplace_back(FinishCaller { request.id, outcome, std::string(reason) });
+    else
+        actions.emplace_back(AnswerCaller { request.id, status, outcome, std::string(reason), {} });
+    note(request, RequestStep::Ended, outcome, actions);
+}
+
+auto RequestFlow::forget(Time now, ActiveRequest& request) -> void
+{
+    entry(request.document->id)->queue().remove(request.id);
+    if (request.keyed)
+        claims_.abandon(now, request.id);
+    requests_.erase(request.id);
+}
+
+} // namespace camphorshunt
