--- /dev/null
+++ b/src/libnet/blockingcall.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <string>
+
+#include "httpclient.h"
+
+namespace camphorshunt::net {
+
+/** How a blocking call ended and what had come by then. */
+struct HttpAnswer {
+    HttpCallEnd end {};
+    HttpResponseHead head;
+    std::string body;
+
+    auto isWhole() const -> bool { return end == HttpCallEnd::Complete; }
+    auto isSuccess() const -> bool { return isWhole() && head.status >= 200 && head.status < 300; }
+};
+
+/** Makes one call on a connection of its own and returns when it has ended. For tools and tests. */
+auto callBlocking(HttpCallSpec spec) -> HttpAnswer;
+
+} // namespace camphorshunt::net
--- /dev/null
+++ b/tests/process/childprocess.cpp
@@ -0,0 +1,112 @@
+#include "childprocess.h"
+
+#include <cstdlib>
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace camphorshunt::test {
+
+namespace {
+
+[[noreturn]] auto runProgram(const std::string& path, std::vector<char*>& arguments, int output) -> void
+{
+    ::dup2(output, STDOUT_FILENO);
+    ::execv(path.c_str(), arguments.data());
+    ::_exit(127);
+}
+
+auto exitCode(int status) -> int { return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status); }
+
+} // namespace
+
+ChildProcess::ChildProcess(std::string_view program, std::span<const std::string> arguments)
+{
+    const auto path = std::string(CAMPHORSHUNT_BIN) + "/" + std::string(program);
+    auto texts = std::vector<std::string> { path };
+    texts.insert(texts.end(), arguments.begin(), arguments.end());
+    auto pointers = std::vector<char*> {};
+    for (auto& text : texts)
+        pointers.push_back(text.data());
+    pointers.push_back(nullptr);
+
+    int ends[2] = { -1, -1 };
+    if (::pipe2(ends, O_CLOEXEC) != 0)
+        std::abort();
+    pid_ = ::fork();
+    if (pid_ < 0)
+        std::abort();
+    if (pid_ == 0)
+        runProgram(path, pointers, ends[1]);
+    ::close(ends[1]);
+    output_ = ends[0];
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+    ::close(output_);
+}
+
+auto ChildProcess::readLine(std::string_view prefix) -> std::string
+{
+    while (true) {
+        const auto end = buffered_.find('\n');
+        if (end != std::string::npos) {
+            auto line = buffered_.substr(0, end);
+            buffered_.erase(0, end + 1);
+            if (line.starts_with(prefix))
+                return line;
+            continue;
+        }
+        char bytes[4096];
+        const auto count = ::read(output_, bytes, sizeof bytes);
+        if (count <= 0)
+            return {};
+        buffered_.append(bytes, static_cast<std::size_t>(count));
+    }
+}
+
+auto ChildProcess::readAll() -> std::string
+{
+    char bytes[4096];
+    for (auto count = ::read(output_, bytes, sizeof bytes); count > 0;
+         count = ::read(output_, bytes, sizeof bytes))
+        buffered_.append(bytes, static_cast<std::size_t>(count));
+    return std::move(buffered_);
+}
+
+auto ChildProcess::signal(int number) const -> void
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
+
+auto ChildProcess::wait() -> int
+{
+    if (pid_ > 0) {
+        ::waitpid(pid_, &status_, 0);
+        pid_ = -1;
+    }
+    return exitCode(status_);
+}
+
+auto ChildProcess::kill() -> void
+{
+    signal(SIGKILL);
+    wait();
+}
+
+auto ChildProcess::isRunning() -> bool
+{
+    if (pid_ <= 0)
+        return false;
+    if (::waitpid(pid_, &status_, WNOHANG) != pid_)
+        return true;
+    pid_ = -1;
+    return false;
+}
+
+} // namespace camphorshunt::test
--- /dev/null
+++ b/tests/process/fleet.cpp
@@ -0,0 +1,297 @@
+#include "fleet.h"
+
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iomanip>
+#include <random>
+#include <sstream>
+#include <thread>
+
+#include <unistd.h>
+
+#include <boost/json.hpp>
+#include <openssl/sha.h>
+
+namespace camphorshunt::test {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr auto organisations = std::size_t { 16 };
+
+auto digestOf(std::string_view key) -> std::string
+{
+    unsigned char bytes[SHA256_DIGEST_LENGTH];
+    SHA256(reinterpret_cast<const unsigned char*>(key.data()), key.size(), bytes);
+    auto text = std::ostringstream {};
+    for (const auto byte : bytes)
+        text << std::hex << std::setw(2) << std::setfill('0') << static_cast<int>(byte);
+    return text.str();
+}
+
+auto organisationList() -> json::array
+{
+    auto list = json::array {};
+    for (auto index = std::size_t {}; index < organisations; ++index) {
+        const auto number = std::to_string(index);
+        list.push_back(
+            { { "name", "org-" + number }, { "keyDigests", json::array { digestOf("key-" + number) } } });
+    }
+    return list;
+}
+
+auto bearer(std::size_t organisation) -> net::HttpHeader
+{
+    return { "Authorization", "Bearer key-" + std::to_string(organisation) };
+}
+
+auto endpointAfter(const std::string& line, std::string_view prefix) -> Endpoint
+{
+    const auto begin = line.find(prefix) + prefix.size();
+    const auto end = line.find(' ', begin);
+    return Endpoint::parse(line.substr(begin, end == std::string::npos ? end : end - begin), "listening")
+        .value();
+}
+
+/** A file that lives as long as this object. */
+class TemporaryFile {
+public:
+    explicit TemporaryFile(std::string_view content)
+    {
+        static auto number = 0;
+        path_ = std::filesystem::temp_directory_path()
+            / ("camphorshunt-" + std::to_string(::getpid()) + "-" + std::to_string(++number) + ".json");
+        std::ofstream(path_) << content;
+    }
+    ~TemporaryFile() { std::filesystem::remove(path_); }
+    TemporaryFile(const TemporaryFile&) = delete;
+    auto operator=(const TemporaryFile&) -> TemporaryFile& = delete;
+    auto path() const -> std::string { return path_.string(); }
+
+private:
+    std::filesystem::path path_;
+};
+
+auto daemonSettings(const std::string& name, const Endpoint& log, const Endpoint& vms) -> std::string
+{
+    const auto any = json::object { { "listen", "127.0.0.1:0" } };
+    return json::serialize(json::object {
+        { "name", name },
+        { "failureDomain", "a" },
+        { "callers", any },
+        { "admin", any },
+        { "peers",
+            json::object { { "listen", "127.0.0.1:0" }, { "sharedKey", "a key that only tests use" } } },
+        { "platform", json::object { { "log", log.text() }, { "vms", vms.text() } } },
+    });
+}
+
+} // namespace
+
+auto StandIn::fault(std::string_view json) const -> void
+{
+    post(endpoint, "/admin/faults", std::string(json));
+}
+
+Fleet::Fleet(FleetOptions options)
+    : options_(std::move(options))
+    , log_(startStandIn("log", options_.logFlags))
+    , vms_(startStandIn("vms", {}))
+    , service_(startStandIn("service", options_.serviceFlags))
+    , routers_(options_.routers)
+{
+    for (auto index = std::size_t {}; index < options_.engines; ++index) {
+        auto flags = options_.engineFlags;
+        flags.push_back("--slots=" + std::to_string(options_.slots));
+        flags.push_back("--token_ms=" + std::to_string(options_.tokenMs));
+        engines_.push_back(startStandIn("engine", flags));
+        engines_.back().name = "e" + std::to_string(index);
+    }
+    publish(assistantDocument());
+    publish(bookingDocument());
+    for (auto index = std::size_t {}; index < options_.routers; ++index)
+        startRouter(index);
+}
+
+auto Fleet::startStandIn(std::string name, std::vector<std::string> arguments) -> StandIn
+{
+    arguments.insert(arguments.begin(), { "--role=" + name, "--listen=127.0.0.1:0" });
+    auto process = std::make_unique<ChildProcess>("standins", arguments);
+    const auto line = process->readLine("listening ");
+    return { std::move(name), std::move(process), endpointAfter(line, "listening ") };
+}
+
+auto Fleet::startRouter(std::size_t index) -> void
+{
+    auto& router = routers_.at(index);
+    router.name = "r" + std::to_string(index);
+    const auto settings = TemporaryFile(daemonSettings(router.name, log_.endpoint, vms_.endpoint));
+    const auto arguments
+        = std::vector<std::string> { "--settings=" + settings.path(), "--log_level=warning" };
+    router.process = std::make_unique<ChildProcess>("camphorshuntd", arguments);
+    const auto line = router.process->readLine("listening ");
+    router.callers = endpointAfter(line, "callers=");
+    router.admin = endpointAfter(line, "admin=");
+    router.peers = endpointAfter(line, "peers=");
+    tellVms();
+}
+
+auto Fleet::restartRouter(std::size_t index) -> void
+{
+    routers_.at(index).process->kill();
+    startRouter(index);
+}
+
+auto Fleet::tellVms(std::string_view leavingName) -> void
+{
+    auto list = json::array {};
+    const auto add = [&](std::string_view name, std::string_view role, const Endpoint& endpoint) {
+        list.push_back({ { "name", name }, { "role", role }, { "address", endpoint.text() },
+            { "failureDomain", "a" }, { "state", name == leavingName ? "leaving" : "live" } });
+    };
+    for (const auto& router : routers_) {
+        if (router.process)
+            add(router.name, "router", router.peers);
+    }
+    for (const auto& engine : engines_)
+        add(engine.name, "upstream", engine.endpoint);
+    add("b0", "upstream", service_.endpoint);
+    post(vms_.endpoint, "/admin/vms", json::serialize(json::object { { "vms", list } }));
+}
+
+auto Fleet::assistantDocument(std::string_view dispatchExtra) const -> std::string
+{
+    auto upstreams = json::array {};
+    for (const auto& engine : engines_)
+        upstreams.push_back({ { "name", engine.name }, { "address", engine.endpoint.text() },
+            { "failureDomain", "a" }, { "slots", options_.slots } });
+    auto dispatch = json::object { { "policy", options_.policy }, { "shards", options_.shards } };
+    if (!dispatchExtra.empty()) {
+        for (const auto& entry : json::parse(dispatchExtra).as_object())
+            dispatch[entry.key()] = entry.value();
+    }
+    const auto operations = json::array {
+        json::object { { "name", "chat" }, { "class", "interactive" } },
+        json::object { { "name", "dossier" }, { "class", "deferrable" } },
+    };
+    return json::serialize(json::object {
+        { "service", "assistant" },
+        { "upstreamKind", "model-engine" },
+        { "organisations", organisationList() },
+        { "operations", operations },
+        { "upstreams", upstreams },
+        { "limits",
+            json::object { { "firstByteTimeoutMs", options_.firstByteTimeoutMs },
+                { "gapTimeoutMs", options_.gapTimeoutMs },
+                { "queuePerOrganisation", options_.queuePerOrganisation } } },
+        { "dispatch", dispatch },
+    });
+}
+
+auto Fleet::bookingDocument() const -> std::string
+{
+    const auto operations = json::array {
+        json::object { { "name", "confirm" }, { "repeatable", false } },
+        json::object { { "name", "history" } },
+    };
+    const auto upstreams = json::array { json::object { { "name", "b0" },
+        { "address", service_.endpoint.text() }, { "failureDomain", "a" }, { "slots", options_.slots } } };
+    return json::serialize(json::object {
+        { "service", "booking" },
+        { "upstreamKind", "plain-service" },
+        { "organisations", organisationList() },
+        { "operations", operations },
+        { "upstreams", upstreams },
+        { "limits",
+            json::object { { "firstByteTimeoutMs", options_.firstByteTimeoutMs },
+                { "gapTimeoutMs", options_.gapTimeoutMs } } },
+    });
+}
+
+auto Fleet::publish(std::string_view document) -> void
+{
+    const auto file = TemporaryFile(document);
+    const auto arguments
+        = std::vector<std::string> { "publish", file.path(), "--log=" + log_.endpoint.text() };
+    auto tool = ChildProcess("camphorshuntctl", arguments);
+    tool.readAll();
+    if (tool.wait() != 0)
+        std::fprintf(stderr, "publish failed\n");
+}
+
+auto Fleet::status(std::size_t index) -> std::string { return get(routers_.at(index).admin, "/status").body; }
+
+auto Fleet::awaitMembers(std::size_t alive) -> bool
+{
+    const auto complete = [&](std::size_t index) {
+        if (get(routers_.at(index).admin, "/ready").status != 200)
+            return false;
+        auto error = boost::system::error_code {};
+        const auto status = json::parse(this->status(index), error);
+        return !error && status.at("members").at("live").to_number<std::size_t>() == alive
+            && status.at("claims").at("ready").as_bool();
+    };
+    return eventually([&] {
+        for (auto index = std::size_t {}; index < routers_.size(); ++index) {
+            if (routers_[index].process && routers_[index].process->isRunning() && !complete(index))
+                return false;
+        }
+        return true;
+    });
+}
+
+auto Fleet::dispatcher() -> std::size_t
+{
+    auto found = routers_.size();
+    eventually([&] {
+        for (auto index = std::size_t {}; index < routers_.size(); ++index) {
+            if (!routers_[index].process || !routers_[index].process->isRunning())
+                continue;
+            if (status(index).find("\"assistant/0\"") != std::string::npos)
+                found = index;
+        }
+        return found != routers_.size();
+    });
+    return found;
+}
+
+auto Fleet::chat(std::size_t organisation, std::uint32_t tokens, std::string_view tag) -> net::HttpRequest
+{
+    const auto body = json::object { { "outputTokens", tokens } };
+    return { "POST", "/v1/assistant/chat",
+        { bearer(organisation), { "Camphorshunt-Output-Tokens", std::to_string(tokens) },
+            { "Camphorshunt-Request-Tag", std::string(tag) } },
+        json::serialize(body) };
+}
+
+auto Fleet::booking(std::size_t organisation, std::string_view key) -> net::HttpRequest
+{
+    return { "POST", "/v1/booking/confirm", { bearer(organisation), { "Idempotency-Key", std::string(key) } },
+        "{}" };
+}
+
+auto Fleet::makeKey() -> std::string
+{
+    static auto random = std::mt19937_64(std::random_device {}());
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    const auto high = (static_cast<std::uint64_t>(now.count()) << 16U) | 0x7000U | (random() & 0xfffU);
+    const auto low = (random() & 0x3fffffffffffffffU) | 0x8000000000000000U;
+    auto text = std::ostringstream {};
+    text << std::hex << std::setfill('0') << std::setw(8) << (high >> 32U) << '-' << std::setw(4)
+         << ((high >> 16U) & 0xffffU) << '-' << std::setw(4) << (high & 0xffffU) << '-' << std::setw(4)
+         << (low >> 48U) << '-' << std::setw(12) << (low & 0xffffffffffffU);
+    return text.str();
+}
+
+auto Fleet::runsOf(std::string_view key) -> std::int64_t
+{
+    const auto counts = json::parse(get(service_.endpoint, "/admin/counts").body);
+    const auto* const runs = counts.at("keys").as_object().if_contains(key);
+    return runs ? runs->as_int64() : 0;
+}
+
+} // namespace camphorshunt::test
