--- a/include/camphorshunt/registry.h
+++ b/include/camphorshunt/registry.h
@@ -14,8 +14,7 @@
  * `const auto registered = Registry<Factory>::instance().add("name", factory);`. All calls to `add`
  * come before `main`; afterwards any thread may look up.
  */
-template <typename Factory>
-class Registry {
+template <typename Factory> class Registry {
 public:
     static auto instance() -> Registry&
     {
--- /dev/null
+++ b/src/plugins/modelengine/eventstreamreader.cpp
@@ -0,0 +1,136 @@
+#include "eventstreamreader.h"
+
+#include <charconv>
+#include <limits>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+namespace camphorshunt {
+
+namespace {
+
+/** An engine that sends one event longer than this is taken for faulty. */
+constexpr auto longestEventBytes = std::size_t { 1024 } * 1024;
+
+struct EventFields {
+    std::string_view id;
+    std::string_view name;
+    std::string_view data;
+};
+
+auto fieldsOf(std::string_view event) -> EventFields
+{
+    auto fields = EventFields {};
+    while (!event.empty()) {
+        const auto lineEnd = event.find('\n');
+        auto line = event.substr(0, lineEnd);
+        event.remove_prefix(lineEnd == std::string_view::npos ? event.size() : lineEnd + 1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos)
+            continue;
+        const auto name = line.substr(0, colon);
+        auto value = line.substr(colon + 1);
+        if (value.starts_with(' '))
+            value.remove_prefix(1);
+        if (name == "id")
+            fields.id = value;
+        else if (name == "event")
+            fields.name = value;
+        else if (name == "data")
+            fields.data = value;
+    }
+    return fields;
+}
+
+/** Position after the empty line that ends the first event, or npos. */
+auto eventEnd(std::string_view bytes, std::size_t from) -> std::size_t
+{
+    for (auto newline = bytes.find('\n', from); newline != std::string_view::npos;
+         newline = bytes.find('\n', newline + 1)) {
+        const auto rest = bytes.substr(newline + 1);
+        if (rest.starts_with('\n'))
+            return newline + 2;
+        if (rest.starts_with("\r\n"))
+            return newline + 3;
+    }
+    return std::string_view::npos;
+}
+
+auto countOf(const boost::json::object& object, std::string_view name) -> std::uint32_t
+{
+    const auto* const value = object.if_contains(name);
+    const auto* const count = value == nullptr ? nullptr : value->if_int64();
+    if (count == nullptr || *count < 0 || *count > std::numeric_limits<std::uint32_t>::max())
+        return 0;
+    return static_cast<std::uint32_t>(*count);
+}
+
+} // namespace
+
+EventStreamReader::EventStreamReader(std::uint32_t resumeAfter)
+    : eventsPassed_(resumeAfter)
+    , outputTokens_(resumeAfter)
+{
+}
+
+auto EventStreamReader::take(std::string_view bytes) -> std::string
+{
+    auto passed = std::string {};
+    if (whole_ || malformed_)
+        return passed;
+
+    // The empty line may have begun in the bytes taken before.
+    auto searchFrom = pending_.size() < 3 ? std::size_t {} : pending_.size() - 3;
+    pending_ += bytes;
+    auto begin = std::size_t {};
+    for (auto end = eventEnd(pending_, searchFrom); end != std::string::npos && !whole_;
+         end = eventEnd(pending_, begin)) {
+        const auto event = std::string_view(pending_).substr(begin, end - begin);
+        if (!takeEvent(event)) {
+            malformed_ = true;
+            break;
+        }
+        passed += event;
+        begin = end;
+    }
+    pending_.erase(0, begin);
+    malformed_ = malformed_ || pending_.size() > longestEventBytes;
+    return passed;
+}
+
+auto EventStreamReader::takeEvent(std::string_view event) -> bool
+{
+    const auto fields = fieldsOf(event);
+    if (fields.name == "done") {
+        takeDone(fields.data);
+        return true;
+    }
+    if (fields.id.empty())
+        return true;
+
+    auto number = std::uint32_t {};
+    const auto* const idEnd = fields.id.data() + fields.id.size();
+    const auto [end, code] = std::from_chars(fields.id.data(), idEnd, number);
+    if (code != std::errc {} || end != idEnd || number != eventsPassed_ + 1)
+        return false;
+    eventsPassed_ = number;
+    ++outputTokens_;
+    return true;
+}
+
+auto EventStreamReader::takeDone(std::string_view data) -> void
+{
+    whole_ = true;
+    auto code = boost::system::error_code {};
+    const auto value = boost::json::parse(data, code);
+    const auto* const object = code ? nullptr : value.if_object();
+    if (object == nullptr)
+        return;
+    promptTokens_ = countOf(*object, "promptTokens");
+    outputTokens_ = countOf(*object, "outputTokens");
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/plugins/modelengine/eventstreamreader.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "camphorshunt/upstreamkind.h"
+
+namespace camphorshunt {
+
+/**
+ * Reads a model engine's `text/event-stream` (WHATWG HTML, server-sent events): passes whole events
+ * only, checks that they are numbered without a gap, and takes the answer for whole at `done`.
+ */
+class EventStreamReader final : public AnswerReader {
+public:
+    explicit EventStreamReader(std::uint32_t resumeAfter);
+
+    auto take(std::string_view bytes) -> std::string override;
+    auto whole() const -> bool override { return whole_; }
+    auto malformed() const -> bool override { return malformed_; }
+    auto eventsPassed() const -> std::uint32_t override { return eventsPassed_; }
+    auto promptTokens() const -> std::uint32_t override { return promptTokens_; }
+    auto outputTokens() const -> std::uint32_t override { return outputTokens_; }
+
+private:
+    auto takeEvent(std::string_view event) -> bool;
+    auto takeDone(std::string_view data) -> void;
+
+    std::string pending_;
+    std::uint32_t eventsPassed_;
+    std::uint32_t promptTokens_ {};
+    std::uint32_t outputTokens_;
+    bool whole_ = false;
+    bool malformed_ = false;
+};
+
+} // namespace camphorshunt
