Serve and call HTTP/1.1 on Beast with limits that say which was hit

The server keeps one read pending while an answer is written: a close by the caller is noticed at once and the bytes of a pipelined request wait for their turn. A peek in place of the read was ruled out, since it would report the same pipelined byte without end. Requests beyond a limit get 400, 408, 413, 431 or 503, and the connection is drained before it is closed so that the refusal arrives.

The client calls an answer complete only with its terminator, so one that is delimited by the close of its connection ends as Broken. Idle connections are watched and looked at once more before reuse.

--- /dev/null
+++ b/src/libnet/httpidlepool.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "camphorshunt/endpoint.h"
+
+namespace camphorshunt::net {
+
+/**
+ * Connections kept between calls. One on which bytes or a close arrive while it is idle is closed:
+ * whatever comes belongs to no call.
+ */
+class HttpIdlePool : public std::enable_shared_from_this<HttpIdlePool> {
+public:
+    HttpIdlePool(std::size_t perEndpoint, std::chrono::milliseconds idleTimeout);
+
+    /** The connection used last that is still quiet. */
+    auto take(const Endpoint& endpoint) -> std::optional<boost::asio::ip::tcp::socket>;
+    auto put(const Endpoint& endpoint, boost::asio::ip::tcp::socket socket) -> void;
+    auto clear() -> void;
+
+private:
+    struct Idle {
+        explicit Idle(boost::asio::ip::tcp::socket&& connected)
+            : socket(std::move(connected))
+            , expiry(socket.get_executor())
+        {
+        }
+
+        boost::asio::ip::tcp::socket socket;
+        boost::asio::steady_timer expiry;
+    };
+
+    auto watch(const Endpoint& endpoint, const std::shared_ptr<Idle>& idle) -> void;
+    auto remove(const Endpoint& endpoint, const std::shared_ptr<Idle>& idle) -> void;
+
+    std::map<Endpoint, std::vector<std::shared_ptr<Idle>>> idle_;
+    std::size_t perEndpoint_;
+    std::chrono::milliseconds idleTimeout_;
+    bool cleared_ = false;
+};
+
+} // namespace camphorshunt::net
--- /dev/null
+++ b/src/libnet/httpresponsetext.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+
+#include "httptypes.h"
+
+namespace camphorshunt::net {
+
+/** How the body of an answer is delimited. */
+struct HttpBodyFraming {
+    /** Empty for a streamed body. */
+    std::optional<std::size_t> contentLength;
+    bool chunked = false;
+    bool keepAlive = false;
+};
+
+/** Status line and header fields of an answer, up to and with the empty line. */
+auto responseHeadText(std::uint16_t status, const HttpHeaders& headers, const HttpBodyFraming& framing)
+    -> std::string;
+
+/** One chunk in chunked coding (RFC 9112, section 7.1). */
+auto chunkText(std::string_view payload) -> std::string;
+
+inline constexpr std::string_view finalChunkText = "0\r\n\r\n";
+
+/** 1xx, 204 and 304 never have a body. */
+auto statusHasBody(std::uint16_t status) -> bool;
+
+} // namespace camphorshunt::net
--- /dev/null
+++ b/tests/unit/httptestsupport.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "httpclient.h"
+#include "httpserver.h"
+
+namespace camphorshunt::net::test {
+
+using namespace std::chrono_literals;
+using Tcp = boost::asio::ip::tcp;
+
+inline const auto loopback = Endpoint { "127.0.0.1", 0 };
+
+/** Runs handlers until the state is reached; gives up after half a minute. */
+template <typename Predicate> auto runUntil(boost::asio::io_context& context, Predicate reached) -> bool
+{
+    const auto giveUp = std::chrono::steady_clock::now() + 30s;
+    while (!reached() && std::chrono::steady_clock::now() < giveUp) {
+        context.restart();
+        context.run_one_for(5ms);
+    }
+    return reached();
+}
+
+/** What one call reported. */
+struct Recorded {
+    HttpResponseHead head;
+    std::string body;
+    std::vector<HttpCallEnd> ends;
+
+    auto handlers() -> HttpCallHandlers
+    {
+        return { [this](const HttpResponseHead& seen) { head = seen; },
+            [this](std::string_view bytes) { body.append(bytes); },
+            [this](HttpCallEnd end) { ends.push_back(end); } };
+    }
+    auto ended() const -> bool { return !ends.empty(); }
+};
+
+inline auto callTo(const Endpoint& endpoint, std::string target = "/", std::string body = {}) -> HttpCallSpec
+{
+    auto spec = HttpCallSpec {};
+    spec.endpoint = endpoint;
+    spec.request = { body.empty() ? "GET" : "POST", std::move(target), {}, std::move(body) };
+    return spec;
+}
+
+/** A peer that sends and reads bytes as told, for what a well-behaved one never does. */
+class RawPeer {
+public:
+    explicit RawPeer(boost::asio::io_context& context, const Endpoint& endpoint)
+        : context_(context)
+        , socket_(context)
+    {
+        socket_.connect({ boost::asio::ip::make_address(endpoint.address), endpoint.port });
+        socket_.non_blocking(true);
+    }
+    RawPeer(boost::asio::io_context& context, Tcp::socket socket)
+        : context_(context)
+        , socket_(std::move(socket))
+    {
+        socket_.non_blocking(true);
+    }
+
+    auto send(std::string_view bytes) -> void { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
+    auto close() -> void { socket_.close(); }
+
+    /** Everything received so far holds `text`. */
+    auto receives(std::string_view text) -> bool
+    {
+        return runUntil(context_, [&] {
+            poll();
+            return received.find(text) != std::string::npos;
+        });
+    }
+    auto seesClose() -> bool
+    {
+        return runUntil(context_, [&] {
+            poll();
+            return closed_;
+        });
+    }
+
+    std::string received;
+
+private:
+    auto poll() -> void
+    {
+        auto error = boost::system::error_code {};
+        auto bytes = std::string(65536, '\0');
+        const auto size = socket_.read_some(boost::asio::buffer(bytes), error);
+        received.append(bytes, 0, size);
+        closed_ = closed_ || (error && error != boost::asio::error::would_block);
+    }
+
+    boost::asio::io_context& context_;
+    Tcp::socket socket_;
+    bool closed_ = false;
+};
+
+} // namespace camphorshunt::net::test
