Add membership by SWIM and upstream health

Membership: the VM list says whom to expect, random-subset probes with indirect probes and suspicion say who answers. Incarnations are start times, so that a router cannot raise its own to contradict a suspicion; MemberNews gains a refutation counter for that. A lost connection is checked by others at once and shortens the suspicion.

UpstreamHealth: ejection by weighted failures in a row or by rate, bounded per shard, recovery by one trial slot, a limit that follows the load report. RetryBudget: a token bucket with a small floor.

Compiled; not tested in this commit.

--- a/include/camphorshunt/peermessage.h
+++ b/include/camphorshunt/peermessage.h
@@ -103,6 +103,8 @@
     RouterId router;
     Incarnation incarnation;
     MemberState state {};
+    /** Raised by the router itself when it contradicts a suspicion within one incarnation. */
+    std::uint32_t refutation {};
 };
 
 struct DocumentVersion {
--- a/src/libcamphorshunt/membership.h
+++ b/src/libcamphorshunt/membership.h
@@ -24,9 +24,13 @@
     /** Without a direct answer for this long, others are asked to probe. */
     Duration probeTimeout = 150ms;
     /** A suspect that does not refute for this long is dead. */
-    Duration suspicionTime = 600ms;
+    Duration suspicionTime = 400ms;
     /** Members asked for an indirect probe. */
     std::uint32_t indirectProbes = 3;
+    /** Members probed in each interval; the traffic of probes does not grow with the fleet. */
+    std::uint32_t probesPerInterval = 2;
+    /** A lost connection that is not back for this long makes its router a suspect. */
+    Duration reconnectTime = 150ms;
 };
 
 struct MemberChange {
--- /dev/null
+++ b/src/libcamphorshunt/upstreamhealth.cpp
@@ -0,0 +1,256 @@
+#include "upstreamhealth.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+#include <xxhash.h>
+
+namespace camphorshunt {
+
+namespace {
+
+/** Weighted failures in a row that eject. */
+constexpr auto ejectAfter = 3.0;
+/** Load reports in a row that failed. */
+constexpr auto ejectAfterLoadFailures = std::uint32_t { 5 };
+/** Share of failed attempts that ejects, once there were enough of them. */
+constexpr auto ejectRate = 0.5;
+constexpr auto enoughAttempts = 10.0;
+constexpr auto rateHalfLife = Duration { 10s };
+
+constexpr auto shortestEjection = Duration { 5s };
+constexpr auto longestEjection = Duration { 60s };
+constexpr auto ejectionJitter = 0.2;
+/** After this long without an ejection the next one starts from the shortest again. */
+constexpr auto ejectionMemory = Duration { 120s };
+
+/** Load reports lag; a second reduction waits until the first can be seen in them. */
+constexpr auto reductionInterval = Duration { 500ms };
+constexpr auto reductionFactor = 0.85;
+
+constexpr auto budgetFloor = 3.0;
+constexpr auto budgetCeiling = 30.0;
+constexpr auto floorRefillPerSecond = 0.1;
+
+auto failureWeight(AttemptResult result) -> double
+{
+    switch (result) {
+    case AttemptResult::Crossed:
+        return 2.0;
+    case AttemptResult::Silent:
+        return 1.5;
+    case AttemptResult::NotSent:
+    case AttemptResult::Broken:
+        return 1.0;
+    case AttemptResult::Complete:
+    case AttemptResult::Refused:
+    case AttemptResult::Failed:
+    case AttemptResult::Cancelled:
+        return 0.0;
+    }
+    return 0.0;
+}
+
+/** Doubles with each ejection; the jitter keeps dispatchers from trying at the same moment. */
+auto ejectionTime(UpstreamId upstream, std::uint32_t ejections) -> Duration
+{
+    const auto doublings = std::min(ejections, std::uint32_t { 8 });
+    const auto time = std::min(shortestEjection * (1U << doublings), longestEjection);
+    const auto key = std::array { upstream.value, std::uint64_t { ejections } };
+    const auto unit = std::ldexp(static_cast<double>(XXH64(key.data(), sizeof(key), 0) >> 11U), -53);
+    const auto factor = 1.0 + ejectionJitter * (2.0 * unit - 1.0);
+    return Duration(std::llround(static_cast<double>(time.count()) * factor));
+}
+
+auto seconds(Duration duration) -> double { return std::chrono::duration<double>(duration).count(); }
+
+} // namespace
+
+auto UpstreamHealth::State::age(Time now) -> void
+{
+    const auto decay = std::exp2(-seconds(now - decayedAt) / seconds(rateHalfLife));
+    decayedAt = now;
+    recent *= decay;
+    recentFailed *= decay;
+}
+
+auto UpstreamHealth::setDocument(const Document& document) -> void
+{
+    auto previous = std::exchange(states_, {});
+    order_.clear();
+    ejectFraction_ = document.dispatch.ejectFraction;
+    for (const auto& upstream : document.upstreams) {
+        auto& state = states_[upstream.id];
+        if (const auto known = previous.find(upstream.id); known != previous.end())
+            state = std::move(known->second);
+        const auto atCeiling = state.limit >= state.documentSlots;
+        state.name = upstream.name;
+        state.shard = document.shardOf(upstream.id);
+        state.documentSlots = upstream.slots;
+        state.documentLeaving = upstream.leaving;
+        state.limit = atCeiling ? upstream.slots : std::min<double>(state.limit, upstream.slots);
+        order_.push_back(upstream.id);
+    }
+}
+
+auto UpstreamHealth::setLeaving(std::span<const std::string> names) -> void
+{
+    for (auto& [id, state] : states_)
+        state.listedLeaving = std::ranges::find(names, state.name) != names.end();
+}
+
+auto UpstreamHealth::noteEnd(Time now, UpstreamId upstream, AttemptResult result, bool leaving) -> void
+{
+    auto* const state = find(upstream);
+    if (state == nullptr)
+        return;
+    state->reportedLeaving = state->reportedLeaving || leaving;
+
+    if (result == AttemptResult::Complete || result == AttemptResult::Failed)
+        noteSuccess(now, *state);
+    else if (result == AttemptResult::Refused)
+        reduceLimit(now, *state);
+    else if (const auto weight = failureWeight(result); weight > 0.0)
+        noteFailure(now, upstream, *state, weight);
+}
+
+auto UpstreamHealth::noteLoad(Time now, const LoadReported& load) -> void
+{
+    auto* const state = find(load.upstream);
+    if (state == nullptr)
+        return;
+    state->loadFailures = 0;
+    // The report is the upstream's own word, and may be taken back by it.
+    state->reportedLeaving = load.leaving;
+    if (load.waiting > 0) {
+        reduceLimit(now, *state);
+        return;
+    }
+    const auto reported = load.slots > 0 ? std::min(load.slots, state->documentSlots) : state->documentSlots;
+    state->limit = std::min<double>(state->limit + 1.0, reported);
+}
+
+auto UpstreamHealth::noteLoadFailed(Time now, UpstreamId upstream) -> void
+{
+    auto* const state = find(upstream);
+    if (state == nullptr)
+        return;
+    if (++state->loadFailures >= ejectAfterLoadFailures)
+        ejectIfAllowed(now, upstream, *state);
+}
+
+auto UpstreamHealth::capacities(Time now, std::uint32_t shard) -> std::vector<UpstreamCapacity>
+{
+    auto result = std::vector<UpstreamCapacity> {};
+    for (const auto upstream : order_) {
+        const auto& state = states_.at(upstream);
+        if (state.shard != shard)
+            continue;
+        auto slots = static_cast<std::uint32_t>(state.limit);
+        if (state.onTrial)
+            slots = std::min(slots, std::uint32_t { 1 });
+        if (state.isLeaving() || state.isEjected(now))
+            slots = 0;
+        result.push_back({ upstream, slots });
+    }
+    return result;
+}
+
+auto UpstreamHealth::accepts(UpstreamId upstream) const -> bool
+{
+    const auto found = states_.find(upstream);
+    return found != states_.end() && !found->second.isLeaving();
+}
+
+auto UpstreamHealth::isEjected(Time now, UpstreamId upstream) const -> bool
+{
+    const auto found = states_.find(upstream);
+    return found != states_.end() && found->second.isEjected(now);
+}
+
+auto UpstreamHealth::find(UpstreamId upstream) -> State*
+{
+    const auto found = states_.find(upstream);
+    return found == states_.end() ? nullptr : &found->second;
+}
+
+auto UpstreamHealth::noteSuccess(Time now, State& state) -> void
+{
+    state.age(now);
+    state.consecutive = 0;
+    state.recent += 1.0;
+    // Answers to work sent before an ejection do not end it.
+    if (!state.isEjected(now))
+        state.onTrial = false;
+}
+
+auto UpstreamHealth::noteFailure(Time now, UpstreamId upstream, State& state, double weight) -> void
+{
+    state.age(now);
+    state.recent += 1.0;
+    state.recentFailed += std::min(weight, 1.0);
+    state.consecutive += weight;
+
+    const auto highRate = state.recent >= enoughAttempts && state.recentFailed >= ejectRate * state.recent;
+    if (state.onTrial || highRate || state.consecutive >= ejectAfter)
+        ejectIfAllowed(now, upstream, state);
+}
+
+auto UpstreamHealth::reduceLimit(Time now, State& state) -> void
+{
+    if (state.reducedAt && now < *state.reducedAt + reductionInterval)
+        return;
+    state.reducedAt = now;
+    state.limit = std::min<double>(std::max(1.0, state.limit * reductionFactor), state.documentSlots);
+}
+
+auto UpstreamHealth::ejectIfAllowed(Time now, UpstreamId upstream, State& state) -> void
+{
+    if (state.isEjected(now))
+        return;
+    auto total = std::size_t { 0 };
+    auto ejected = std::size_t { 0 };
+    for (const auto& [id, other] : states_) {
+        total += other.shard == state.shard ? 1 : 0;
+        ejected += other.shard == state.shard && other.isEjected(now) ? 1 : 0;
+    }
+    const auto allowed = static_cast<std::size_t>(std::floor(ejectFraction_ * static_cast<double>(total)));
+    if (ejected >= allowed)
+        return;
+
+    if (state.ejectedUntil && now - *state.ejectedUntil > ejectionMemory)
+        state.ejections = 0;
+    state.ejectedUntil = now + ejectionTime(upstream, state.ejections++);
+    state.onTrial = true;
+    state.consecutive = 0;
+    state.loadFailures = 0;
+    state.recent = 0;
+    state.recentFailed = 0;
+}
+
+auto RetryBudget::noteRequest(Time now) -> void
+{
+    refill(now);
+    tokens_ = std::max(tokens_, std::min(tokens_ + fraction_, budgetCeiling));
+}
+
+auto RetryBudget::tryTake(Time now) -> bool
+{
+    refill(now);
+    if (tokens_ < 1.0)
+        return false;
+    tokens_ -= 1.0;
+    return true;
+}
+
+auto RetryBudget::refill(Time now) -> void
+{
+    const auto passed = refilledAt_ ? seconds(now - *refilledAt_) : 0.0;
+    refilledAt_ = now;
+    if (tokens_ < budgetFloor)
+        tokens_ = std::min(budgetFloor, tokens_ + passed * floorRefillPerSecond);
+}
+
+} // namespace camphorshunt
