Add the peer transport: handshake, frames, redial

Either side proves the shared key by an HMAC over its role and both hellos before a frame is read. Frames are not authenticated one by one: the connections run between VMs of one platform, and the handshake is to keep strangers and misconfigured routers out, not a tap on the path.

--- /dev/null
+++ b/src/camphorshuntd/peerlink.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "camphorshunt/endpoint.h"
+#include "camphorshunt/ids.h"
+#include "camphorshunt/peermessage.h"
+#include "camphorshunt/result.h"
+
+#include "framereader.h"
+#include "handshake.h"
+#include "peertransport.h"
+
+namespace camphorshunt {
+
+/** One connection to another router: the handshake, then frames both ways. */
+class PeerLink : public std::enable_shared_from_this<PeerLink> {
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    struct Handlers {
+        /** The other side has proved the shared key. */
+        std::function<void(PeerLink&)> onReady;
+        std::function<void(PeerLink&, PeerMessage)> onMessage;
+        /** Called once, unless `close` was called before. */
+        std::function<void(PeerLink&, const Error&)> onClosed;
+    };
+
+    PeerLink(Socket socket, HandshakeRole role, const PeerTransport::Settings& settings,
+        PeerTransport::Traffic& traffic, Handlers handlers);
+
+    /** For a dialler: connects first. */
+    auto dial(const boost::asio::ip::tcp::endpoint& endpoint) -> void;
+    /** For an acceptor: the socket is connected. */
+    auto start() -> void;
+    /** Sends one frame, given with its head; ends the link if too much is unsent. */
+    auto send(std::span<const std::uint8_t> frame) -> void;
+    /** Ends the link; no handler is called any more. */
+    auto close() -> void;
+
+    auto isReady() const -> bool { return ready_; }
+    /** What the other side said of itself; to be believed once ready. */
+    auto remote() const -> const Hello& { return remote_; }
+    auto router() const -> RouterId { return idOf<RouterId>(remote_.name); }
+
+private:
+    using Clock = std::chrono::steady_clock;
+    using Step = void (PeerLink::*)();
+
+    auto fail(const Error& error) -> void;
+    auto readExactly(std::span<std::uint8_t> bytes, Step then) -> void;
+    auto readName() -> void;
+    auto exchangeProofs() -> void;
+    auto checkProof() -> void;
+    auto expectedProof(HandshakeRole sender) const -> Proof;
+    auto readFrames() -> void;
+    auto takeFrames(std::size_t size) -> void;
+    auto enqueue(std::span<const std::uint8_t> bytes) -> void;
+    auto write() -> void;
+    auto watch() -> void;
+    auto checkTimes() -> void;
+
+    Socket socket_;
+    boost::asio::steady_timer timer_;
+    HandshakeRole role_;
+    std::string key_;
+    PeerTransport::Traffic* traffic_;
+    Handlers handlers_;
+    Hello local_;
+    Hello remote_;
+    std::array<std::uint8_t, helloHeadBytes> head_ {};
+    Proof remoteProof_ {};
+    FrameReader reader_;
+    std::vector<std::uint8_t> input_;
+    std::vector<std::uint8_t> queued_;
+    std::vector<std::uint8_t> writing_;
+    Clock::time_point started_;
+    Clock::time_point lastRead_;
+    Clock::time_point lastWrite_;
+    Clock::time_point lastCheck_;
+    bool ready_ {};
+    bool closed_ {};
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/peertransport.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "camphorshunt/action.h"
+#include "camphorshunt/endpoint.h"
+#include "camphorshunt/ids.h"
+#include "camphorshunt/peermessage.h"
+#include "camphorshunt/result.h"
+
+namespace camphorshunt {
+
+/** Connections to the other routers: frames in, frames out. Used on the peers thread only. */
+class PeerTransport {
+public:
+    struct Settings {
+        std::string name;
+        Incarnation incarnation;
+        /** Port 0 takes a free port; see `endpoint`. */
+        Endpoint listen;
+        std::string sharedKey;
+    };
+
+    struct Handlers {
+        std::function<void(RouterId, Incarnation)> onConnected;
+        /** Always comes before a second `onConnected` of the same router. */
+        std::function<void(RouterId)> onDisconnected;
+        std::function<void(RouterId, PeerMessage)> onMessage;
+        std::function<void(LogLevel, std::string, std::vector<LogField>)> onLog;
+    };
+
+    static auto listen(boost::asio::io_context& context, const Settings& settings, Handlers handlers)
+        -> Result<std::unique_ptr<PeerTransport>>;
+    virtual ~PeerTransport() = default;
+
+    virtual auto endpoint() const -> Endpoint = 0;
+    /** Keeps a connection to this router, or ends it when the endpoint's address is empty. */
+    virtual auto keep(RouterId router, const Endpoint& endpoint) -> void = 0;
+    /** Dropped when there is no connection. */
+    virtual auto send(RouterId router, const PeerMessage& message) -> void = 0;
+
+    struct Traffic {
+        std::uint64_t framesIn {};
+        std::uint64_t framesOut {};
+        std::uint64_t bytesIn {};
+        std::uint64_t bytesOut {};
+        std::uint64_t malformed {};
+    };
+    virtual auto traffic() const -> Traffic = 0;
+};
+
+} // namespace camphorshunt
