--- /dev/null
+++ b/src/camphorshuntd/settingsreader.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json/object.hpp>
+
+#include "camphorshunt/endpoint.h"
+#include "camphorshunt/result.h"
+
+namespace camphorshunt {
+
+/**
+ * Reads the fields of one JSON object by name. The first fault found, in this object or one read
+ * through it, is kept in the error that all of them share; `finish` adds fields nobody asked for.
+ */
+class SettingsReader {
+public:
+    SettingsReader(const boost::json::object& object, std::string path, std::optional<Error>& error);
+
+    auto object(std::string_view name) -> SettingsReader;
+    auto optionalObject(std::string_view name) -> SettingsReader;
+    auto text(std::string_view name) -> std::string;
+    /** Empty when the field is missing. */
+    auto optionalText(std::string_view name) -> std::string;
+    auto endpoint(std::string_view name) -> Endpoint;
+    /** The number as given, or `fallback` when the field is missing. */
+    auto number(std::string_view name, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
+        -> std::uint64_t;
+    auto refuse(std::string_view name, std::string message) -> void;
+    auto finish() -> void;
+
+private:
+    auto value(std::string_view name) -> const boost::json::value*;
+    auto pathOf(std::string_view name) const -> std::string;
+
+    const boost::json::object& object_;
+    std::string path_;
+    std::optional<Error>& error_;
+    std::vector<std::string> known_;
+};
+
+} // namespace camphorshunt
