--- a/src/camphorshuntd/peertransport.h
+++ b/src/camphorshuntd/peertransport.h
@@ -22,20 +22,14 @@
     struct Settings {
         std::string name;
         Incarnation incarnation;
-<<<<<<< HEAD
-=======
         /** Port 0 takes a free port; see `endpoint`. */
->>>>>>> peers
         Endpoint listen;
         std::string sharedKey;
     };
 
     struct Handlers {
         std::function<void(RouterId, Incarnation)> onConnected;
-<<<<<<< HEAD
-=======
         /** Always comes before a second `onConnected` of the same router. */
->>>>>>> peers
         std::function<void(RouterId)> onDisconnected;
         std::function<void(RouterId, PeerMessage)> onMessage;
         std::function<void(LogLevel, std::string, std::vector<LogField>)> onLog;
@@ -48,10 +42,7 @@
     virtual auto endpoint() const -> Endpoint = 0;
     /** Keeps a connection to this router, or ends it when the endpoint's address is empty. */
     virtual auto keep(RouterId router, const Endpoint& endpoint) -> void = 0;
-<<<<<<< HEAD
-=======
     /** Dropped when there is no connection. */
->>>>>>> peers
     virtual auto send(RouterId router, const PeerMessage& message) -> void = 0;
 
     struct Traffic {
