--- /dev/null
+++ b/src/camphorshuntd/callers.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "camphorshunt/result.h"
+
+#include "httpserver.h"
+#include "messages.h"
+
+namespace camphorshunt {
+
+/** The callers thread's duty: takes requests over HTTP, holds their exchanges and writes the answers. */
+class Callers {
+public:
+    struct Rings {
+        Ring<Event>& toScheduler;
+        Ring<CallersToUpstreams>& toUpstreams;
+        Ring<SchedulerToCallers>& fromScheduler;
+        Ring<UpstreamsToCallers>& fromUpstreams;
+    };
+
+    struct Settings {
+        Endpoint listen;
+        net::HttpServerLimits limits;
+        /** Request ids count up from here. */
+        RequestId firstRequest;
+    };
+
+    static auto listen(boost::asio::io_context& context, const Settings& settings, const Rings& rings)
+        -> Result<std::unique_ptr<Callers>>;
+
+    auto endpoint() const -> Endpoint { return server_->endpoint(); }
+    /** On the callers thread. */
+    auto stopAccepting() -> void { server_->stopAccepting(); }
+    /** On the callers thread. */
+    auto connections() const -> std::size_t { return server_->connections(); }
+
+private:
+    struct Entry {
+        std::shared_ptr<net::HttpExchange> exchange;
+        /** The status line has gone and chunks follow. */
+        bool streaming = false;
+        /** The whole answer has been handed to the server. */
+        bool answered = false;
+    };
+
+    Callers(const Rings& rings, RequestId firstRequest);
+
+    auto take(net::HttpRequest request, std::shared_ptr<net::HttpExchange> exchange) -> void;
+    auto enqueue(RequestId id, NewBody body, RequestArrived arrived) -> bool;
+    auto callerGone(RequestId id) -> void;
+    auto forget(RequestId id) -> void;
+
+    auto handle(const AnswerCaller& answer) -> void;
+    auto handle(const FinishCaller& finish) -> void;
+    auto handle(const AnswerHead& head) -> void;
+    auto handle(AnswerChunk chunk) -> void;
+    auto handle(AnswerWhole whole) -> void;
+
+    Rings rings_;
+    std::uint64_t nextRequest_;
+    std::unordered_map<RequestId, Entry> entries_;
+    std::unique_ptr<net::HttpServer> server_;
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/settings.cpp
@@ -0,0 +1,133 @@
+#include "settings.h"
+
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include "settingsreader.h"
+
+namespace camphorshunt {
+
+namespace {
+
+constexpr auto shortestSharedKey = std::size_t { 16 };
+constexpr auto kibibyte = std::uint64_t { 1024 };
+constexpr auto mebibyte = 1024 * kibibyte;
+
+auto readFile(const std::filesystem::path& path) -> std::optional<std::string>
+{
+    auto stream = std::ifstream(path, std::ios::binary);
+    if (!stream)
+        return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
+auto milliseconds(SettingsReader& reader, std::string_view name, std::chrono::milliseconds fallback)
+    -> std::chrono::milliseconds
+{
+    const auto count = reader.number(name, static_cast<std::uint64_t>(fallback.count()), 10, 3'600'000);
+    return std::chrono::milliseconds(count);
+}
+
+auto readCallers(SettingsReader reader, Settings& settings) -> void
+{
+    auto& limits = settings.callersLimits;
+    settings.callersListen = reader.endpoint("listen");
+    limits.connections = reader.number("maxConnections", limits.connections, 1, 100'000);
+    limits.headerBytes = reader.number("headerBytes", limits.headerBytes, kibibyte, mebibyte);
+    limits.bodyBytes = reader.number("bodyBytes", limits.bodyBytes, kibibyte, 64 * mebibyte);
+    limits.requestTimeout = milliseconds(reader, "requestTimeoutMs", limits.requestTimeout);
+    limits.idleTimeout = milliseconds(reader, "idleTimeoutMs", limits.idleTimeout);
+    limits.writeTimeout = milliseconds(reader, "writeTimeoutMs", limits.writeTimeout);
+    reader.finish();
+}
+
+/** The key itself, or the content of a file beside the settings; its value goes into no message. */
+auto readSharedKey(SettingsReader& reader, const std::filesystem::path& folder) -> std::string
+{
+    const auto file = reader.optionalText("sharedKeyFile");
+    auto key = reader.optionalText("sharedKey");
+    if (file.empty() == key.empty())
+        reader.refuse("sharedKey", "must stand alone or be replaced by sharedKeyFile; give one of the two");
+    if (!file.empty()) {
+        auto content = readFile(folder / file);
+        if (!content)
+            reader.refuse("sharedKeyFile", "cannot be read");
+        key = content.value_or("");
+        while (key.ends_with('\n') || key.ends_with('\r'))
+            key.pop_back();
+    }
+    if (key.size() < shortestSharedKey)
+        reader.refuse(file.empty() ? "sharedKey" : "sharedKeyFile", "must hold at least 16 characters");
+    return key;
+}
+
+auto readPeers(SettingsReader reader, const std::filesystem::path& folder, Settings& settings) -> void
+{
+    settings.peersListen = reader.endpoint("listen");
+    settings.sharedKey = readSharedKey(reader, folder);
+    reader.finish();
+}
+
+auto readPlatform(SettingsReader reader, Settings& settings) -> void
+{
+    settings.platformLog = reader.endpoint("log");
+    settings.platformVms = reader.endpoint("vms");
+    reader.finish();
+}
+
+auto readRecord(SettingsReader reader, Settings& settings) -> void
+{
+    settings.recordFile = reader.optionalText("file");
+    settings.recordLimitBytes
+        = reader.number("limitBytes", settings.recordLimitBytes, kibibyte, 16 * kibibyte * mebibyte);
+    reader.finish();
+}
+
+} // namespace
+
+auto Settings::parse(std::string_view text, std::string_view file) -> Result<Settings>
+{
+    auto options = boost::json::parse_options {};
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    auto code = boost::system::error_code {};
+    const auto document = boost::json::parse(text, code, {}, options);
+    if (code)
+        return failure(Error::Code::Malformed, std::string(file), "is not JSON: " + code.message());
+    if (!document.is_object())
+        return failure(Error::Code::Invalid, std::string(file), "must hold one JSON object");
+
+    auto settings = Settings {};
+    auto error = std::optional<Error> {};
+    const auto folder = std::filesystem::path(file).parent_path();
+    auto reader = SettingsReader(document.get_object(), {}, error);
+    settings.name = reader.text("name");
+    settings.failureDomain = reader.text("failureDomain");
+    readCallers(reader.object("callers"), settings);
+    auto admin = reader.object("admin");
+    settings.adminListen = admin.endpoint("listen");
+    admin.finish();
+    readPeers(reader.object("peers"), folder, settings);
+    readPlatform(reader.object("platform"), settings);
+    readRecord(reader.optionalObject("record"), settings);
+    reader.finish();
+
+    if (error)
+        return failure(error->code, std::string(file) + ": " + error->field, std::move(error->message));
+    return settings;
+}
+
+auto Settings::load(const std::string& file) -> Result<Settings>
+{
+    const auto text = readFile(file);
+    if (!text)
+        return failure(Error::Code::Io, file, "cannot be read");
+    return parse(*text, file);
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/settingsreader.cpp
@@ -0,0 +1,125 @@
+#include "settingsreader.h"
+
+#include <algorithm>
+
+#include <boost/json/value.hpp>
+
+namespace camphorshunt {
+
+namespace {
+
+auto emptyObject() -> const boost::json::object&
+{
+    static const auto empty = boost::json::object {};
+    return empty;
+}
+
+auto joined(const std::vector<std::string>& names) -> std::string
+{
+    auto result = std::string {};
+    for (const auto& name : names)
+        result += (result.empty() ? "" : ", ") + name;
+    return result;
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(
+    const boost::json::object& object, std::string path, std::optional<Error>& error)
+    : object_(object)
+    , path_(std::move(path))
+    , error_(error)
+{
+}
+
+auto SettingsReader::object(std::string_view name) -> SettingsReader
+{
+    const auto* const found = value(name);
+    if (found == nullptr)
+        refuse(name, "is missing; allowed is an object");
+    else if (!found->is_object())
+        refuse(name, "must be an object");
+    const auto isObject = found != nullptr && found->is_object();
+    return { isObject ? found->get_object() : emptyObject(), pathOf(name), error_ };
+}
+
+auto SettingsReader::optionalObject(std::string_view name) -> SettingsReader
+{
+    if (object_.contains(name))
+        return object(name);
+    known_.emplace_back(name);
+    return { emptyObject(), pathOf(name), error_ };
+}
+
+auto SettingsReader::text(std::string_view name) -> std::string
+{
+    const auto* const found = value(name);
+    if (found == nullptr || !found->is_string() || found->get_string().empty()) {
+        refuse(name,
+            found == nullptr ? "is missing; allowed is a text that is not empty"
+                             : "must be a text that is not empty");
+        return {};
+    }
+    return std::string(found->get_string());
+}
+
+auto SettingsReader::optionalText(std::string_view name) -> std::string
+{
+    if (object_.contains(name))
+        return text(name);
+    known_.emplace_back(name);
+    return {};
+}
+
+auto SettingsReader::endpoint(std::string_view name) -> Endpoint
+{
+    const auto given = text(name);
+    if (given.empty())
+        return {};
+    auto parsed = Endpoint::parse(given, {});
+    if (parsed.has_value())
+        return parsed.value();
+    refuse(name, parsed.error().message);
+    return {};
+}
+
+auto SettingsReader::number(std::string_view name, std::uint64_t fallback, std::uint64_t least,
+    std::uint64_t most) -> std::uint64_t
+{
+    const auto* const found = value(name);
+    if (found == nullptr)
+        return fallback;
+    const auto isCount = found->is_uint64() || (found->is_int64() && found->get_int64() >= 0);
+    const auto count = isCount ? found->to_number<std::uint64_t>() : 0;
+    if (isCount && count >= least && count <= most)
+        return count;
+    refuse(name, "must be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    return fallback;
+}
+
+auto SettingsReader::refuse(std::string_view name, std::string message) -> void
+{
+    if (!error_)
+        error_ = failure(Error::Code::Invalid, pathOf(name), std::move(message));
+}
+
+auto SettingsReader::finish() -> void
+{
+    for (const auto& member : object_) {
+        if (std::ranges::find(known_, member.key()) == known_.end())
+            refuse(member.key(), "is not a known field; allowed are " + joined(known_));
+    }
+}
+
+auto SettingsReader::value(std::string_view name) -> const boost::json::value*
+{
+    known_.emplace_back(name);
+    return object_.if_contains(name);
+}
+
+auto SettingsReader::pathOf(std::string_view name) const -> std::string
+{
+    return path_.empty() ? std::string(name) : path_ + "." + std::string(name);
+}
+
+} // namespace camphorshunt
