--- /dev/null
+++ b/src/libcamphorshunt/dispatchpolicy.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "camphorshunt/document.h"
+#include "camphorshunt/ids.h"
+#include "camphorshunt/peermessage.h"
+
+namespace camphorshunt {
+
+/** Requests of one organisation and class that wait at one entry router. */
+struct DemandKey {
+    RouterId router;
+    OrganisationId organisation;
+    RequestClass requestClass {};
+
+    auto operator<=>(const DemandKey&) const = default;
+
+    template <typename H> friend auto AbslHashValue(H state, const DemandKey& key) -> H
+    {
+        return H::combine(std::move(state), key.router, key.organisation, key.requestClass);
+    }
+};
+
+/** A policy's decision: one request of this key runs next. */
+struct Choice {
+    DemandKey key;
+    /** The cost that the entry router stated. */
+    double hintUnits {};
+    /** What the policy has charged for it in advance. */
+    double chargedUnits {};
+};
+
+/**
+ * Decides whose request runs next. The shard around it counts slots; a policy knows only demand and
+ * service. `setWaiting` gives absolute counts; `choose` takes one waiting request and charges its
+ * estimate. `charge` corrects a charge (negative: refund), `served` counts units that an upstream
+ * really worked, `settled` tells how a stated cost came out.
+ */
+template <typename T>
+concept DispatchPolicy = std::constructible_from<T, const Dispatch&, Incarnation> && requires(T policy,
+    const T& constant, const DemandKey& key, OrganisationId organisation, double units, std::uint32_t count,
+    bool deferrableAllowed, const Totals& totals)
+{
+    policy.setWeight(organisation, units);
+    policy.setWaiting(key, count, count);
+    {
+        policy.choose(deferrableAllowed)
+        } -> std::same_as<std::optional<Choice>>;
+    policy.charge(key, units);
+    policy.served(key, units);
+    policy.settled(key, units, units);
+    policy.apply(totals);
+    {
+        policy.takeTotals()
+        } -> std::same_as<std::vector<ServiceTotal>>;
+    {
+        constant.backlogged()
+        } -> std::same_as<std::size_t>;
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/entryqueue.cpp
@@ -0,0 +1,160 @@
+#include "entryqueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <tuple>
+
+namespace camphorshunt {
+
+namespace {
+
+auto lineOf(RequestClass requestClass) -> std::size_t
+{
+    return requestClass == RequestClass::Interactive ? 0 : 1;
+}
+
+auto classOf(std::size_t line) -> RequestClass
+{
+    return line == 0 ? RequestClass::Interactive : RequestClass::Deferrable;
+}
+
+auto wholeUnits(double units) -> std::uint32_t
+{
+    constexpr auto kMost = static_cast<double>(std::numeric_limits<std::uint32_t>::max());
+    if (!(units > 1.0))
+        return 1;
+    return static_cast<std::uint32_t>(std::ceil(std::min(units, kMost)));
+}
+
+template <typename Line>
+auto entryOf(OrganisationId organisation, std::size_t line, const Line& waiting) -> DemandEntry
+{
+    return DemandEntry { organisation, classOf(line), static_cast<std::uint32_t>(waiting.size()),
+        waiting.empty() ? 0 : wholeUnits(waiting.front().request.units) };
+}
+
+} // namespace
+
+auto EntryQueue::setLimits(std::uint32_t perOrganisation, std::uint32_t total) -> void
+{
+    perOrganisation_ = perOrganisation;
+    total_ = total;
+}
+
+auto EntryQueue::push(const QueuedRequest& request) -> Pushed
+{
+    const auto found = queues_.find(request.organisation);
+    const auto own = found == queues_.end() ? 0 : found->second.size();
+    if (own >= perOrganisation_)
+        return Pushed { Refusal::OrganisationFull, {} };
+
+    auto dropped = std::optional<RequestId> {};
+    if (places_.size() >= total_) {
+        // With the newcomer this organisation would be as long as the longest: it is the one to be bitten.
+        if (lengths_.empty() || lengths_.rbegin()->first <= own + 1)
+            return Pushed { Refusal::TotalFull, {} };
+        dropped = dropNewest(lengths_.rbegin()->second);
+    }
+
+    auto& queue = queues_[request.organisation];
+    const auto line = lineOf(request.requestClass);
+    queue.lines[line].push_back(Waiting { request, ++arrivals_ });
+    places_[request.request] = std::prev(queue.lines[line].end());
+    resized(request.organisation, own, own + 1);
+    markChanged(Key { request.organisation, line }, queue);
+    return Pushed { {}, dropped };
+}
+
+auto EntryQueue::pop(OrganisationId organisation, RequestClass requestClass) -> std::optional<RequestId>
+{
+    const auto found = queues_.find(organisation);
+    if (found == queues_.end())
+        return std::nullopt;
+    auto& line = found->second.lines[lineOf(requestClass)];
+    if (line.empty())
+        return std::nullopt;
+    return erase(line.begin());
+}
+
+auto EntryQueue::remove(RequestId request) -> bool
+{
+    const auto found = places_.find(request);
+    if (found == places_.end())
+        return false;
+    erase(found->second);
+    return true;
+}
+
+auto EntryQueue::size() const -> std::size_t { return places_.size(); }
+
+auto EntryQueue::empty() const -> bool { return places_.empty(); }
+
+auto EntryQueue::takeChanges() -> std::vector<DemandEntry>
+{
+    auto entries = std::vector<DemandEntry> {};
+    entries.reserve(changes_.size());
+    for (const auto& [organisation, line] : changes_) {
+        const auto found = queues_.find(organisation);
+        entries.push_back(entryOf(organisation, line, found->second.lines[line]));
+        found->second.changed[line] = false;
+        if (found->second.forgettable())
+            queues_.erase(found);
+    }
+    changes_.clear();
+    return entries;
+}
+
+auto EntryQueue::all() const -> std::vector<DemandEntry>
+{
+    auto entries = std::vector<DemandEntry> {};
+    for (const auto& [organisation, queue] : queues_) {
+        for (auto line = std::size_t { 0 }; line < kClasses; ++line) {
+            if (!queue.lines[line].empty())
+                entries.push_back(entryOf(organisation, line, queue.lines[line]));
+        }
+    }
+    std::ranges::sort(entries, [](const DemandEntry& left, const DemandEntry& right) {
+        return std::tie(left.organisation, left.requestClass)
+            < std::tie(right.organisation, right.requestClass);
+    });
+    return entries;
+}
+
+auto EntryQueue::dropNewest(OrganisationId organisation) -> RequestId
+{
+    auto& lines = queues_.at(organisation).lines;
+    const auto newest = [](const Line& line) { return line.empty() ? 0 : line.back().arrival; };
+    auto& line = newest(lines[0]) > newest(lines[1]) ? lines[0] : lines[1];
+    return erase(std::prev(line.end()));
+}
+
+auto EntryQueue::erase(Line::iterator position) -> RequestId
+{
+    const auto [request, organisation, requestClass, units, deadline] = position->request;
+    auto& queue = queues_.at(organisation);
+    const auto before = queue.size();
+    const auto line = lineOf(requestClass);
+    queue.lines[line].erase(position);
+    places_.erase(request);
+    resized(organisation, before, before - 1);
+    markChanged(Key { organisation, line }, queue);
+    return request;
+}
+
+auto EntryQueue::resized(OrganisationId organisation, std::size_t before, std::size_t after) -> void
+{
+    lengths_.erase({ before, organisation });
+    if (after > 0)
+        lengths_.emplace(after, organisation);
+}
+
+auto EntryQueue::markChanged(const Key& key, OrganisationQueue& queue) -> void
+{
+    if (queue.changed[key.line])
+        return;
+    queue.changed[key.line] = true;
+    changes_.push_back(key);
+}
+
+} // namespace camphorshunt
--- a/src/libcamphorshunt/entryqueue.h
+++ b/src/libcamphorshunt/entryqueue.h
@@ -1,9 +1,14 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <list>
 #include <optional>
 #include <vector>
 
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
 #include "camphorshunt/document.h"
 #include "camphorshunt/ids.h"
 #include "camphorshunt/peermessage.h"
@@ -23,7 +28,8 @@
 /**
  * Requests of one service that wait at this router, by organisation and class, first come first
  * served within each. Bounded per organisation and in all; the total bound drops from the longest
- * organisation's queue.
+ * organisation's queue. Every operation but `all` takes at most logarithmic time in the number of
+ * organisations.
  */
 class EntryQueue {
 public:
@@ -37,6 +43,7 @@
         std::optional<RequestId> dropped;
     };
 
+    /** Lower limits drop nothing by themselves; they refuse or displace at the next push. */
     auto setLimits(std::uint32_t perOrganisation, std::uint32_t total) -> void;
     auto push(const QueuedRequest& request) -> Pushed;
     /** Takes the head of an organisation's queue of this class. */
@@ -45,10 +52,45 @@
     auto size() const -> std::size_t;
     auto empty() const -> bool;
 
-    /** Entries that changed since the last call, absolute counts. */
+    /** Entries that changed since the last call, absolute counts, in the order of first change. */
     auto takeChanges() -> std::vector<DemandEntry>;
-    /** All entries with waiting requests. */
+    /** All entries with waiting requests, by organisation. */
     auto all() const -> std::vector<DemandEntry>;
+
+private:
+    static constexpr auto kClasses = std::size_t { 2 };
+
+    struct Waiting {
+        QueuedRequest request;
+        std::uint64_t arrival {};
+    };
+    using Line = std::list<Waiting>;
+
+    struct OrganisationQueue {
+        std::array<Line, kClasses> lines;
+        std::array<bool, kClasses> changed {};
+
+        auto size() const -> std::size_t { return lines[0].size() + lines[1].size(); }
+        auto forgettable() const -> bool { return size() == 0 && !changed[0] && !changed[1]; }
+    };
+    struct Key {
+        OrganisationId organisation;
+        std::size_t line {};
+    };
+
+    auto dropNewest(OrganisationId organisation) -> RequestId;
+    auto erase(Line::iterator position) -> RequestId;
+    auto resized(OrganisationId organisation, std::size_t before, std::size_t after) -> void;
+    auto markChanged(const Key& key, OrganisationQueue& queue) -> void;
+
+    std::uint32_t perOrganisation_ = Limits {}.queuePerOrganisation;
+    std::uint32_t total_ = Limits {}.queueTotal;
+    std::uint64_t arrivals_ {};
+    absl::flat_hash_map<OrganisationId, OrganisationQueue> queues_;
+    absl::flat_hash_map<RequestId, Line::iterator> places_;
+    /** Organisations with waiting requests, the longest queue last. */
+    absl::btree_set<std::pair<std::size_t, OrganisationId>> lengths_;
+    std::vector<Key> changes_;
 };
 
 } // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/policyshard.h
@@ -0,0 +1,298 @@
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
+
+#include "dispatchpolicy.h"
+#include "routerledger.h"
+#include "sharddispatcher.h"
+#include "slottable.h"
+
+namespace camphorshunt {
+
+/** The first grant id of a dispatcher's run: its upper half tells runs apart. */
+auto firstGrantId(const ShardSettings& settings) -> GrantId;
+
+/** Slots of one shard that deferrable work may use: all but the reserved ones, at least one. */
+auto deferrableLimit(std::uint32_t slots, std::uint32_t reserved) -> std::uint32_t;
+
+/** The slot accounting that all policies share; the policy chooses whose request is next. */
+template <DispatchPolicy Policy> class PolicyShard final : public ShardDispatcher {
+public:
+    template <typename... PolicyArguments>
+    explicit PolicyShard(const ShardSettings& settings, PolicyArguments&&... arguments)
+        : settings_(settings)
+        , policy_(settings.dispatch, settings.dispatcher, std::forward<PolicyArguments>(arguments)...)
+        , nextGrant_(firstGrantId(settings))
+    {
+    }
+
+    auto setUpstreams(std::span<const UpstreamCapacity> upstreams) -> void override
+    {
+        slots_.setUpstreams(upstreams);
+    }
+
+    auto setWeights(std::span<const OrganisationWeight> weights) -> void override
+    {
+        for (const auto& [organisation, weight] : weights)
+            policy_.setWeight(organisation, weight);
+    }
+
+    auto apply(Time now, RouterId from, const Demand& demand) -> void override
+    {
+        auto& known = ledger(from);
+        if (known.lost && !demand.full)
+            return;
+        // A number beyond the last one is of an earlier run.
+        const auto seen = demand.grantsSeen <= known.sequence() ? demand.grantsSeen : 0;
+        known.acknowledge(seen);
+        auto withdrawn = std::vector<DemandKey> {};
+        if (demand.full) {
+            withdrawn = known.clearDemand();
+            reconcile(known, demand.held, seen);
+        }
+        // What still waits is set before the rest is withdrawn: no organisation seems idle in between.
+        for (const auto& entry : demand.entries) {
+            known.setDemand(entry);
+            refresh(known, DemandKey { from, entry.organisation, entry.requestClass }, entry.headUnits);
+        }
+        withdraw(known, withdrawn);
+    }
+
+    auto apply(Time now, RouterId from, const Ends& ends) -> void override
+    {
+        auto& known = ledger(from);
+        for (const auto& [grant, totalUnits] : ends.charges) {
+            const auto found = known.slots().find(grant);
+            if (found != known.slots().end())
+                chargeServed(found->second, totalUnits);
+        }
+        for (const auto& end : ends.ends) {
+            const auto found = known.slots().find(end.grant);
+            if (found == known.slots().end()) {
+                ++ignoredEnds_;
+                continue;
+            }
+            settle(found->second, end.unused ? 0.0 : end.totalUnits);
+            release(known, found);
+        }
+    }
+
+    auto apply(Time now, const Totals& totals) -> void override
+    {
+        if (totals.shard != settings_.shard)
+            policy_.apply(totals);
+    }
+
+    auto connectionLost(Time now, RouterId router) -> void override
+    {
+        const auto found = ledgers_.find(router);
+        if (found == ledgers_.end())
+            return;
+        found->second.lost = true;
+        withdraw(found->second, found->second.clearDemand());
+    }
+
+    auto dropRouter(Time now, RouterId router) -> void override
+    {
+        const auto found = ledgers_.find(router);
+        if (found == ledgers_.end())
+            return;
+        connectionLost(now, router);
+        auto& known = found->second;
+        known.loseUnacknowledged();
+        for (auto position = known.slots().begin(); position != known.slots().end();) {
+            refund(position->second);
+            position = release(known, position);
+        }
+    }
+
+    auto grant(Time now, Actions& actions) -> void override
+    {
+        auto batches = absl::btree_map<RouterId, std::vector<Grant>> {};
+        for (auto& [router, known] : ledgers_) {
+            if (!known.lost && !std::exchange(known.greeted, true))
+                batches[router];
+        }
+        while (const auto upstream = slots_.freest()) {
+            const auto choice = policy_.choose(deferrableUsed_ < deferrableCap());
+            if (!choice)
+                break;
+            batches[choice->key.router].push_back(hand(*choice, *upstream));
+        }
+        for (auto& [router, grants] : batches) {
+            const auto sequence = ledgers_.at(router).closeSequence();
+            actions.emplace_back(
+                SendPeer { router, Grants { settings_.shard, sequence, std::move(grants) } });
+        }
+    }
+
+    auto takeTotals(Time now) -> std::vector<ServiceTotal> override { return policy_.takeTotals(); }
+
+    auto status() const -> ShardStatus override
+    {
+        return ShardStatus { slots_.slots(), slots_.used(), waiting_,
+            static_cast<std::uint32_t>(policy_.backlogged()), granted_, ignoredEnds_ };
+    }
+
+private:
+    using Slots = RouterLedger::Slots;
+
+    auto ledger(RouterId router) -> RouterLedger&
+    {
+        return ledgers_.try_emplace(router, router).first->second;
+    }
+
+    auto deferrableCap() const -> std::uint32_t
+    {
+        return deferrableLimit(slots_.slots(), settings_.dispatch.reservedSlots);
+    }
+
+    auto refresh(RouterLedger& known, const DemandKey& key, std::uint32_t headUnits) -> void
+    {
+        const auto waiting = known.waiting(key);
+        auto& shown = shown_[key];
+        waiting_ += waiting - shown;
+        shown = waiting;
+        if (waiting == 0)
+            shown_.erase(key);
+        policy_.setWaiting(key, waiting, headUnits);
+    }
+
+    /** Shows the policy that these keys wait no more, unless they were set anew. */
+    auto withdraw(RouterLedger& known, const std::vector<DemandKey>& keys) -> void
+    {
+        for (const auto& key : keys) {
+            if (known.waiting(key) == 0)
+                refresh(known, key, 0);
+        }
+    }
+
+    /** Brings the slots in line with what the router says it holds. */
+    auto reconcile(RouterLedger& known, std::span<const HeldSlot> heldSlots, std::uint64_t seen) -> void
+    {
+        // Frames of one connection keep their order: what was not seen before the connection was lost never
+        // will be. On a connection that stands, later grants are still on their way.
+        const auto onTheWay = known.lost ? known.nextSequence() : seen + 1;
+        if (std::exchange(known.lost, false))
+            known.loseUnacknowledged();
+        known.greeted = true;
+
+        auto held = absl::flat_hash_set<GrantId> {};
+        for (const auto& slot : heldSlots)
+            held.insert(slot.grant);
+        for (auto position = known.slots().begin(); position != known.slots().end();) {
+            const auto& slot = position->second;
+            if (held.contains(position->first) || slot.sequence >= onTheWay) {
+                ++position;
+                continue;
+            }
+            if (slot.sequence > seen)
+                refund(position->second);
+            position = release(known, position);
+        }
+        for (const auto& slot : heldSlots)
+            takeHeld(known, slot);
+    }
+
+    auto takeHeld(RouterLedger& known, const HeldSlot& held) -> void
+    {
+        if (const auto found = known.slots().find(held.grant); found != known.slots().end()) {
+            chargeServed(found->second, held.chargedUnits);
+            return;
+        }
+        // Its earlier charge was balanced by the dispatcher that granted it; only what follows counts here.
+        known.addHeld(held);
+        occupy(held.requestClass, held.upstream);
+    }
+
+    auto hand(const Choice& choice, UpstreamId upstream) -> Grant
+    {
+        auto& known = ledgers_.at(choice.key.router);
+        while (known.slots().contains(nextGrant_))
+            ++nextGrant_.value;
+        const auto id = nextGrant_;
+        ++nextGrant_.value;
+        known.addGrant(id,
+            OutstandingGrant {
+                choice.key, upstream, known.nextSequence(), choice.hintUnits, choice.chargedUnits, 0 });
+        occupy(choice.key.requestClass, upstream);
+        if (--shown_[choice.key] == 0)
+            shown_.erase(choice.key);
+        --waiting_;
+        ++granted_;
+        return Grant { id, choice.key.organisation, choice.key.requestClass, upstream };
+    }
+
+    auto occupy(RequestClass requestClass, UpstreamId upstream) -> void
+    {
+        slots_.take(upstream);
+        if (requestClass == RequestClass::Deferrable)
+            ++deferrableUsed_;
+    }
+
+    auto release(RouterLedger& known, Slots::iterator position) -> Slots::iterator
+    {
+        slots_.release(position->second.upstream);
+        if (position->second.key.requestClass == RequestClass::Deferrable)
+            --deferrableUsed_;
+        return known.slots().erase(position);
+    }
+
+    /** Units served so far; the charge follows once it is too low. */
+    auto chargeServed(OutstandingGrant& slot, double units) -> void
+    {
+        if (units > slot.servedUnits) {
+            policy_.served(slot.key, units - slot.servedUnits);
+            slot.servedUnits = units;
+        }
+        if (slot.servedUnits > slot.chargedUnits)
+            correct(slot, slot.servedUnits);
+    }
+
+    auto settle(OutstandingGrant& slot, double totalUnits) -> void
+    {
+        chargeServed(slot, totalUnits);
+        correct(slot, slot.servedUnits);
+        // A held slot came without its stated cost; one that served nothing says nothing about costs.
+        if (slot.sequence > 0 && slot.servedUnits > 0)
+            policy_.settled(slot.key, slot.hintUnits, slot.servedUnits);
+    }
+
+    /** Takes back the part of the charge that was not served. */
+    auto refund(OutstandingGrant& slot) -> void { correct(slot, slot.servedUnits); }
+
+    auto correct(OutstandingGrant& slot, double units) -> void
+    {
+        policy_.charge(slot.key, units - slot.chargedUnits);
+        slot.chargedUnits = units;
+    }
+
+    ShardSettings settings_;
+    Policy policy_;
+    SlotTable slots_;
+    absl::btree_map<RouterId, RouterLedger> ledgers_;
+    /** Waiting counts as the policy knows them. */
+    absl::flat_hash_map<DemandKey, std::uint32_t> shown_;
+    GrantId nextGrant_;
+    std::uint32_t waiting_ {};
+    std::uint32_t deferrableUsed_ {};
+    std::uint64_t granted_ {};
+    std::uint64_t ignoredEnds_ {};
+};
+
+/** Makes a dispatcher; one entry of the registry for each policy. */
+using DispatcherFactory = auto(*)(const ShardSettings& settings) -> std::unique_ptr<ShardDispatcher>;
+
+template <DispatchPolicy Policy>
+auto makePolicyShard(const ShardSettings& settings) -> std::unique_ptr<ShardDispatcher>
+{
+    return std::make_unique<PolicyShard<Policy>>(settings);
+}
+
+} // namespace camphorshunt
--- a/src/libcamphorshunt/sharddispatcher.h
+++ b/src/libcamphorshunt/sharddispatcher.h
@@ -30,6 +30,7 @@
 
 struct ShardSettings {
     ShardId shard;
+    /** Greater for each later run of a dispatcher of this shard, on this router too. */
     Incarnation dispatcher;
     /** The router this dispatcher runs on. */
     RouterId self;
@@ -43,11 +44,27 @@
     std::uint32_t waiting {};
     std::uint32_t organisations {};
     std::uint64_t granted {};
+    /** Ends of grants that were not outstanding: told twice, or late. */
+    std::uint64_t ignoredEnds {};
 };
 
 /**
  * Hands free slots of one shard to waiting organisations. Runs on the router that has the shard's
  * duty; all of its state can be rebuilt from full demands.
+ *
+ * Rules between an entry router and the dispatcher:
+ * - Frames of one connection keep their order. The dispatcher is told of a lost connection by
+ *   `connectionLost` before it gets the full demand of the next one. That demand releases all grants
+ *   not in `held`: those up to `grantsSeen` have ended, the later ones were lost on the way. A full
+ *   demand on a connection that stands leaves the later ones alone, as they are still on their way.
+ * - `grantsSeen` is the number of the last Grants message of this dispatcher's run. An entry router that
+ *   gets one whose number is not the last plus one is talking to a new run, and answers with a full
+ *   demand. A dispatcher that hears from a router without a full demand sends an empty Grants message
+ *   for this purpose.
+ * - `HeldSlot::chargedUnits` is the greater of the estimate and the units streamed: this much was
+ *   balanced by the dispatcher that granted the slot.
+ * - A grant id is never handed out twice; the end of a grant that is not outstanding is ignored and
+ *   counted.
  */
 class ShardDispatcher {
 public:
@@ -61,6 +78,11 @@
     virtual auto apply(Time now, RouterId from, const Demand& demand) -> void = 0;
     virtual auto apply(Time now, RouterId from, const Ends& ends) -> void = 0;
     virtual auto apply(Time now, const Totals& totals) -> void = 0;
+    /**
+     * The connection to an entry router ended: no grants go to it until its next full demand. Its
+     * slots stay in use.
+     */
+    virtual auto connectionLost(Time now, RouterId router) -> void = 0;
     /** An entry router is dead or has a new incarnation: its slots are free, its demand is gone. */
     virtual auto dropRouter(Time now, RouterId router) -> void = 0;
     /** Hands out what is free; appends SendPeer actions carrying Grants (also to itself). */
--- /dev/null
+++ b/src/libcamphorshunt/slottable.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <tuple>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+
+#include "camphorshunt/ids.h"
+
+#include "sharddispatcher.h"
+
+namespace camphorshunt {
+
+/**
+ * Slots in use at each upstream of a shard. An upstream that left, or whose limit shrank below its
+ * use, keeps its used slots until they are released.
+ */
+class SlotTable {
+public:
+    auto setUpstreams(std::span<const UpstreamCapacity> upstreams) -> void;
+
+    /** The upstream with the least used fraction, ties to the one least recently taken. */
+    auto freest() const -> std::optional<UpstreamId>;
+    auto take(UpstreamId upstream) -> void;
+    auto release(UpstreamId upstream) -> void;
+
+    auto slots() const -> std::uint32_t { return slots_; }
+    auto used() const -> std::uint32_t { return used_; }
+
+private:
+    struct Use {
+        std::uint32_t limit {};
+        std::uint32_t used {};
+        std::uint64_t lastTaken {};
+    };
+    using FreeKey = std::tuple<double, std::uint64_t, UpstreamId>;
+
+    static auto freeKey(UpstreamId upstream, const Use& use) -> FreeKey;
+    auto unlist(UpstreamId upstream, const Use& use) -> void;
+    auto list(UpstreamId upstream, const Use& use) -> void;
+
+    absl::btree_map<UpstreamId, Use> uses_;
+    absl::btree_set<FreeKey> free_;
+    std::uint32_t slots_ {};
+    std::uint32_t used_ {};
+    std::uint64_t taken_ {};
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/plugins/localfairpolicy/routershares.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+
+#include "dispatchpolicy.h"
+#include "fairshares.h"
+
+namespace camphorshunt {
+
+/**
+ * Slots go round the entry routers; each router's share is divided fairly by what its organisations
+ * received through that router alone. A baseline: nothing is exchanged between routers or shards.
+ */
+class RouterShares {
+public:
+    RouterShares(const Dispatch& dispatch, Incarnation dispatcher);
+
+    auto setWeight(OrganisationId organisation, double weight) -> void;
+    auto setWaiting(const DemandKey& key, std::uint32_t waiting, std::uint32_t headUnits) -> void;
+    auto choose(bool deferrableAllowed) -> std::optional<Choice>;
+    auto charge(const DemandKey& key, double units) -> void;
+    auto served(const DemandKey& key, double units) -> void { }
+    auto settled(const DemandKey& key, double hintUnits, double totalUnits) -> void;
+    auto apply(const Totals& totals) -> void { }
+    auto takeTotals() -> std::vector<ServiceTotal> { return {}; }
+    auto backlogged() const -> std::size_t { return organisations_.size(); }
+
+private:
+    auto shares(RouterId router) -> FairShares&;
+    auto countBacklogged(const DemandKey& key, std::uint32_t waiting) -> void;
+
+    Dispatch dispatch_;
+    Incarnation dispatcher_;
+    absl::flat_hash_map<OrganisationId, double> weights_;
+    absl::btree_map<RouterId, FairShares> routers_;
+    RouterId lastServed_;
+    absl::flat_hash_map<DemandKey, std::uint32_t> waiting_;
+    /** Backlogged organisations and the number of keys under which they wait. */
+    absl::flat_hash_map<OrganisationId, std::uint32_t> organisations_;
+};
+
+static_assert(DispatchPolicy<RouterShares>);
+
+} // namespace camphorshunt
