Parse documents: JSON with comments, schema and cross-field rules

The schema's patterns were ruled out for names and digests: libstdc++'s regex recurses on long input. Each schema node's description states what is allowed, so that an error gives path, value and the allowed range.

--- a/include/camphorshunt/document.h
+++ b/include/camphorshunt/document.h
@@ -1,12 +1,16 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <absl/container/flat_hash_map.h>
+#include <boost/json/fwd.hpp>
+
 #include "camphorshunt/endpoint.h"
 #include "camphorshunt/ids.h"
 #include "camphorshunt/result.h"
@@ -89,6 +93,8 @@
 
     /** Parses and checks JSON with comments; errors name the path, the value and what is allowed. */
     static auto parse(std::string_view text) -> Result<Document>;
+    /** Like `parse`, for a document that is JSON already. */
+    static auto fromJson(const boost::json::value& value) -> Result<Document>;
 
     auto organisation(OrganisationId id) const -> const Organisation*;
     auto organisationByKeyDigest(std::string_view digest) const -> const Organisation*;
@@ -96,6 +102,15 @@
     auto upstream(UpstreamId id) const -> const Upstream*;
     /** The shard an upstream belongs to: its position in the document modulo the number of shards. */
     auto shardOf(UpstreamId id) const -> std::uint32_t;
+
+private:
+    auto buildIndex() -> void;
+
+    /** Positions in the lists above; empty in a document made by hand, which is then searched. */
+    absl::flat_hash_map<OrganisationId, std::uint32_t> organisationIndex_;
+    std::map<std::string, std::uint32_t, std::less<>> digestIndex_;
+    std::map<std::string, std::uint32_t, std::less<>> operationIndex_;
+    absl::flat_hash_map<UpstreamId, std::uint32_t> upstreamIndex_;
 };
 
 } // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/documentschema.cpp
@@ -0,0 +1,162 @@
+#include "documentschema.h"
+
+#include <charconv>
+#include <string>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <valijson/adapters/boost_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+namespace camphorshunt {
+
+namespace {
+
+namespace json = boost::json;
+
+/** Longest piece of a value shown in an error, in bytes. */
+constexpr std::size_t longestShown = 80;
+
+/** The schema as JSON and as the validator wants it; read-only once made. */
+struct ParsedSchema {
+    json::value text = json::parse(documentSchemaText);
+    valijson::Schema schema;
+
+    ParsedSchema()
+    {
+        auto parser = valijson::SchemaParser(valijson::SchemaParser::kDraft4);
+        parser.populateSchema(valijson::adapters::BoostJsonAdapter(text), schema);
+    }
+};
+
+auto parsedSchema() -> const ParsedSchema&
+{
+    static const auto schema = ParsedSchema();
+    return schema;
+}
+
+/** A place in a document, followed in the document and in its schema at once. */
+struct Place {
+    std::string path;
+    const json::value* value;
+    const json::value* schema;
+};
+
+auto enterItem(Place& place, std::string_view step) -> bool
+{
+    auto index = std::size_t {};
+    const auto [end, code] = std::from_chars(step.data(), step.data() + step.size(), index);
+    const auto isIndex = code == std::errc {} && end == step.data() + step.size();
+    if (!isIndex || index >= place.value->get_array().size())
+        return false;
+    place.value = &place.value->get_array()[index];
+    place.schema = &place.schema->at("items");
+    place.path += "[" + std::string(step) + "]";
+    return true;
+}
+
+auto enterField(Place& place, std::string_view step) -> bool
+{
+    const auto* const value = place.value->get_object().if_contains(step);
+    const auto* const schema = place.schema->at("properties").as_object().if_contains(step);
+    if (value == nullptr || schema == nullptr)
+        return false;
+    place.value = value;
+    place.schema = schema;
+    place.path += (place.path.empty() ? "" : ".") + std::string(step);
+    return true;
+}
+
+/** Follows the validator's context, whose steps look like `[organisations]` and `[2]`. */
+auto findPlace(const json::value& document, const std::vector<std::string>& context) -> Place
+{
+    auto place = Place { "", &document, &parsedSchema().text };
+    for (const auto& bracketed : context) {
+        if (bracketed.size() < 2 || bracketed.front() != '[')
+            continue;
+        const auto step = std::string_view(bracketed).substr(1, bracketed.size() - 2);
+        const auto entered = place.value->is_array() ? enterItem(place, step)
+            : place.value->is_object()               ? enterField(place, step)
+                                                     : false;
+        if (!entered)
+            break;
+    }
+    return place;
+}
+
+auto fieldNames(const json::value& schema) -> std::string
+{
+    auto names = std::string();
+    for (const auto& field : schema.at("properties").as_object())
+        names += (names.empty() ? "" : ", ") + std::string(field.key());
+    return names;
+}
+
+auto child(const Place& place, std::string_view field) -> std::string
+{
+    return place.path + (place.path.empty() ? "" : ".") + std::string(field);
+}
+
+/** Says which field of an object is missing or unknown; empty when the fault lies elsewhere. */
+auto fieldFault(const Place& place) -> std::optional<Error>
+{
+    const auto& object = place.value->get_object();
+    const auto& schema = place.schema->as_object();
+    for (const auto& field : object) {
+        if (schema.at("properties").as_object().contains(field.key()))
+            continue;
+        return failure(Error::Code::Invalid, child(place, field.key()),
+            "unknown field with value " + shownValue(field.value()) + "; allowed are "
+                + fieldNames(*place.schema));
+    }
+    const auto* const required = schema.if_contains("required");
+    if (required == nullptr)
+        return std::nullopt;
+    for (const auto& name : required->as_array()) {
+        if (!object.contains(name.as_string()))
+            return failure(Error::Code::Invalid, child(place, name.as_string()), "is missing");
+    }
+    return std::nullopt;
+}
+
+auto describe(const json::value& document, const valijson::ValidationResults::Error& error) -> Error
+{
+    const auto place = findPlace(document, error.context);
+    if (place.value->is_object()) {
+        if (auto fault = fieldFault(place))
+            return *fault;
+    }
+    const auto allowed = std::string(place.schema->at("description").as_string());
+    return failure(Error::Code::Invalid, place.path.empty() ? "document" : place.path,
+        shownValue(*place.value) + " is not allowed; give " + allowed);
+}
+
+} // namespace
+
+auto shownValue(const json::value& value) -> std::string
+{
+    if (value.is_array())
+        return "a list of " + std::to_string(value.get_array().size());
+    if (value.is_object())
+        return "an object";
+    auto shown = json::serialize(value);
+    if (shown.size() > longestShown)
+        shown = shown.substr(0, longestShown) + "...";
+    return shown;
+}
+
+auto checkDocumentSchema(const json::value& document) -> std::optional<Error>
+{
+    auto results = valijson::ValidationResults();
+    auto validator = valijson::Validator();
+    if (validator.validate(parsedSchema().schema, valijson::adapters::BoostJsonAdapter(document), &results))
+        return std::nullopt;
+    auto error = valijson::ValidationResults::Error();
+    results.popError(error);
+    return describe(document, error);
+}
+
+} // namespace camphorshunt
