Keep the count of grants seen per dispatcher run

A dispatcher that loses and regains a shard without a broken connection kept slots that its entry router had ignored in between: the full demand counted them as still on their way. Each entry now remembers the last sequence by every router and returns a former dispatcher's grants unused.

Found by reading; the model of slots is to prove it. Compiled only.

--- a/src/libcamphorshunt/coreimpl.cpp
+++ b/src/libcamphorshunt/coreimpl.cpp
@@ -211,18 +211,19 @@
 auto CoreImpl::apply(Time now, const PeerConnected& connected, Actions& actions) -> void
 {
     membership_->handle(now, connected, actions);
-    duties_.routerLost(now, connected.router);
-    for (auto& [id, entry] : flow_.entries())
-        entry.peerConnected(now, connected.router);
+    const auto newRun
+        = std::exchange(peers_[connected.router], connected.incarnation) != connected.incarnation;
+    if (newRun)
+        duties_.routerLost(now, connected.router);
+    flow_.peerConnected(now, connected.router, newRun);
     claims_->peerConnected(now, connected.router, actions);
 }
 
 auto CoreImpl::apply(Time now, const PeerDisconnected& disconnected, Actions& actions) -> void
 {
     membership_->handle(now, disconnected, actions);
-    duties_.routerLost(now, disconnected.router);
-    for (auto& [id, entry] : flow_.entries())
-        entry.peerDisconnected(now, disconnected.router);
+    duties_.connectionLost(now, disconnected.router);
+    flow_.peerDisconnected(now, disconnected.router);
 }
 
 auto CoreImpl::apply(Time now, const PeerReceived& received, Actions& actions) -> void
--- a/src/libcamphorshunt/coreimpl.h
+++ b/src/libcamphorshunt/coreimpl.h
@@ -73,6 +73,7 @@
     std::unique_ptr<ClaimsBook> claims_;
     DutyTable duties_;
     RequestFlow flow_;
+    absl::flat_hash_map<RouterId, Incarnation> peers_;
     Time lastFlush_ {};
     Time drainBegan_ {};
     bool draining_ = false;
--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -134,6 +134,12 @@
         services_[service->second].health.noteLoadFailed(now, failed.upstream);
 }
 
+auto DutyTable::connectionLost(Time now, RouterId router) -> void
+{
+    for (auto& [shard, duty] : duties_)
+        duty.dispatcher->connectionLost(now, router);
+}
+
 auto DutyTable::routerLost(Time now, RouterId router) -> void
 {
     for (auto& [shard, duty] : duties_)
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -38,6 +38,8 @@
     auto handle(Time now, const Totals& totals) -> void;
     auto handle(Time now, const LoadReported& load) -> void;
     auto handle(Time now, const LoadFailed& failed) -> void;
+    auto connectionLost(Time now, RouterId router) -> void;
+    /** The router is dead or runs anew: what it held is free. */
     auto routerLost(Time now, RouterId router) -> void;
     auto noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
         -> void;
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -1,6 +1,7 @@
 #include "entryservice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorshunt {
 
@@ -37,36 +38,43 @@
         auto& link = links_[shard];
         if (link.owner == owners[shard])
             continue;
-        link = Link {};
         link.owner = owners[shard];
-        link.connected = link.owner == self_;
+        link.synced = false;
+        link.ends.clear();
+        link.charges.clear();
         link.silentSince = now;
     }
 }
 
-auto EntryService::peerConnected(Time now, RouterId router) -> void
+auto EntryService::peerConnected(Time now, RouterId router, bool newRun) -> void
 {
+    peers_.insert(router);
     for (auto& link : links_) {
+        if (newRun)
+            link.grantsSeen.erase(router);
         if (link.owner != router)
             continue;
-        link.connected = true;
         link.synced = false;
-        link.grantsSeen = 0;
         link.silentSince = now;
     }
 }
 
 auto EntryService::peerDisconnected(Time now, RouterId router) -> void
 {
+    peers_.erase(router);
     for (auto& link : links_) {
         if (link.owner != router)
             continue;
-        link.connected = false;
         link.synced = false;
         link.silentSince = now;
     }
 }
 
+auto EntryService::isReachable(RouterId router) const -> bool
+{
+    return router == self_ || peers_.contains(router);
+}
+
 auto EntryService::linkOf(std::uint32_t shard) -> Link*
 {
     return shard < links_.size() ? &links_[shard] : nullptr;
@@ -86,11 +94,17 @@
     Time now, RouterId from, const Grants& grants, std::vector<Assignment>& assignments) -> void
 {
     auto* const link = linkOf(grants.shard.index);
-    // Slots of a router that no longer has the duty are not used: its full demand was dropped.
-    if (!link || link->owner != from || !link->synced || grants.sequence <= link->grantsSeen)
+    if (!link || grants.sequence <= link->grantsSeen[from])
+        return;
+
+    link->grantsSeen[from] = grants.sequence;
+    if (link->owner != from) {
+        for (const auto& grant : grants.grants)
+            link->strays.emplace_back(
+                from, SlotEnd { grant.id, grant.organisation, grant.upstream, 0.0, true });
         return;
+    }
 
-    link->grantsSeen = grants.sequence;
     link->silentSince = now;
     for (const auto& grant : grants.grants) {
         const auto held = HeldSlot { grant.id, grant.organisation, grant.requestClass, grant.upstream, 0.0 };
@@ -114,7 +128,8 @@
     for (const auto& upstream : document_->upstreams) {
         const auto shard = document_->shardOf(upstream.id);
         const auto* const link = linkOf(shard);
-        if (!link || link->connected || now - link->silentSince < dispatcherPatience || upstream.leaving)
+        if (!link || isReachable(link->owner) || now - link->silentSince < dispatcherPatience
+            || upstream.leaving)
             continue;
 
         const auto fraction = std::max<std::size_t>(1, upstream.slots / std::max<std::size_t>(1, routers_));
@@ -161,6 +176,9 @@
     auto demand = Demand {};
     demand.shard = { service_, shard };
     demand.full = true;
+    const auto& seen = links_[shard].grantsSeen;
+    const auto last = seen.find(links_[shard].owner);
+    demand.grantsSeen = last == seen.end() ? 0 : last->second;
     demand.entries = queue_.all();
     for (const auto& [grant, slot] : held_) {
         if (slot.shard == shard)
@@ -169,20 +187,26 @@
     return demand;
 }
 
+auto EntryService::returnStrays(std::uint32_t shard, Actions& actions) -> void
+{
+    for (const auto& [router, end] : std::exchange(links_[shard].strays, {}))
+        actions.emplace_back(SendPeer { router, Ends { { service_, shard }, { end }, {} } });
+}
+
 auto EntryService::flushShard(
     Time now, std::uint32_t shard, std::span<const DemandEntry> changes, Actions& actions) -> void
 {
     auto& link = links_[shard];
-    if (!link.connected)
+    returnStrays(shard, actions);
+    if (!isReachable(link.owner))
         return;
 
     if (!link.synced) {
         // Ended slots are simply absent from a full demand; their service was charged by the old one.
         link.synced = true;
-        link.grantsSeen = 0;
         actions.emplace_back(SendPeer { link.owner, fullDemand(shard) });
     } else if (!changes.empty()) {
-        auto demand = Demand { { service_, shard }, false, link.grantsSeen, {}, {} };
+        auto demand = Demand { { service_, shard }, false, link.grantsSeen[link.owner], {}, {} };
         demand.entries.assign(changes.begin(), changes.end());
         actions.emplace_back(SendPeer { link.owner, std::move(demand) });
     }
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -3,9 +3,11 @@
 #include <cstdint>
 #include <memory>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "camphorshunt/action.h"
 #include "camphorshunt/document.h"
@@ -39,7 +41,8 @@
     auto setOwners(Time now, std::span<const RouterId> owners) -> void;
     /** Number of routers that share the slots when no dispatcher answers. */
     auto setRouters(std::size_t routers) -> void { routers_ = routers; }
-    auto peerConnected(Time now, RouterId router) -> void;
+    /** A new run of the peer numbers its grants anew. */
+    auto peerConnected(Time now, RouterId router, bool newRun) -> void;
     auto peerDisconnected(Time now, RouterId router) -> void;
 
     auto queue() -> EntryQueue& { return queue_; }
@@ -63,13 +66,15 @@
 private:
     struct Link {
         RouterId owner;
-        bool connected {};
         /** False until a full demand has gone to the present owner. */
         bool synced {};
-        std::uint64_t grantsSeen {};
+        /** Sequence of the last grants by each router, dispatcher now or before. */
+        absl::flat_hash_map<RouterId, std::uint64_t> grantsSeen;
         Time silentSince {};
         std::vector<SlotEnd> ends;
         std::vector<Charge> charges;
+        /** Slots of former dispatchers, to be returned unused. */
+        std::vector<std::pair<RouterId, SlotEnd>> strays;
     };
     struct Slot {
         std::uint32_t shard {};
@@ -80,11 +85,14 @@
 
     auto linkOf(std::uint32_t shard) -> Link*;
     auto fullDemand(std::uint32_t shard) const -> Demand;
+    auto returnStrays(std::uint32_t shard, Actions& actions) -> void;
     auto flushShard(Time now, std::uint32_t shard, std::span<const DemandEntry> changes, Actions& actions)
         -> void;
     auto takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool;
     auto localInUse(UpstreamId upstream) const -> std::uint32_t;
 
+    auto isReachable(RouterId router) const -> bool;
+
     RouterId self_;
     ServiceId service_;
     Incarnation incarnation_;
@@ -92,6 +100,7 @@
     EntryQueue queue_;
     std::vector<Link> links_;
     absl::flat_hash_map<GrantId, Slot> held_;
+    absl::flat_hash_set<RouterId> peers_;
     std::size_t routers_ = 1;
     std::uint64_t localGrants_ {};
 };
--- a/src/libcamphorshunt/requestflow.cpp
+++ b/src/libcamphorshunt/requestflow.cpp
@@ -65,7 +65,26 @@
 {
     const auto id = document->id;
     retryBudgets_[id].setFraction(document->limits.retryFraction);
-    entries_.try_emplace(id, self_, id, incarnation_).first->second.setDocument(std::move(document));
+    const auto [entry, isNew] = entries_.try_emplace(id, self_, id, incarnation_);
+    entry->second.setDocument(std::move(document));
+    if (!isNew)
+        return;
+    for (const auto router : peers_)
+        entry->second.peerConnected({}, router, false);
+}
+
+auto RequestFlow::peerConnected(Time now, RouterId router, bool newRun) -> void
+{
+    peers_.insert(router);
+    for (auto& [id, entry] : entries_)
+        entry.peerConnected(now, router, newRun);
+}
+
+auto RequestFlow::peerDisconnected(Time now, RouterId router) -> void
+{
+    peers_.erase(router);
+    for (auto& [id, entry] : entries_)
+        entry.peerDisconnected(now, router);
 }
 
 auto RequestFlow::entry(ServiceId service) -> EntryService*
--- a/src/libcamphorshunt/requestflow.h
+++ b/src/libcamphorshunt/requestflow.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "camphorshunt/action.h"
 #include "camphorshunt/document.h"
@@ -33,6 +34,8 @@
     RequestFlow(RouterId self, Incarnation incarnation, ClaimsBook& claims, DutyTable& duties);
 
     auto setDocument(std::shared_ptr<const Document> document) -> void;
+    auto peerConnected(Time now, RouterId router, bool newRun) -> void;
+    auto peerDisconnected(Time now, RouterId router) -> void;
     auto entry(ServiceId service) -> EntryService*;
     auto entries() -> std::map<ServiceId, EntryService>& { return entries_; }
     auto entries() const -> const std::map<ServiceId, EntryService>& { return entries_; }
@@ -85,6 +88,7 @@
     RequestBook requests_;
     std::map<ServiceId, EntryService> entries_;
     absl::flat_hash_map<ServiceId, RetryBudget> retryBudgets_;
+    absl::flat_hash_set<RouterId> peers_;
     bool draining_ = false;
 };
 
