Run the core between six threads joined by rings

Callers, scheduler, upstreams, peers, platform and telemetry each own an io_context; messages cross by rings alone. An attempt's end never overtakes chunks that wait beside a full ring, a stream passes whole events only, and a slow caller holds 256 KiB at most. A run can be recorded as JSON lines, which tracejson writes and reads by way of Boost.Describe.

--- /dev/null
+++ b/src/camphorshuntd/attempt.cpp
@@ -0,0 +1,206 @@
+#include "attempt.h"
+
+#include <algorithm>
+
+namespace camphorshunt {
+
+namespace {
+
+/** Most bytes of one answer that wait for a slow caller, and where reading starts again. */
+constexpr auto mostUncredited = std::size_t { 256 } * 1024;
+constexpr auto resumeUncredited = mostUncredited / 2;
+/** Most bytes of an upstream's error text that are passed on. */
+constexpr auto longestErrorBody = std::size_t { 64 } * 1024;
+constexpr auto progressTokens = 64U;
+constexpr auto progressInterval = std::chrono::milliseconds(50);
+
+auto isSuccess(std::uint16_t status) -> bool { return status >= 200 && status < 300; }
+
+auto milliseconds(Duration duration) -> std::chrono::milliseconds
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
+} // namespace
+
+Attempt::Attempt(SendAttempt order, std::string id, std::shared_ptr<const UpstreamKind> kind, bool headPassed,
+    Handlers handlers)
+    : order_(std::move(order))
+    , id_(std::move(id))
+    , kind_(std::move(kind))
+    , handlers_(std::move(handlers))
+    , reader_(kind_->reader(order_.resumeAfter))
+    , headPassed_(headPassed)
+    , tokensReported_(order_.resumeAfter)
+    , reportedAt_(std::chrono::steady_clock::now())
+{
+}
+
+auto Attempt::start(net::HttpClient& client, net::HttpRequest request) -> void
+{
+    auto spec = net::HttpCallSpec {};
+    spec.endpoint = order_.endpoint;
+    spec.request = std::move(request);
+    spec.freshConnection = order_.freshConnection;
+    spec.connectTimeout = milliseconds(order_.connectTimeout);
+    spec.firstByteTimeout = milliseconds(order_.firstByteTimeout);
+    spec.gapTimeout = milliseconds(order_.gapTimeout);
+
+    auto handlers = net::HttpCallHandlers {};
+    handlers.onHead = [self = shared_from_this()](const auto& head) { self->takeHead(head); };
+    handlers.onBody = [self = shared_from_this()](std::string_view bytes) { self->takeBody(bytes); };
+    handlers.onEnd = [self = shared_from_this()](net::HttpCallEnd end) { self->takeEnd(end); };
+    call_ = client.start(std::move(spec), std::move(handlers));
+}
+
+auto Attempt::cancel() -> void
+{
+    if (!ended_)
+        giveUp(AttemptResult::Cancelled);
+}
+
+auto Attempt::credit(std::size_t bytes) -> void
+{
+    uncredited_ -= std::min(uncredited_, bytes);
+    if (!paused_ || uncredited_ > resumeUncredited)
+        return;
+    paused_ = false;
+    call_->resume();
+}
+
+auto Attempt::detach() -> void
+{
+    detached_ = true;
+    credit(uncredited_);
+}
+
+auto Attempt::takeHead(const net::HttpResponseHead& head) -> void
+{
+    if (head.header("Camphorshunt-Attempt-Id") != id_) {
+        giveUp(AttemptResult::Crossed);
+        return;
+    }
+    status_ = head.status;
+    contentType_ = head.header("Content-Type");
+    if (status_ == 429 || status_ == 503) {
+        mode_ = Mode::Ignore;
+        verdict_ = AttemptResult::Refused;
+        return;
+    }
+    if (!isSuccess(status_)) {
+        // After the head of an earlier attempt no second answer can be passed on.
+        mode_ = headPassed_ ? Mode::Ignore : Mode::Whole;
+        verdict_ = headPassed_ ? AttemptResult::Broken : AttemptResult::Failed;
+        return;
+    }
+    mode_ = kind_->streams() ? Mode::Stream : Mode::Whole;
+    if (mode_ != Mode::Stream || headPassed_)
+        return;
+    headPassed_ = true;
+    if (!detached_)
+        handlers_.onHead({ order_.request, status_, contentType_ });
+}
+
+auto Attempt::takeBody(std::string_view bytes) -> void
+{
+    if (mode_ == Mode::Whole) {
+        held_ += bytes;
+        if (verdict_ && held_.size() > longestErrorBody) {
+            held_.resize(longestErrorBody);
+            call_->discardConnection();
+        }
+        return;
+    }
+    if (mode_ != Mode::Stream)
+        return;
+    passChunk(reader_->take(bytes));
+    reportProgress();
+    if (reader_->malformed())
+        giveUp(AttemptResult::Broken);
+}
+
+auto Attempt::passChunk(std::string bytes) -> void
+{
+    if (bytes.empty() || detached_)
+        return;
+    uncredited_ += bytes.size();
+    handlers_.onChunk({ order_.request, std::move(bytes) });
+    if (paused_ || uncredited_ <= mostUncredited)
+        return;
+    paused_ = true;
+    call_->pause();
+}
+
+auto Attempt::reportProgress() -> void
+{
+    const auto tokens = reader_->outputTokens();
+    const auto now = std::chrono::steady_clock::now();
+    if (tokens <= tokensReported_ || reader_->whole())
+        return;
+    if (tokens - tokensReported_ < progressTokens && now - reportedAt_ < progressInterval)
+        return;
+    tokensReported_ = tokens;
+    reportedAt_ = now;
+    handlers_.onProgress({ order_.request, order_.attempt, tokens });
+}
+
+auto Attempt::giveUp(AttemptResult result) -> void
+{
+    verdict_ = result;
+    mode_ = Mode::Ignore;
+    call_->discardConnection();
+    call_->cancel();
+}
+
+auto Attempt::takeEnd(net::HttpCallEnd end) -> void
+{
+    ended_ = true;
+    const auto result = resultOf(end);
+    if (mode_ == Mode::Whole && result == AttemptResult::Complete)
+        passWhole(RequestOutcome::Done);
+    else if (mode_ == Mode::Whole && result == AttemptResult::Failed)
+        passWhole(RequestOutcome::Failed);
+
+    auto ended = AttemptEnded {};
+    ended.request = order_.request;
+    ended.attempt = order_.attempt;
+    ended.result = result;
+    ended.promptTokens = reader_->promptTokens();
+    ended.outputTokens = reader_->outputTokens();
+    ended.eventsPassed = reader_->eventsPassed();
+    ended.headPassed = headPassed_;
+    // The end's receiver may drop the last outside reference to this attempt.
+    const auto onEnd = std::move(handlers_.onEnd);
+    onEnd(ended);
+}
+
+auto Attempt::passWhole(RequestOutcome outcome) -> void
+{
+    headPassed_ = true;
+    if (!detached_)
+        handlers_.onWhole({ order_.request, status_, contentType_, outcome, std::move(held_) });
+}
+
+auto Attempt::resultOf(net::HttpCallEnd end) const -> AttemptResult
+{
+    // Once the upstream's own mark has passed, the caller has the whole answer whatever came after.
+    if (mode_ == Mode::Stream && reader_->whole())
+        return AttemptResult::Complete;
+    if (verdict_)
+        return *verdict_;
+    switch (end) {
+    case net::HttpCallEnd::Complete:
+        return mode_ == Mode::Whole ? AttemptResult::Complete : AttemptResult::Broken;
+    case net::HttpCallEnd::NotSent:
+        return AttemptResult::NotSent;
+    case net::HttpCallEnd::Silent:
+        return AttemptResult::Silent;
+    case net::HttpCallEnd::Cancelled:
+        return AttemptResult::Cancelled;
+    case net::HttpCallEnd::Broken:
+        break;
+    }
+    return AttemptResult::Broken;
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/attempt.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "camphorshunt/upstreamkind.h"
+
+#include "httpclient.h"
+#include "messages.h"
+
+namespace camphorshunt {
+
+/** One try of one request at an upstream, from sending to its end. Upstreams thread only. */
+class Attempt : public std::enable_shared_from_this<Attempt> {
+public:
+    /** How the attempt reaches the rest of the thread. */
+    struct Handlers {
+        std::function<void(AnswerHead)> onHead;
+        std::function<void(AnswerChunk)> onChunk;
+        std::function<void(AnswerWhole)> onWhole;
+        std::function<void(AttemptProgress)> onProgress;
+        /** Last call, made exactly once. */
+        std::function<void(AttemptEnded)> onEnd;
+    };
+
+    /** `id` is what the answer must echo; `headPassed` says that an earlier attempt sent the head. */
+    Attempt(SendAttempt order, std::string id, std::shared_ptr<const UpstreamKind> kind, bool headPassed,
+        Handlers handlers);
+
+    auto start(net::HttpClient& client, net::HttpRequest request) -> void;
+    auto cancel() -> void;
+    /** The caller has taken these bytes. */
+    auto credit(std::size_t bytes) -> void;
+    /** The caller is gone: goes on without passing anything. */
+    auto detach() -> void;
+
+    auto order() const -> const SendAttempt& { return order_; }
+    auto id() const -> const std::string& { return id_; }
+    auto kind() const -> const UpstreamKind& { return *kind_; }
+
+private:
+    /** What is done with the bytes of the answer. */
+    enum class Mode {
+        /** No head yet. */
+        Waiting,
+        Stream,
+        /** Held back and passed on in one piece. */
+        Whole,
+        Ignore,
+    };
+
+    auto takeHead(const net::HttpResponseHead& head) -> void;
+    auto takeBody(std::string_view bytes) -> void;
+    auto takeEnd(net::HttpCallEnd end) -> void;
+    auto giveUp(AttemptResult result) -> void;
+    auto passChunk(std::string bytes) -> void;
+    auto passWhole(RequestOutcome outcome) -> void;
+    auto reportProgress() -> void;
+    auto resultOf(net::HttpCallEnd end) const -> AttemptResult;
+
+    SendAttempt order_;
+    std::string id_;
+    std::shared_ptr<const UpstreamKind> kind_;
+    Handlers handlers_;
+    std::unique_ptr<AnswerReader> reader_;
+    std::shared_ptr<net::HttpCall> call_;
+
+    Mode mode_ = Mode::Waiting;
+    /** Set when the answer was judged before the call's end. */
+    std::optional<AttemptResult> verdict_;
+    bool headPassed_;
+    bool detached_ = false;
+    bool paused_ = false;
+    bool ended_ = false;
+    std::uint16_t status_ {};
+    std::string contentType_;
+    std::string held_;
+    std::size_t uncredited_ {};
+    std::uint32_t tokensReported_;
+    std::chrono::steady_clock::time_point reportedAt_;
+};
+
+} // namespace camphorshunt
--- a/src/camphorshuntd/callerrequest.cpp
+++ b/src/camphorshuntd/callerrequest.cpp
@@ -51,7 +51,8 @@
 }
 
 /** A missing header is 0; nothing when the value is not a whole number up to `most`. */
-auto parseCount(std::string_view text, std::uint64_t least, std::uint64_t most) -> std::optional<std::uint64_t>
+auto parseCount(std::string_view text, std::uint64_t least, std::uint64_t most)
+    -> std::optional<std::uint64_t>
 {
     if (text.empty())
         return 0;
@@ -152,14 +153,13 @@
 auto answerHeaders(RequestId id, std::string_view outcome, std::string_view contentType) -> net::HttpHeaders
 {
     return { { "Content-Type", std::string(contentType) }, { "Cache-Control", "no-store" },
-        { "Camphorshunt-Request-Id", requestIdText(id) },
-        { "Camphorshunt-Outcome", std::string(outcome) } };
+        { "Camphorshunt-Request-Id", requestIdText(id) }, { "Camphorshunt-Outcome", std::string(outcome) } };
 }
 
 auto refusalBody(RequestId id, std::string_view outcome, std::string_view reason) -> std::string
 {
-    return boost::json::serialize(
-        boost::json::object { { "outcome", outcome }, { "reason", reason }, { "requestId", requestIdText(id) } });
+    return boost::json::serialize(boost::json::object {
+        { "outcome", outcome }, { "reason", reason }, { "requestId", requestIdText(id) } });
 }
 
 } // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/daemon.cpp
@@ -0,0 +1,177 @@
+#include "daemon.h"
+
+#include <csignal>
+#include <random>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/outcome/try.hpp>
+
+#include "callerrequest.h"
+
+namespace camphorshunt {
+
+namespace {
+
+/** Places in the rings; the reserve is for control messages. */
+constexpr auto ringPlaces = std::size_t { 8192 };
+constexpr auto ringReserve = ringPlaces / 4;
+constexpr auto statusPlaces = std::size_t { 64 };
+constexpr auto statusReserve = std::size_t { 1 };
+
+/** After the drain, how long the last answers may take to leave for their callers. */
+constexpr auto longestFinish = std::chrono::seconds(5);
+constexpr auto finishInterval = std::chrono::milliseconds(10);
+
+/** Bits of a request id that count; those above tell daemons and their runs apart. */
+constexpr auto requestCountBits = 40U;
+
+auto wallNow() -> Duration
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+auto coreSettings(const Settings& settings) -> CoreSettings
+{
+    auto core = CoreSettings {};
+    core.name = settings.name;
+    core.failureDomain = settings.failureDomain;
+    core.incarnation = Incarnation { static_cast<std::uint64_t>(wallNow().count()) };
+    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    core.wallOffset = wallNow() - std::chrono::duration_cast<Duration>(steady);
+    auto device = std::random_device {};
+    core.seed = std::uniform_int_distribution<std::uint64_t> {}(device);
+    return core;
+}
+
+} // namespace
+
+Daemon::Daemon()
+    : callersToScheduler_(callersThread_.context(), schedulerThread_.context(), ringPlaces, ringReserve)
+    , upstreamsToScheduler_(upstreamsThread_.context(), schedulerThread_.context(), ringPlaces, ringReserve)
+    , peersToScheduler_(peersThread_.context(), schedulerThread_.context(), ringPlaces, ringReserve)
+    , platformToScheduler_(platformThread_.context(), schedulerThread_.context(), ringPlaces, ringReserve)
+    , telemetryToScheduler_(
+          telemetryThread_.context(), schedulerThread_.context(), statusPlaces, statusReserve)
+    , callersToUpstreams_(callersThread_.context(), upstreamsThread_.context(), ringPlaces, ringReserve)
+    , upstreamsToCallers_(upstreamsThread_.context(), callersThread_.context(), ringPlaces, ringReserve)
+    , schedulerToCallers_(schedulerThread_.context(), callersThread_.context(), ringPlaces, ringReserve)
+    , schedulerToUpstreams_(schedulerThread_.context(), upstreamsThread_.context(), ringPlaces, ringReserve)
+    , schedulerToPeers_(schedulerThread_.context(), peersThread_.context(), ringPlaces, ringReserve)
+    , schedulerToPlatform_(schedulerThread_.context(), platformThread_.context(), ringPlaces, ringReserve)
+    , schedulerToTelemetry_(schedulerThread_.context(), telemetryThread_.context(), ringPlaces, ringReserve)
+    , finishTimer_(mainContext_)
+{
+}
+
+Daemon::~Daemon() { stopThreads(); }
+
+auto Daemon::create(const Settings& settings) -> Result<std::unique_ptr<Daemon>>
+{
+    auto daemon = std::unique_ptr<Daemon>(new Daemon());
+    auto opened = daemon->open(settings);
+    if (opened.has_error())
+        return opened.error();
+    return daemon;
+}
+
+auto Daemon::open(const Settings& settings) -> Result<void>
+{
+    const auto own = coreSettings(settings);
+    const auto run = RequestId { hashName(own.name + "/" + std::to_string(own.incarnation.value)) };
+    const auto firstRequest = RequestId { run.value << requestCountBits | 1U };
+
+    BOOST_OUTCOME_TRY(callers_,
+        Callers::listen(callersThread_.context(),
+            { settings.callersListen, settings.callersLimits, firstRequest },
+            { callersToScheduler_, callersToUpstreams_, schedulerToCallers_, upstreamsToCallers_ }));
+    BOOST_OUTCOME_TRY(telemetry_,
+        Telemetry::listen(
+            telemetryThread_.context(), settings.adminListen, telemetryToScheduler_, schedulerToTelemetry_));
+    BOOST_OUTCOME_TRY(peers_,
+        Peers::listen(peersThread_.context(),
+            { settings.name, own.incarnation, settings.peersListen, settings.sharedKey }, peersToScheduler_,
+            schedulerToPeers_));
+    upstreams_ = std::make_unique<Upstreams>(upstreamsThread_.context(), requestIdText(run),
+        Upstreams::Rings {
+            upstreamsToScheduler_, upstreamsToCallers_, callersToUpstreams_, schedulerToUpstreams_ });
+    platform_ = std::make_unique<Platform>(platformThread_.context(),
+        Platform::Settings { settings.platformLog, settings.platformVms, own.seed }, platformToScheduler_,
+        schedulerToPlatform_);
+
+    auto recorder = std::unique_ptr<Recorder> {};
+    if (!settings.recordFile.empty()) {
+        BOOST_OUTCOME_TRY(recorder, Recorder::create(settings.recordFile, settings.recordLimitBytes, own));
+    }
+    BOOST_OUTCOME_TRY(auto core, Core::create(own));
+    scheduler_ = std::make_unique<Scheduler>(schedulerThread_.context(), std::move(core), own.tick,
+        std::move(recorder),
+        Scheduler::Rings { callersToScheduler_, upstreamsToScheduler_, peersToScheduler_,
+            platformToScheduler_, telemetryToScheduler_, schedulerToCallers_, schedulerToUpstreams_,
+            schedulerToPeers_, schedulerToPlatform_, schedulerToTelemetry_ },
+        [this] { boost::asio::post(mainContext_, [this] { finishAnswers(); }); });
+    return boost::outcome_v2::success();
+}
+
+auto Daemon::endpointsText() const -> std::string
+{
+    return "callers=" + callers_->endpoint().text() + " admin=" + telemetry_->endpoint().text()
+        + " peers=" + peers_->endpoint().text();
+}
+
+auto Daemon::run() -> void
+{
+    auto signals = boost::asio::signal_set(mainContext_, SIGTERM, SIGINT);
+    signals.async_wait([this](const boost::system::error_code& code, int) {
+        if (!code)
+            scheduler_->drain();
+    });
+    startThreads();
+    auto guard = boost::asio::make_work_guard(mainContext_);
+    mainContext_.run();
+    stopThreads();
+}
+
+auto Daemon::startThreads() -> void
+{
+    boost::asio::post(schedulerThread_.context(), [this] { scheduler_->start(); });
+    boost::asio::post(platformThread_.context(), [this] { platform_->start(); });
+    for (auto* const thread : { &schedulerThread_, &upstreamsThread_, &peersThread_, &platformThread_,
+             &telemetryThread_, &callersThread_ })
+        thread->start();
+}
+
+auto Daemon::stopThreads() -> void
+{
+    for (auto* const thread : { &callersThread_, &telemetryThread_, &platformThread_, &peersThread_,
+             &upstreamsThread_, &schedulerThread_ })
+        thread->stop();
+}
+
+/** Lets the last answers leave, then ends `run`. */
+auto Daemon::finishAnswers() -> void
+{
+    finishBy_ = std::chrono::steady_clock::now() + longestFinish;
+    boost::asio::post(callersThread_.context(), [this] { callers_->stopAccepting(); });
+    waitForCallers();
+}
+
+auto Daemon::waitForCallers() -> void
+{
+    boost::asio::post(callersThread_.context(), [this] {
+        const auto done = callers_->connections() == 0 || std::chrono::steady_clock::now() >= finishBy_;
+        boost::asio::post(mainContext_, [this, done] {
+            if (done) {
+                mainContext_.stop();
+                return;
+            }
+            finishTimer_.expires_after(finishInterval);
+            finishTimer_.async_wait([this](const boost::system::error_code& code) {
+                if (!code)
+                    waitForCallers();
+            });
+        });
+    });
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/peers.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <memory>
+
+#include "messages.h"
+#include "peertransport.h"
+
+namespace camphorshunt {
+
+/** The peers thread's duty: carries messages between the core and the other routers. */
+class Peers {
+public:
+    static auto listen(boost::asio::io_context& context, const PeerTransport::Settings& settings,
+        Ring<Event>& toScheduler, Ring<SchedulerToPeers>& fromScheduler) -> Result<std::unique_ptr<Peers>>;
+
+    auto endpoint() const -> Endpoint { return transport_->endpoint(); }
+
+private:
+    Peers() = default;
+
+    std::unique_ptr<PeerTransport> transport_;
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/platform.cpp
@@ -0,0 +1,140 @@
+#include "platform.h"
+
+#include <algorithm>
+
+#include "platformjson.h"
+#include "wholecall.h"
+
+namespace camphorshunt {
+
+namespace {
+
+constexpr auto idleConnections = std::size_t { 8 };
+constexpr auto idleTimeout = std::chrono::milliseconds(10000);
+constexpr auto vmsInterval = std::chrono::milliseconds(250);
+/** How long the log may hold a read that finds no record. */
+constexpr auto readWait = std::chrono::milliseconds(1000);
+constexpr auto readMost = 500;
+constexpr auto appendTimes = WholeCallTimes { .firstByte = std::chrono::milliseconds(2000) };
+constexpr auto readTimes = WholeCallTimes { .firstByte = 2 * readWait };
+constexpr auto shortestBackoff = std::chrono::milliseconds(50);
+constexpr auto mostBackoffSteps = 5U;
+
+auto appendOutcome(const WholeAnswer& answer) -> AppendOutcome
+{
+    if (answer.end == net::HttpCallEnd::NotSent)
+        return AppendOutcome::Refused;
+    if (answer.end == net::HttpCallEnd::Complete && (answer.status == 429 || answer.status == 503))
+        return AppendOutcome::Refused;
+    return AppendOutcome::Unknown;
+}
+
+/** Where the next read begins. */
+auto nextOffset(Offset from, const LogRead& read) -> Offset
+{
+    if (!read.records.empty())
+        return Offset { read.records.back().offset.value + 1 };
+    return std::max(from, read.first);
+}
+
+} // namespace
+
+Platform::Platform(boost::asio::io_context& context, const Settings& settings, Ring<Event>& toScheduler,
+    Ring<SchedulerToPlatform>& fromScheduler)
+    : context_(context)
+    , settings_(settings)
+    , toScheduler_(toScheduler)
+    , client_(net::HttpClient::create(context, idleConnections, idleTimeout))
+    , random_(settings.seed)
+    , vmsTimer_(context)
+{
+    fromScheduler.onItem([this](SchedulerToPlatform message) {
+        std::visit([this](const auto& order) { handle(order); }, message);
+    });
+}
+
+auto Platform::start() -> void { listVms(); }
+
+auto Platform::handle(const AppendLog& order) -> void
+{
+    auto request = net::HttpRequest { "POST", "/streams/" + order.stream, {}, order.body };
+    request.headers.push_back({ "Content-Type", "application/json" });
+    callWhole(*client_, settings_.log, std::move(request), appendTimes,
+        [this, append = order.append](const WholeAnswer& answer) {
+            const auto offset = answer.ok() ? parseAppendAnswer(answer.body) : std::nullopt;
+            const auto outcome = offset ? AppendOutcome::Landed : appendOutcome(answer);
+            toScheduler_.push(AppendEnded { append, outcome, offset.value_or(Offset {}) });
+        });
+}
+
+auto Platform::handle(const TailLog& order) -> void
+{
+    auto& tail = tails_[order.stream];
+    if (tail.call)
+        tail.call->cancel();
+    tail.from = order.from;
+    tail.run = ++runs_;
+    tail.timer = std::make_unique<boost::asio::steady_timer>(context_);
+    read(order.stream);
+}
+
+auto Platform::read(const std::string& stream) -> void
+{
+    auto& tail = tails_.at(stream);
+    const auto target = "/streams/" + stream + "?from=" + std::to_string(tail.from.value)
+        + "&max=" + std::to_string(readMost) + "&waitMs=" + std::to_string(readWait.count());
+    tail.call = callWhole(*client_, settings_.log, { "GET", target, {}, {} }, readTimes,
+        [this, stream, run = tail.run](
+            const WholeAnswer& answer) { readEnded(stream, run, answer.ok(), answer.body); });
+}
+
+auto Platform::readEnded(const std::string& stream, std::uint64_t run, bool ok, const std::string& body)
+    -> void
+{
+    auto& tail = tails_.at(stream);
+    if (tail.run != run)
+        return;
+    tail.call = nullptr;
+    auto read = ok ? parseLogRead(stream, body) : std::nullopt;
+    if (!read) {
+        toScheduler_.push(LogUnavailable { stream });
+        retryLater(stream, tail);
+        return;
+    }
+    tail.failures = 0;
+    tail.from = nextOffset(tail.from, *read);
+    toScheduler_.push(std::move(*read));
+    this->read(stream);
+}
+
+/** Doubles with each failure, with half of it drawn at random so that daemons spread out. */
+auto Platform::retryLater(const std::string& stream, Tail& tail) -> void
+{
+    const auto step = std::min(tail.failures++, mostBackoffSteps);
+    const auto longest
+        = std::chrono::duration_cast<std::chrono::microseconds>(shortestBackoff * (1U << step));
+    auto spread = std::uniform_int_distribution<std::int64_t>(longest.count() / 2, longest.count());
+    tail.timer->expires_after(std::chrono::microseconds(spread(random_)));
+    tail.timer->async_wait([this, stream, run = tail.run](const boost::system::error_code& code) {
+        if (!code && tails_.at(stream).run == run)
+            read(stream);
+    });
+}
+
+auto Platform::listVms() -> void
+{
+    callWhole(*client_, settings_.vms, { "GET", "/vms", {}, {} }, {}, [this](const WholeAnswer& answer) {
+        auto listed = answer.ok() ? parseVmList(answer.body) : std::nullopt;
+        if (listed)
+            toScheduler_.push(std::move(*listed));
+        else
+            toScheduler_.push(VmListUnavailable {});
+        vmsTimer_.expires_after(vmsInterval);
+        vmsTimer_.async_wait([this](const boost::system::error_code& code) {
+            if (!code)
+                listVms();
+        });
+    });
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/platform.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "httpclient.h"
+#include "messages.h"
+
+namespace camphorshunt {
+
+/** The platform thread's duty: appends to the log, tails its streams, polls the list of VMs. */
+class Platform {
+public:
+    struct Settings {
+        Endpoint log;
+        Endpoint vms;
+        std::uint64_t seed {};
+    };
+
+    Platform(boost::asio::io_context& context, const Settings& settings, Ring<Event>& toScheduler,
+        Ring<SchedulerToPlatform>& fromScheduler);
+
+    /** Starts to poll the list of VMs. */
+    auto start() -> void;
+
+private:
+    /** A stream that is followed. */
+    struct Tail {
+        Offset from;
+        /** Greater after each order, so that an answer to an older one is told apart. */
+        std::uint64_t run {};
+        std::uint32_t failures {};
+        std::shared_ptr<net::HttpCall> call;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+
+    auto handle(const AppendLog& order) -> void;
+    auto handle(const TailLog& order) -> void;
+    auto read(const std::string& stream) -> void;
+    auto readEnded(const std::string& stream, std::uint64_t run, bool ok, const std::string& body) -> void;
+    auto retryLater(const std::string& stream, Tail& tail) -> void;
+    auto listVms() -> void;
+
+    boost::asio::io_context& context_;
+    Settings settings_;
+    Ring<Event>& toScheduler_;
+    std::unique_ptr<net::HttpClient> client_;
+    std::mt19937_64 random_;
+    std::uint64_t runs_ {};
+    std::unordered_map<std::string, Tail> tails_;
+    boost::asio::steady_timer vmsTimer_;
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/recorder.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <fstream>
+#include <memory>
+#include <string>
+
+#include "camphorshunt/action.h"
+#include "camphorshunt/core.h"
+#include "camphorshunt/event.h"
+#include "camphorshunt/result.h"
+#include "camphorshunt/time.h"
+
+namespace camphorshunt {
+
+/**
+ * Writes what the core was told and what it asked for as JSON lines, up to a bound, so that the run
+ * can be replayed. Scheduler thread only.
+ */
+class Recorder {
+public:
+    static auto create(const std::string& file, std::uint64_t limitBytes, const CoreSettings& settings)
+        -> Result<std::unique_ptr<Recorder>>;
+
+    auto write(Time now, const Event& event, const Actions& actions) -> void;
+
+private:
+    Recorder(std::ofstream stream, std::uint64_t limitBytes);
+
+    auto writeLine(const std::string& line) -> void;
+
+    std::ofstream stream_;
+    std::uint64_t bytesLeft_;
+};
+
+} // namespace camphorshunt
--- a/src/camphorshuntd/settingsreader.cpp
+++ b/src/camphorshuntd/settingsreader.cpp
@@ -83,8 +83,8 @@
     return {};
 }
 
-auto SettingsReader::number(std::string_view name, std::uint64_t fallback, std::uint64_t least,
-    std::uint64_t most) -> std::uint64_t
+auto SettingsReader::number(
+    std::string_view name, std::uint64_t fallback, std::uint64_t least, std::uint64_t most) -> std::uint64_t
 {
     const auto* const found = value(name);
     if (found == nullptr)
--- /dev/null
+++ b/src/camphorshuntd/telemetry.cpp
@@ -0,0 +1,104 @@
+#include "telemetry.h"
+
+#include <boost/describe/enum_to_string.hpp>
+#include <prometheus/text_serializer.h>
+
+#include "tracedescribe.h"
+
+namespace camphorshunt {
+
+namespace {
+
+constexpr auto adminConnections = std::size_t { 64 };
+
+auto respondText(net::HttpExchange& exchange, std::uint16_t status, std::string body) -> void
+{
+    exchange.respond(status, { { "Content-Type", "text/plain; charset=utf-8" } }, std::move(body));
+}
+
+} // namespace
+
+auto Telemetry::listen(boost::asio::io_context& context, const Endpoint& endpoint,
+    Ring<StatusRequest>& toScheduler, Ring<SchedulerToTelemetry>& fromScheduler)
+    -> Result<std::unique_ptr<Telemetry>>
+{
+    auto telemetry = std::unique_ptr<Telemetry>(new Telemetry(toScheduler));
+    auto* const self = telemetry.get();
+    auto limits = net::HttpServerLimits {};
+    limits.connections = adminConnections;
+    auto server = net::HttpServer::listen(context, endpoint, limits,
+        [self](const net::HttpRequest& request, std::shared_ptr<net::HttpExchange> exchange) {
+            self->take(request, std::move(exchange));
+        });
+    if (server.has_error())
+        return server.error();
+    telemetry->server_ = std::move(server.value());
+    fromScheduler.onItem([self](SchedulerToTelemetry message) {
+        std::visit([self](auto& item) { self->handle(std::move(item)); }, message);
+    });
+    return telemetry;
+}
+
+Telemetry::Telemetry(Ring<StatusRequest>& toScheduler)
+    : toScheduler_(toScheduler)
+    , steps_(prometheus::BuildCounter()
+                 .Name("camphorshunt_request_steps_total")
+                 .Help("Steps in the life of requests")
+                 .Register(registry_))
+    , outcomes_(prometheus::BuildCounter()
+                    .Name("camphorshunt_requests_total")
+                    .Help("Requests that ended, by what their caller was told")
+                    .Register(registry_))
+{
+}
+
+auto Telemetry::take(const net::HttpRequest& request, std::shared_ptr<net::HttpExchange> exchange) -> void
+{
+    if (request.method != "GET")
+        respondText(*exchange, 405, "allowed is GET\n");
+    else if (request.target == "/live")
+        respondText(*exchange, 200, "live\n");
+    else if (request.target == "/ready")
+        respondText(*exchange, ready_ ? 200 : 503, ready_ ? "ready\n" : "not ready\n");
+    else if (request.target == "/metrics")
+        exchange->respond(200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics());
+    else if (request.target == "/status")
+        askStatus(std::move(exchange));
+    else
+        respondText(*exchange, 404, "known are /live, /ready, /metrics and /status\n");
+}
+
+auto Telemetry::askStatus(std::shared_ptr<net::HttpExchange> exchange) -> void
+{
+    const auto id = nextStatus_++;
+    if (!toScheduler_.tryPush({ id })) {
+        respondText(*exchange, 503, "busy\n");
+        return;
+    }
+    exchange->onGone([this, id] { waiting_.erase(id); });
+    waiting_.emplace(id, std::move(exchange));
+}
+
+auto Telemetry::metrics() const -> std::string
+{
+    return prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+auto Telemetry::handle(StatusAnswer answer) -> void
+{
+    const auto found = waiting_.find(answer.id);
+    if (found == waiting_.end())
+        return;
+    const auto exchange = std::move(found->second);
+    waiting_.erase(found);
+    exchange->respond(200, { { "Content-Type", "application/json" } }, std::move(answer.text));
+}
+
+auto Telemetry::handle(const NoteStep& step) -> void
+{
+    steps_.Add({ { "step", boost::describe::enum_to_string(step.step, "") } }).Increment();
+    if (step.step == RequestStep::Ended)
+        outcomes_.Add({ { "outcome", std::string(outcomeName(step.outcome)) } }).Increment();
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntd/upstreams.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "camphorshunt/upstreamkind.h"
+
+#include "attempt.h"
+#include "httpclient.h"
+#include "messages.h"
+
+namespace camphorshunt {
+
+/** The upstreams thread's duty: sends attempts, passes their answers on, polls load reports. */
+class Upstreams {
+public:
+    struct Rings {
+        Ring<Event>& toScheduler;
+        Ring<UpstreamsToCallers>& toCallers;
+        Ring<CallersToUpstreams>& fromCallers;
+        Ring<SchedulerToUpstreams>& fromScheduler;
+    };
+
+    /** `attemptPrefix` makes attempt ids unique across daemons and their runs. */
+    Upstreams(boost::asio::io_context& context, std::string attemptPrefix, const Rings& rings);
+
+private:
+    struct Request {
+        NewBody body;
+        std::shared_ptr<Attempt> attempt;
+        /** Id of the attempt that began the stream that the caller sees. */
+        std::string streamOf;
+        bool headPassed = false;
+    };
+
+    auto handle(NewBody body) -> void;
+    auto handle(const DropBody& drop) -> void;
+    auto handle(const Credit& credit) -> void;
+    auto handle(const SendAttempt& order) -> void;
+    auto handle(const CancelAttempt& order) -> void;
+    auto handle(const PollLoad& order) -> void;
+
+    auto attemptHandlers() -> Attempt::Handlers;
+    auto attemptEnded(const AttemptEnded& ended) -> void;
+    auto notSent(const SendAttempt& order) -> void;
+    auto report(Event event) -> void;
+    auto httpRequest(const SendAttempt& order, const Request& request, const std::string& id,
+        const UpstreamKind& kind) const -> net::HttpRequest;
+    auto sendCancel(const Attempt& attempt, const std::string& id) -> void;
+    auto kindNamed(const std::string& name) -> std::shared_ptr<const UpstreamKind>;
+
+    Rings rings_;
+    std::string attemptPrefix_;
+    std::unique_ptr<net::HttpClient> client_;
+    std::unordered_map<std::string, std::shared_ptr<const UpstreamKind>> kinds_;
+    std::unordered_map<RequestId, Request> requests_;
+    /** Attempts whose callers are gone. */
+    std::unordered_map<RequestId, std::shared_ptr<Attempt>> detached_;
+    std::unordered_set<UpstreamId> polled_;
+    /** Ends that must not overtake chunks which wait beside the full ring to the callers. */
+    std::deque<Event> heldReports_;
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/tracejson.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "camphorshunt/action.h"
+#include "camphorshunt/core.h"
+#include "camphorshunt/event.h"
+#include "camphorshunt/result.h"
+#include "camphorshunt/time.h"
+
+namespace camphorshunt {
+
+/** One step of a recorded run: an event and the actions that the core answered it with. */
+struct TraceStep {
+    Time time;
+    Event event;
+    Actions actions;
+};
+
+/** The first line of a recorded run. */
+auto traceHead(const CoreSettings& settings) -> std::string;
+auto parseTraceHead(std::string_view line) -> Result<CoreSettings>;
+
+/** `{"time":<microseconds>,"event":{"RequestArrived":{...}},"actions":[{"SendAttempt":{...}},...]}`. */
+auto traceLine(Time time, const Event& event, const Actions& actions) -> std::string;
+auto parseTraceLine(std::string_view line) -> Result<TraceStep>;
+
+} // namespace camphorshunt
