--- /dev/null
+++ b/tests/unit/upstreamhealthtest.cpp
@@ -0,0 +1,162 @@
+#include "upstreamhealth.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using namespace camphorshunt;
+
+namespace {
+
+constexpr auto start = Time { Duration { 1h } };
+
+auto documentOf(std::size_t upstreams, std::uint32_t slots = 8) -> Document
+{
+    auto document = Document {};
+    for (auto index = std::size_t { 0 }; index < upstreams; ++index) {
+        const auto name = "e" + std::to_string(index);
+        document.upstreams.push_back({ name, idOf<UpstreamId>(name), {}, "a", slots, false, false });
+    }
+    return document;
+}
+
+auto healthOf(std::size_t upstreams) -> UpstreamHealth
+{
+    auto health = UpstreamHealth {};
+    health.setDocument(documentOf(upstreams));
+    return health;
+}
+
+auto upstreamOf(std::size_t index) -> UpstreamId { return idOf<UpstreamId>("e" + std::to_string(index)); }
+
+auto slotsOf(UpstreamHealth& health, Time now, std::size_t index) -> std::uint32_t
+{
+    return health.capacities(now, 0).at(index).slots;
+}
+
+auto fail(UpstreamHealth& health, Time now, std::size_t index, AttemptResult result, int times) -> void
+{
+    for (; times > 0; --times)
+        health.noteEnd(now, upstreamOf(index), result, false);
+}
+
+} // namespace
+
+TEST_CASE("Failures in a row eject an upstream and a success after a trial brings it back")
+{
+    auto health = healthOf(4);
+    fail(health, start, 1, AttemptResult::Broken, 2);
+    CHECK(slotsOf(health, start, 1) == 8);
+    fail(health, start, 1, AttemptResult::Broken, 1);
+    CHECK(health.isEjected(start, upstreamOf(1)));
+    CHECK(slotsOf(health, start, 1) == 0);
+
+    // A success of work sent before does not end the ejection.
+    health.noteEnd(start, upstreamOf(1), AttemptResult::Complete, false);
+    const auto later = start + 7s;
+    CHECK(slotsOf(health, later, 1) == 1);
+    fail(health, later, 1, AttemptResult::NotSent, 1);
+    CHECK(slotsOf(health, later + 7s, 1) == 0);
+    const auto again = later + 13s;
+    CHECK(slotsOf(health, again, 1) == 1);
+    health.noteEnd(again, upstreamOf(1), AttemptResult::Complete, false);
+    CHECK(slotsOf(health, again, 1) == 8);
+}
+
+TEST_CASE("Refusals and cancelled work are not held against an upstream's health")
+{
+    auto health = healthOf(4);
+    fail(health, start, 0, AttemptResult::Refused, 50);
+    fail(health, start, 0, AttemptResult::Cancelled, 50);
+    fail(health, start, 0, AttemptResult::Failed, 50);
+    CHECK(!health.isEjected(start, upstreamOf(0)));
+    CHECK(slotsOf(health, start, 0) == 6);
+}
+
+TEST_CASE("A failure rate of half ejects though successes come between")
+{
+    auto health = healthOf(4);
+    for (auto round = 0; round < 10; ++round) {
+        fail(health, start, 2, AttemptResult::Complete, 1);
+        fail(health, start, 2, AttemptResult::Silent, 1);
+    }
+    CHECK(health.isEjected(start, upstreamOf(2)));
+}
+
+TEST_CASE("Never more than the allowed share of a shard is ejected")
+{
+    CHECK(rc::check([] {
+        const auto upstreams = *rc::gen::inRange<std::size_t>(1, 9);
+        auto health = healthOf(upstreams);
+        auto now = start;
+        for (auto step = *rc::gen::inRange(0, 60); step > 0; --step) {
+            const auto result = *rc::gen::element(AttemptResult::Complete, AttemptResult::NotSent,
+                AttemptResult::Broken, AttemptResult::Silent, AttemptResult::Crossed);
+            fail(health, now, *rc::gen::inRange<std::size_t>(0, upstreams), result, 3);
+            now += Duration(1ms) * *rc::gen::inRange(0, 3000);
+            const auto capacities = health.capacities(now, 0);
+            const auto ejected = std::ranges::count(capacities, 0U, &UpstreamCapacity::slots);
+            RC_ASSERT(static_cast<std::size_t>(ejected) <= upstreams / 2);
+        }
+    }));
+}
+
+TEST_CASE("Whoever says first that an upstream leaves stops new work to it")
+{
+    auto health = healthOf(4);
+    const auto names = std::vector<std::string> { "e0" };
+    health.setLeaving(names);
+    health.noteEnd(start, upstreamOf(1), AttemptResult::Complete, true);
+    health.noteLoad(start, { upstreamOf(2), 0, 0, 8, true });
+    auto document = documentOf(4);
+    document.upstreams[3].leaving = true;
+    health.setDocument(document);
+    for (auto index = std::size_t { 0 }; index < 4; ++index) {
+        CHECK(!health.accepts(upstreamOf(index)));
+        CHECK(slotsOf(health, start, index) == 0);
+    }
+    health.setLeaving({});
+    CHECK(health.accepts(upstreamOf(0)));
+    CHECK(!health.accepts({ 99 }));
+}
+
+TEST_CASE("The limit falls while the engine queues and returns to the document's slots")
+{
+    auto health = healthOf(2);
+    health.noteLoad(start, { upstreamOf(0), 8, 3, 8, false });
+    health.noteLoad(start + 1ms, { upstreamOf(0), 8, 3, 8, false });
+    CHECK(slotsOf(health, start, 0) == 6);
+    for (auto step = 1; step < 30; ++step)
+        health.noteLoad(start + step * 1s, { upstreamOf(0), 8, 3, 8, false });
+    CHECK(slotsOf(health, start, 0) == 1);
+    for (auto step = 0; step < 20; ++step)
+        health.noteLoad(start + 60s, { upstreamOf(0), 1, 0, 100, false });
+    CHECK(slotsOf(health, start, 0) == 8);
+}
+
+TEST_CASE("An upstream whose load report keeps failing is ejected")
+{
+    auto health = healthOf(2);
+    for (auto step = 0; step < 5; ++step)
+        health.noteLoadFailed(start, upstreamOf(0));
+    CHECK(health.isEjected(start, upstreamOf(0)));
+}
+
+TEST_CASE("Retries stay within their fraction of requests above a small floor")
+{
+    auto budget = RetryBudget {};
+    budget.setFraction(0.1);
+    auto taken = 0;
+    for (auto request = 0; request < 1000; ++request) {
+        budget.noteRequest(start);
+        taken += budget.tryTake(start) ? 1 : 0;
+    }
+    CHECK(taken >= 100);
+    CHECK(taken <= 103);
+
+    auto quiet = RetryBudget {};
+    while (quiet.tryTake(start)) { }
+    CHECK(!quiet.tryTake(start + 5s));
+    CHECK(quiet.tryTake(start + 15s));
+}
