--- a/src/libcamphorshunt/membership.cpp
+++ b/src/libcamphorshunt/membership.cpp
@@ -1,17 +1,16 @@
 #include "membership.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <optional>
 #include <random>
-#include <tuple>
 #include <utility>
 
 #include <boost/json.hpp>
-#include <xxhash.h>
 
+#include "membertable.h"
 #include "newsqueue.h"
+#include "rendezvous.h"
 
 namespace camphorshunt {
 
@@ -25,49 +24,12 @@
 /** A pause between ticks beyond this is our own, and not held against others. */
 constexpr auto longestPause = Duration { 100ms };
 
-struct Member {
-    Endpoint endpoint;
-    Incarnation incarnation;
-    std::uint32_t refutation {};
-    MemberState state = MemberState::Dead;
-    bool listed {};
-    bool listedLeaving {};
-    bool connected {};
-    /** A handshake has proved that this router exists. */
-    bool proven {};
-    std::optional<Time> lostAt;
-    std::optional<Time> deadAt;
-};
-
 struct PendingProbe {
     std::uint64_t sequence {};
     Time sent;
     bool indirect {};
 };
 
-/** Of two claims about one run of a router, the later refutation wins, then the graver state. */
-auto supersedes(const MemberNews& news, const Member& member) -> bool
-{
-    const auto gravity = [](MemberState state) {
-        constexpr auto order = std::array { 0, 2, 3, 1 };
-        return order.at(static_cast<std::size_t>(state));
-    };
-    return std::tuple(news.incarnation, news.refutation, gravity(news.state))
-        > std::tuple(member.incarnation, member.refutation, gravity(member.state));
-}
-
-auto stateName(MemberState state) -> const char*
-{
-    constexpr auto names = std::array { "alive", "suspect", "dead", "draining" };
-    return names.at(static_cast<std::size_t>(state));
-}
-
-auto weightOf(const ShardId& shard, RouterId router) -> std::uint64_t
-{
-    const auto key = std::array { shard.service.value, std::uint64_t { shard.index }, router.value };
-    return XXH64(key.data(), sizeof(key), 0);
-}
-
 class SwimMembership final : public Membership {
 public:
     explicit SwimMembership(MembershipSettings settings)
@@ -90,12 +52,11 @@
     auto expected() const -> std::size_t override;
     auto state(RouterId router) const -> MemberState override;
     auto owner(const ShardId& shard) const -> RouterId override;
-    auto takeChanges() -> std::vector<MemberChange> override { return std::exchange(changes_, {}); }
+    auto takeChanges() -> std::vector<MemberChange> override { return members_.takeChanges(); }
     auto status(Time now) const -> std::string override;
 
 private:
     auto selfNews() const -> MemberNews;
-    auto newsOf(RouterId router) const -> std::optional<MemberNews>;
     auto apply(Time now, const std::vector<MemberNews>& news) -> void;
     auto applyOne(Time now, const MemberNews& news) -> void;
     auto answerNewsOfSelf(const MemberNews& news) -> void;
@@ -112,14 +73,13 @@
 
     MembershipSettings settings_;
     std::mt19937_64 random_;
-    std::map<RouterId, Member> members_;
+    MemberTable members_;
     std::map<RouterId, PendingProbe> pending_;
     NewsQueue news_;
     std::vector<DocumentVersion> versions_;
     std::size_t nextVersion_ {};
     std::vector<RouterId> order_;
     std::vector<RouterId> live_;
-    std::vector<MemberChange> changes_;
     std::uint64_t sequence_ {};
     std::uint32_t refutation_ {};
     bool draining_ {};
@@ -130,32 +90,18 @@
 
 auto SwimMembership::handle(Time now, const VmsListed& listed, Actions& actions) -> void
 {
-    for (auto& [router, member] : members_)
-        member.listed = false;
-    selfListedLeaving_ = false;
-
-    for (const auto& vm : listed.vms) {
-        if (vm.role != VmRole::Router)
-            continue;
-        const auto router = idOf<RouterId>(vm.name);
-        if (router == settings_.self) {
-            selfListedLeaving_ = vm.leaving;
-            continue;
-        }
-        auto& member = members_[router];
-        if (member.endpoint != vm.endpoint)
-            actions.emplace_back(KeepPeer { router, vm.endpoint });
-        member.endpoint = vm.endpoint;
-        member.listed = true;
-        member.listedLeaving = vm.leaving;
-    }
+    selfListedLeaving_ = std::ranges::any_of(listed.vms, [this](const VmEntry& vm) {
+        return vm.role == VmRole::Router && vm.leaving && idOf<RouterId>(vm.name) == settings_.self;
+    });
+    for (const auto router : members_.setListed(listed, settings_.self))
+        actions.emplace_back(KeepPeer { router, members_.find(router)->endpoint });
     forgetUnlisted(actions);
     refreshLive();
 }
 
 auto SwimMembership::handle(Time now, const PeerConnected& connected, Actions& actions) -> void
 {
-    auto& member = members_[connected.router];
+    auto& member = members_.add(connected.router);
     member.connected = true;
     member.proven = true;
     member.lostAt.reset();
@@ -166,15 +112,15 @@
 
 auto SwimMembership::handle(Time now, const PeerDisconnected& disconnected, Actions& actions) -> void
 {
-    const auto found = members_.find(disconnected.router);
-    if (found == members_.end())
+    auto* const member = members_.find(disconnected.router);
+    if (member == nullptr)
         return;
-    found->second.connected = false;
-    if (found->second.state == MemberState::Dead) {
+    member->connected = false;
+    if (member->state == MemberState::Dead) {
         forgetUnlisted(actions);
         return;
     }
-    found->second.lostAt = now;
+    member->lostAt = now;
     auto& pending = pending_[disconnected.router];
     pending = { ++sequence_, now, true };
     sendIndirect(disconnected.router, pending.sequence, actions);
@@ -196,7 +142,7 @@
     apply(now, ack.news);
     if (ack.relayFor.value != 0 && ack.relayFor != settings_.self) {
         auto relayed = ProbeAck { ack.sequence, ack.target, ack.relayFor, {}, {} };
-        if (const auto news = newsOf(ack.target))
+        if (const auto news = members_.newsOf(ack.target))
             relayed.news.push_back(*news);
         if (ack.target == from && members_.contains(ack.relayFor))
             send(ack.relayFor, std::move(relayed), actions);
@@ -206,8 +152,8 @@
     if (pending == pending_.end() || pending->second.sequence != ack.sequence)
         return;
     pending_.erase(pending);
-    if (const auto found = members_.find(ack.target); found != members_.end())
-        found->second.lostAt.reset();
+    if (auto* const member = members_.find(ack.target))
+        member->lostAt.reset();
 }
 
 auto SwimMembership::tick(Time now, Actions& actions) -> void
@@ -250,39 +196,27 @@
 
 auto SwimMembership::expected() const -> std::size_t
 {
-    const auto listed = std::ranges::count_if(
-        members_, [](const auto& entry) { return entry.second.listed && !entry.second.listedLeaving; });
-    return static_cast<std::size_t>(listed) + (selfListedLeaving_ ? 0 : 1);
+    return members_.expected() + (selfListedLeaving_ ? 0 : 1);
 }
 
 auto SwimMembership::state(RouterId router) const -> MemberState
 {
     if (router == settings_.self)
         return selfNews().state;
-    const auto found = members_.find(router);
-    return found == members_.end() ? MemberState::Dead : found->second.state;
+    const auto* const member = members_.find(router);
+    return member == nullptr ? MemberState::Dead : member->state;
 }
 
 auto SwimMembership::owner(const ShardId& shard) const -> RouterId
 {
-    if (live_.empty())
-        return settings_.self;
-    return *std::ranges::max_element(
-        live_, {}, [&shard](RouterId router) { return std::pair(weightOf(shard, router), router); });
+    return live_.empty() ? settings_.self : rendezvousOwner(shard, live_);
 }
 
 auto SwimMembership::status(Time now) const -> std::string
 {
-    auto members = boost::json::array {};
-    for (const auto& [router, member] : members_) {
-        members.push_back({ { "router", router.value }, { "state", stateName(member.state) },
-            { "endpoint", member.endpoint.text() }, { "incarnation", member.incarnation.value },
-            { "listed", member.listed }, { "leaving", member.listedLeaving },
-            { "connected", member.connected } });
-    }
     return boost::json::serialize(boost::json::object { { "self", settings_.name },
-        { "router", settings_.self.value }, { "state", stateName(selfNews().state) },
-        { "live", live_.size() }, { "expected", expected() }, { "members", std::move(members) } });
+        { "router", settings_.self.value }, { "state", memberStateName(selfNews().state) },
+        { "live", live_.size() }, { "expected", expected() }, { "members", members_.status() } });
 }
 
 auto SwimMembership::selfNews() const -> MemberNews
@@ -291,15 +225,6 @@
     return { settings_.self, settings_.incarnation, state, refutation_ };
 }
 
-auto SwimMembership::newsOf(RouterId router) const -> std::optional<MemberNews>
-{
-    const auto found = members_.find(router);
-    if (found == members_.end() || found->second.incarnation.value == 0)
-        return std::nullopt;
-    const auto& member = found->second;
-    return MemberNews { router, member.incarnation, member.state, member.refutation };
-}
-
 auto SwimMembership::apply(Time now, const std::vector<MemberNews>& news) -> void
 {
     for (const auto& item : news)
@@ -313,23 +238,10 @@
         answerNewsOfSelf(news);
         return;
     }
-    const auto found = members_.find(news.router);
-    // A router that is neither listed nor connected cannot be reached; its news is of no use here.
-    if (found == members_.end() || !supersedes(news, found->second))
+    if (!members_.apply(now, news, settings_.suspicionTime))
         return;
-
-    auto& member = found->second;
-    const auto changed = member.state != news.state || member.incarnation != news.incarnation;
-    member.incarnation = news.incarnation;
-    member.refutation = news.refutation;
-    member.state = news.state;
-    member.deadAt.reset();
-    if (news.state == MemberState::Suspect)
-        member.deadAt = now + settings_.suspicionTime;
     if (news.state == MemberState::Dead)
         pending_.erase(news.router);
-    if (changed)
-        changes_.push_back({ news.router, news.incarnation, news.state });
     news_.push(news);
 }
 
@@ -344,7 +256,7 @@
 
 auto SwimMembership::suspect(Time now, RouterId router, Duration time, Actions& actions) -> void
 {
-    auto& member = members_.at(router);
+    auto& member = *members_.find(router);
     if (member.state != MemberState::Alive && member.state != MemberState::Draining)
         return;
     applyOne(now, { router, member.incarnation, MemberState::Suspect, member.refutation });
@@ -371,7 +283,7 @@
     helpers.resize(std::min<std::size_t>(helpers.size(), settings_.indirectProbes));
     for (const auto helper : helpers) {
         auto probe = Probe { sequence, target, settings_.self, {}, {} };
-        if (const auto news = newsOf(target))
+        if (const auto news = members_.newsOf(target))
             probe.news.push_back(*news);
         send(helper, std::move(probe), actions);
     }
@@ -380,7 +292,7 @@
 template <typename Message> auto SwimMembership::send(RouterId to, Message message, Actions& actions) -> void
 {
     // What is believed of the receiver comes first, so that it can contradict.
-    const auto belief = newsOf(to);
+    const auto belief = members_.newsOf(to);
     if (belief && (belief->state == MemberState::Suspect || belief->state == MemberState::Dead))
         message.news.push_back(*belief);
     if (message.news.size() < longestNews)
@@ -401,10 +313,10 @@
         }
         const auto router = order_.back();
         order_.pop_back();
-        const auto found = members_.find(router);
-        if (found == members_.end() || pending_.contains(router))
+        const auto* const member = members_.find(router);
+        if (member == nullptr || pending_.contains(router))
             continue;
-        if (found->second.state == MemberState::Dead && !found->second.connected)
+        if (member->state == MemberState::Dead && !member->connected)
             continue;
         sendProbe(now, router, actions);
         ++sent;
@@ -455,26 +367,16 @@
         return;
     for (auto& [router, probe] : pending_)
         probe.sent += pause;
-    for (auto& [router, member] : members_) {
-        if (member.deadAt)
-            *member.deadAt += pause;
-        if (member.lostAt)
-            *member.lostAt += pause;
-    }
+    members_.delay(pause);
 }
 
 auto SwimMembership::forgetUnlisted(Actions& actions) -> void
 {
-    std::erase_if(members_, [&](const auto& entry) {
-        const auto& [router, member] = entry;
-        const auto gone = !member.listed && !member.connected && member.state == MemberState::Dead;
-        if (gone) {
-            pending_.erase(router);
-            news_.drop(router);
-            actions.emplace_back(KeepPeer { router, {} });
-        }
-        return gone;
-    });
+    for (const auto router : members_.takeGone()) {
+        pending_.erase(router);
+        news_.drop(router);
+        actions.emplace_back(KeepPeer { router, {} });
+    }
 }
 
 auto SwimMembership::refreshLive() -> void
@@ -483,8 +385,7 @@
     if (!draining_ && !selfListedLeaving_)
         live_.push_back(settings_.self);
     for (const auto& [router, member] : members_) {
-        const auto answers = member.state == MemberState::Alive || member.state == MemberState::Suspect;
-        if (answers && !member.listedLeaving && (member.listed || member.proven))
+        if (member.isLive())
             live_.push_back(router);
     }
     std::ranges::sort(live_);
--- /dev/null
+++ b/src/libcamphorshunt/rendezvous.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <span>
+
+#include "camphorshunt/ids.h"
+
+namespace camphorshunt {
+
+/** The router with the highest rendezvous hash (Thaler, Ravishankar, 1998) for a shard; `routers` is not
+ * empty. */
+auto rendezvousOwner(const ShardId& shard, std::span<const RouterId> routers) -> RouterId;
+
+} // namespace camphorshunt
--- a/tests/unit/membershiptest.cpp
+++ b/tests/unit/membershiptest.cpp
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 #include <deque>
+#include <iostream>
 #include <map>
 #include <set>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include "framecodec.h"
+
 using namespace camphorshunt;
 
 namespace {
@@ -122,6 +125,8 @@
 
     Actions kept;
     std::size_t messages {};
+    std::size_t bytes {};
+    bool countBytes {};
 
 private:
     struct Letter {
@@ -152,6 +157,7 @@
             if (!passes)
                 continue;
             ++messages;
+            bytes += countBytes ? 4 + encodeMessage(letter.message).size() : 0;
             act(letter.to, [&](Actions& actions) {
                 auto& receiver = *routers_.at(letter.to);
                 if (const auto* const probe = std::get_if<Probe>(&letter.message))
@@ -202,7 +208,7 @@
         group.silence(3);
         longest = std::max(longest, group.timeUntilLive(7));
     }
-    CAPTURE(longest.count());
+    INFO("longest in microseconds: " << longest.count());
     CHECK(longest < 1s);
 }
 
@@ -316,6 +322,17 @@
     CHECK(static_cast<double>(large.messages) / 60 <= 1.1 * static_cast<double>(small.messages) / 8);
 }
 
+TEST_CASE("The bytes of probes per router and second are known", "[.bytes]")
+{
+    for (const auto size : { std::size_t { 8 }, std::size_t { 340 } }) {
+        auto group = Group(size);
+        group.run(10s);
+        group.countBytes = true;
+        group.run(10s);
+        std::cout << size << " routers: " << group.bytes / size / 10 << " B/s sent by each\n";
+    }
+}
+
 TEST_CASE("After any cuts and silences the routers that are whole again agree")
 {
     CHECK(rc::check([] {
