Charge an equal advance per running request instead of estimates

Gap of one slot is that of the largest request, as before. Hints now only seed the advance until the first request has ended.

--- a/src/libcamphorshunt/dispatchpolicy.h
+++ b/src/libcamphorshunt/dispatchpolicy.h
@@ -26,20 +26,11 @@
     }
 };
 
-/** A policy's decision: one request of this key runs next. */
-struct Choice {
-    DemandKey key;
-    /** The cost that the entry router stated. */
-    double hintUnits {};
-    /** What the policy has charged for it in advance. */
-    double chargedUnits {};
-};
-
 /**
  * Decides whose request runs next. The shard around it counts slots; a policy knows only demand and
- * service. `setWaiting` gives absolute counts; `choose` takes one waiting request and charges its
- * estimate. `charge` corrects a charge (negative: refund), `served` counts units that an upstream
- * really worked, `settled` tells how a stated cost came out.
+ * service. `setWaiting` gives absolute counts; `choose` takes one waiting request. `progressed` adds
+ * units that an upstream worked, `ended` tells that a chosen request runs no more, and `adopt` that
+ * one runs which an earlier dispatcher chose.
  */
 template <typename T>
 concept DispatchPolicy = std::constructible_from<T, const Dispatch&, Incarnation> && requires(T policy,
@@ -50,10 +41,10 @@
     policy.setWaiting(key, count, count);
     {
         policy.choose(deferrableAllowed)
-        } -> std::same_as<std::optional<Choice>>;
-    policy.charge(key, units);
-    policy.served(key, units);
-    policy.settled(key, units, units);
+        } -> std::same_as<std::optional<DemandKey>>;
+    policy.progressed(key, units);
+    policy.ended(key, units);
+    policy.adopt(key);
     policy.apply(totals);
     {
         policy.takeTotals()
--- a/src/libcamphorshunt/fairshares.cpp
+++ b/src/libcamphorshunt/fairshares.cpp
@@ -1,6 +1,8 @@
 #include "fairshares.h"
 
 #include <algorithm>
+#include <cassert>
+#include <cmath>
 
 namespace camphorshunt {
 
@@ -9,11 +11,10 @@
 constexpr auto kInteractive = std::size_t { 0 };
 constexpr auto kDeferrable = std::size_t { 1 };
 
-/** What remains of the history of stated and real costs after one more request. */
-constexpr auto kHistoryKept = 0.8;
-/** Bounds of the correction of hints. */
-constexpr auto kLeastRatio = 1.0 / 64;
-constexpr auto kMostRatio = 64.0;
+/** Costs are averaged over about this many advances' worth of service. */
+constexpr auto kCostWindow = 64.0;
+/** The advance follows the costs when it is off by more than this factor. */
+constexpr auto kAdvanceTolerance = 1.25;
 /** Service per weight at which all accounts are moved back to zero, so that sums stay exact. */
 constexpr auto kRebaseAt = 1e9;
 
@@ -24,19 +25,19 @@
 
 } // namespace
 
-FairShares::FairShares(const Dispatch& dispatch, Incarnation dispatcher, Estimates estimates)
+FairShares::FairShares(const Dispatch& dispatch, Incarnation dispatcher)
     : quantum_(dispatch.quantum)
     , sharded_(dispatch.shards > 1)
-    , estimates_(estimates)
     , remoteTotals_(dispatcher, dispatch.quantum)
 {
 }
 
 auto FairShares::setWeight(OrganisationId organisation, double weight) -> void
 {
+    assert(weight > 0);
     auto& changed = account(organisation);
-    if (weight > 0)
-        changed.weight = weight;
+    changed.weight = weight;
+    relist(changed);
 }
 
 auto FairShares::setWaiting(const DemandKey& key, std::uint32_t waiting, std::uint32_t headUnits) -> void
@@ -46,11 +47,14 @@
     if (waiting == 0)
         routers.erase(key.router);
     else
-        routers[key.router] = Waiting { waiting, headUnits };
+        routers[key.router] = waiting;
+    // Until the first request has ended, any cost will do, as long as it is the same for all.
+    if (advance_ <= 0 && waiting > 0)
+        advance_ = std::max(1.0, static_cast<double>(headUnits));
     reline(changed);
 }
 
-auto FairShares::choose(bool deferrableAllowed) -> std::optional<Choice>
+auto FairShares::choose(bool deferrableAllowed) -> std::optional<DemandKey>
 {
     auto line = kInteractive;
     const auto& interactive = lines_[kInteractive];
@@ -61,26 +65,23 @@
     if (lines_[line].empty())
         return std::nullopt;
 
-    const auto [service, organisation] = *lines_[line].begin();
-    const auto level = service + lift(line);
-    virtualTime_ = std::max(virtualTime_, level);
+    const auto [listed, organisation] = *lines_[line].begin();
+    const auto chosenAt = listed + lift(line);
+    virtualTime_ = std::max(virtualTime_, chosenAt);
     if (!deferrableAllowed)
-        liftDeferrable(level - largestRequest_);
-    auto choice = take(account(organisation), line);
+        liftDeferrable(chosenAt - largestRequest_);
+    const auto choice = take(account(organisation), line);
     if (virtualTime_ > kRebaseAt)
         rebase();
     return choice;
 }
 
-auto FairShares::charge(const DemandKey& key, double units) -> void
-{
-    auto& charged = account(key.organisation);
-    addService(charged, units / charged.weight);
-}
-
-auto FairShares::served(const DemandKey& key, double units) -> void
+auto FairShares::progressed(const DemandKey& key, double units) -> void
 {
     auto& server = account(key.organisation);
+    server.service += units / server.weight;
+    relist(server);
+
     server.servedUnits += units;
     if (!sharded_ || server.reportDue || server.servedUnits - server.reportedUnits < quantum_)
         return;
@@ -88,19 +89,31 @@
     reportsDue_.push_back(server.id);
 }
 
-auto FairShares::settled(const DemandKey& key, double hintUnits, double totalUnits) -> void
+auto FairShares::ended(const DemandKey& key, double servedUnits) -> void
 {
-    auto& known = account(key.organisation);
-    known.statedUnits = known.statedUnits * kHistoryKept + hintUnits;
-    known.realUnits = known.realUnits * kHistoryKept + totalUnits;
-    largestRequest_ = std::max(largestRequest_, totalUnits / known.weight);
+    auto& server = account(key.organisation);
+    assert(server.running > 0);
+    --server.running;
+    relist(server);
+    if (servedUnits <= 0)
+        return;
+    largestRequest_ = std::max(largestRequest_, servedUnits / server.weight);
+    learnCost(servedUnits);
+}
+
+auto FairShares::adopt(const DemandKey& key) -> void
+{
+    auto& server = account(key.organisation);
+    ++server.running;
+    server.service -= advance_ / server.weight;
 }
 
 auto FairShares::apply(const Totals& totals) -> void
 {
     for (const auto& [organisation, units] : remoteTotals_.increments(totals)) {
         auto& known = account(organisation);
-        addService(known, units / known.weight);
+        known.service += units / known.weight;
+        relist(known);
     }
 }
 
@@ -128,14 +141,28 @@
     return *known;
 }
 
-auto FairShares::addService(Account& account, double service) -> void
+auto FairShares::level(const Account& account) const -> double
+{
+    return account.service + advance_ * account.running / account.weight;
+}
+
+auto FairShares::list(Account& account) -> void
+{
+    account.listed = level(account);
+    lines_[*account.line].insert({ account.listed, account.id });
+}
+
+auto FairShares::unlist(Account& account) -> void
+{
+    lines_[*account.line].erase({ account.listed, account.id });
+}
+
+auto FairShares::relist(Account& account) -> void
 {
-    const auto line = account.line;
-    if (line)
-        lines_[*line].erase({ account.service, account.id });
-    account.service += service;
-    if (line)
-        lines_[*line].insert({ account.service, account.id });
+    if (!account.line)
+        return;
+    unlist(account);
+    list(account);
 }
 
 auto FairShares::reline(Account& account) -> void
@@ -148,29 +175,17 @@
     if (wanted == account.line)
         return;
 
-    const auto wasIdle = !account.line;
-    leaveLine(account);
+    if (account.line) {
+        unlist(account);
+        account.service += lift(*account.line);
+    } else {
+        account.service += std::max(0.0, floor() - level(account));
+    }
+    account.line = wanted;
     if (!wanted)
         return;
-    if (wasIdle)
-        account.service = std::max(account.service, floor());
-    enterLine(account, *wanted);
-}
-
-auto FairShares::leaveLine(Account& account) -> void
-{
-    if (!account.line)
-        return;
-    lines_[*account.line].erase({ account.service, account.id });
-    account.service += lift(*account.line);
-    account.line.reset();
-}
-
-auto FairShares::enterLine(Account& account, std::size_t line) -> void
-{
-    account.service -= lift(line);
-    account.line = line;
-    lines_[line].insert({ account.service, account.id });
+    account.service -= lift(*wanted);
+    list(account);
 }
 
 auto FairShares::floor() const -> double
@@ -179,53 +194,69 @@
     for (auto line = std::size_t { 0 }; line < lines_.size(); ++line) {
         if (lines_[line].empty())
             continue;
-        const auto level = lines_[line].begin()->first + lift(line);
-        least = std::min(least.value_or(level), level);
+        const auto first = lines_[line].begin()->first + lift(line);
+        least = std::min(least.value_or(first), first);
     }
     return least.value_or(virtualTime_);
 }
 
-auto FairShares::liftDeferrable(double service) -> void
+auto FairShares::liftDeferrable(double level) -> void
 {
     const auto& line = lines_[kDeferrable];
     if (!line.empty())
-        deferrableLift_ = std::max(deferrableLift_, service - line.begin()->first);
+        deferrableLift_ = std::max(deferrableLift_, level - line.begin()->first);
 }
 
-auto FairShares::take(Account& account, std::size_t line) -> Choice
+auto FairShares::take(Account& account, std::size_t line) -> DemandKey
 {
     auto& queue = account.queues[line];
     auto next = queue.routers.upper_bound(queue.lastServed);
     if (next == queue.routers.end())
         next = queue.routers.begin();
     const auto router = next->first;
-    const auto hint = std::max(1.0, static_cast<double>(next->second.headUnits));
     queue.lastServed = router;
-    if (--next->second.count == 0)
+    if (--next->second == 0)
         queue.routers.erase(next);
 
-    const auto charged = estimate(account, hint);
-    addService(account, charged / account.weight);
+    ++account.running;
+    relist(account);
     reline(account);
     const auto requestClass = line == kInteractive ? RequestClass::Interactive : RequestClass::Deferrable;
-    return Choice { DemandKey { router, account.id, requestClass }, hint, charged };
+    return DemandKey { router, account.id, requestClass };
 }
 
-auto FairShares::estimate(const Account& account, double hintUnits) const -> double
+/**
+ * The advance is the mean cost weighted by cost, so that many small requests do not hide the large
+ * ones that hold most slots.
+ */
+auto FairShares::learnCost(double units) -> void
 {
-    if (estimates_ == Estimates::Exact || account.statedUnits <= 0)
-        return hintUnits;
-    return hintUnits * std::clamp(account.realUnits / account.statedUnits, kLeastRatio, kMostRatio);
+    const auto typical = costs_ > 0 ? squaredCosts_ / costs_ : units;
+    const auto kept = std::exp(-units / (kCostWindow * typical));
+    costs_ = costs_ * kept + units;
+    squaredCosts_ = squaredCosts_ * kept + units * units;
+    const auto wanted = squaredCosts_ / costs_;
+    if (wanted > advance_ * kAdvanceTolerance || wanted * kAdvanceTolerance < advance_)
+        setAdvance(wanted);
+}
+
+auto FairShares::setAdvance(double units) -> void
+{
+    advance_ = units;
+    for (auto& [organisation, account] : accounts_) {
+        if (account->running > 0)
+            relist(*account);
+    }
 }
 
 auto FairShares::rebase() -> void
 {
     for (auto& line : lines_)
         line.clear();
-    for (auto& [id, account] : accounts_) {
+    for (auto& [organisation, account] : accounts_) {
         account->service -= virtualTime_ - (account->line ? lift(*account->line) : 0.0);
         if (account->line)
-            lines_[*account->line].insert({ account->service, id });
+            list(*account);
     }
     deferrableLift_ = 0;
     virtualTime_ = 0;
--- a/src/libcamphorshunt/fairshares.h
+++ b/src/libcamphorshunt/fairshares.h
@@ -17,60 +17,47 @@
 namespace camphorshunt {
 
 /**
- * Chooses the backlogged organisation with the least service per weight (start-time fair queueing
- * over organisations: Goyal, Vin, Cheng, 1996; charged by tokens as in VTC: Sheng et al., 2024).
+ * Chooses the backlogged organisation with the least service per weight, where service is what the
+ * upstreams worked for it plus an advance for each of its running requests. The advance is the same
+ * for all: it stands for what a slot just handed out is still to cost, keeps two organisations' shares
+ * of the slots together while their service is together, and needs no hint of the costs.
  *
- * An organisation is charged the estimate of a request when it is chosen, and corrected as the
- * answer streams and ends. One that comes back from idle starts at the floor of the backlogged
- * ones: no credit is hoarded, no debt forgiven. While deferrable work may take no more slots, the
- * organisations that have nothing else wait in a line of their own; the line's service is lifted as
- * a whole, so that it never falls behind the others by more than the largest request, and keeps its
- * inner order.
+ * One that comes back from idle starts at the floor of the backlogged ones: no credit is hoarded, no
+ * debt forgiven. While deferrable work may take no more slots, the organisations that have nothing
+ * else wait in a line of their own; the line's service is lifted as a whole, so that it never falls
+ * behind the others by more than the largest request, and keeps its inner order.
  */
 class FairShares {
 public:
-    enum class Estimates : std::uint8_t {
-        /** Hints are corrected by what the organisation's earlier hints came out at. */
-        Corrected,
-        /** Hints are taken as exact. */
-        Exact,
-    };
-
-    explicit FairShares(
-        const Dispatch& dispatch, Incarnation dispatcher, Estimates estimates = Estimates::Corrected);
+    FairShares(const Dispatch& dispatch, Incarnation dispatcher);
 
     auto setWeight(OrganisationId organisation, double weight) -> void;
     auto setWaiting(const DemandKey& key, std::uint32_t waiting, std::uint32_t headUnits) -> void;
-    auto choose(bool deferrableAllowed) -> std::optional<Choice>;
-    auto charge(const DemandKey& key, double units) -> void;
-    auto served(const DemandKey& key, double units) -> void;
-    auto settled(const DemandKey& key, double hintUnits, double totalUnits) -> void;
+    auto choose(bool deferrableAllowed) -> std::optional<DemandKey>;
+    auto progressed(const DemandKey& key, double units) -> void;
+    auto ended(const DemandKey& key, double servedUnits) -> void;
+    /** The dispatcher that chose the request had balanced its advance, so it is not charged again. */
+    auto adopt(const DemandKey& key) -> void;
     auto apply(const Totals& totals) -> void;
     auto takeTotals() -> std::vector<ServiceTotal>;
     auto backlogged() const -> std::size_t { return lines_[0].size() + lines_[1].size(); }
 
 private:
-    /** What waits at one entry router. */
-    struct Waiting {
-        std::uint32_t count {};
-        std::uint32_t headUnits {};
-    };
-    /** What waits of one class, by entry router; they take turns. */
+    /** Waiting requests of one class by entry router; the routers take turns. */
     struct ClassQueue {
-        absl::btree_map<RouterId, Waiting> routers;
+        absl::btree_map<RouterId, std::uint32_t> routers;
         RouterId lastServed;
     };
     struct Account {
         OrganisationId id;
         double weight = 1.0;
-        /** Charged service per weight; in the deferrable line less that line's lift. */
+        /** Service per weight without advances; in the deferrable line less that line's lift. */
         double service {};
-        /** Line in which it waits, if any. */
+        std::uint32_t running {};
+        /** Line in which it waits, if any, and the level it is listed under there. */
         std::optional<std::size_t> line;
+        double listed {};
         std::array<ClassQueue, 2> queues;
-        /** Decayed sums of stated and of real costs. */
-        double statedUnits {};
-        double realUnits {};
         /** Units served by this shard, and how many of them the other shards know. */
         double servedUnits {};
         double reportedUnits {};
@@ -79,27 +66,33 @@
     using LineKey = std::pair<double, OrganisationId>;
 
     auto account(OrganisationId organisation) -> Account&;
-    auto addService(Account& account, double service) -> void;
+    auto level(const Account& account) const -> double;
+    auto list(Account& account) -> void;
+    auto unlist(Account& account) -> void;
+    auto relist(Account& account) -> void;
     auto reline(Account& account) -> void;
-    auto leaveLine(Account& account) -> void;
-    auto enterLine(Account& account, std::size_t line) -> void;
     auto floor() const -> double;
     auto lift(std::size_t line) const -> double { return line == 0 ? 0.0 : deferrableLift_; }
-    auto liftDeferrable(double service) -> void;
-    auto take(Account& account, std::size_t line) -> Choice;
-    auto estimate(const Account& account, double hintUnits) const -> double;
+    auto liftDeferrable(double level) -> void;
+    auto take(Account& account, std::size_t line) -> DemandKey;
+    auto learnCost(double units) -> void;
+    auto setAdvance(double units) -> void;
     auto rebase() -> void;
 
     double quantum_ {};
     bool sharded_ {};
-    Estimates estimates_;
     absl::flat_hash_map<OrganisationId, std::unique_ptr<Account>> accounts_;
-    /** Backlogged organisations by service: those with interactive work, those with deferrable only. */
+    /** Backlogged organisations by level: those with interactive work, those with deferrable only. */
     std::array<absl::btree_set<LineKey>, 2> lines_;
     double deferrableLift_ {};
-    /** Service of the last chosen organisation before its charge; never goes back. */
+    /** The highest level at which an organisation was chosen. */
     double virtualTime_ {};
-    /** The greatest charge per weight seen for one request. */
+    /** Units charged for each running request. */
+    double advance_ {};
+    /** Decayed sums of the costs of requests that ended, and of their squares. */
+    double costs_ {};
+    double squaredCosts_ {};
+    /** The greatest cost per weight seen of one request. */
     double largestRequest_ {};
     RemoteTotals remoteTotals_;
     std::vector<OrganisationId> reportsDue_;
--- a/src/libcamphorshunt/policyshard.h
+++ b/src/libcamphorshunt/policyshard.h
@@ -54,7 +54,7 @@
         auto withdrawn = std::vector<DemandKey> {};
         if (demand.full) {
             withdrawn = known.clearDemand();
-            reconcile(known, demand.held, seen);
+            reconcile(known, from, demand.held, seen);
         }
         // What still waits is set before the rest is withdrawn: no organisation seems idle in between.
         for (const auto& entry : demand.entries) {
@@ -70,7 +70,7 @@
         for (const auto& [grant, totalUnits] : ends.charges) {
             const auto found = known.slots().find(grant);
             if (found != known.slots().end())
-                chargeServed(found->second, totalUnits);
+                progress(found->second, totalUnits);
         }
         for (const auto& end : ends.ends) {
             const auto found = known.slots().find(end.grant);
@@ -78,7 +78,8 @@
                 ++ignoredEnds_;
                 continue;
             }
-            settle(found->second, end.unused ? 0.0 : end.totalUnits);
+            if (!end.unused)
+                progress(found->second, end.totalUnits);
             release(known, found);
         }
     }
@@ -107,7 +108,6 @@
         auto& known = found->second;
         known.loseUnacknowledged();
         for (auto position = known.slots().begin(); position != known.slots().end();) {
-            refund(position->second);
             position = release(known, position);
         }
     }
@@ -123,7 +123,7 @@
             const auto choice = policy_.choose(deferrableUsed_ < deferrableCap());
             if (!choice)
                 break;
-            batches[choice->key.router].push_back(hand(*choice, *upstream));
+            batches[choice->router].push_back(hand(*choice, *upstream));
         }
         for (auto& [router, grants] : batches) {
             const auto sequence = ledgers_.at(router).closeSequence();
@@ -174,7 +174,8 @@
     }
 
     /** Brings the slots in line with what the router says it holds. */
-    auto reconcile(RouterLedger& known, std::span<const HeldSlot> heldSlots, std::uint64_t seen) -> void
+    auto reconcile(
+        RouterLedger& known, RouterId from, std::span<const HeldSlot> heldSlots, std::uint64_t seen) -> void
     {
         // Frames of one connection keep their order: what was not seen before the connection was lost never
         // will be. On a connection that stands, later grants are still on their way.
@@ -193,40 +194,37 @@
                 continue;
             }
             if (slot.sequence > seen)
-                refund(position->second);
-            position = release(known, position);
+                position = release(known, position);
         }
         for (const auto& slot : heldSlots)
-            takeHeld(known, slot);
+            takeHeld(known, from, slot);
     }
 
-    auto takeHeld(RouterLedger& known, const HeldSlot& held) -> void
+    auto takeHeld(RouterLedger& known, RouterId router, const HeldSlot& held) -> void
     {
         if (const auto found = known.slots().find(held.grant); found != known.slots().end()) {
-            chargeServed(found->second, held.chargedUnits);
+            progress(found->second, held.chargedUnits);
             return;
         }
-        // Its earlier charge was balanced by the dispatcher that granted it; only what follows counts here.
         known.addHeld(held);
+        policy_.adopt(DemandKey { router, held.organisation, held.requestClass });
         occupy(held.requestClass, held.upstream);
     }
 
-    auto hand(const Choice& choice, UpstreamId upstream) -> Grant
+    auto hand(const DemandKey& key, UpstreamId upstream) -> Grant
     {
-        auto& known = ledgers_.at(choice.key.router);
+        auto& known = ledgers_.at(key.router);
         while (known.slots().contains(nextGrant_))
             ++nextGrant_.value;
         const auto id = nextGrant_;
         ++nextGrant_.value;
-        known.addGrant(id,
-            OutstandingGrant {
-                choice.key, upstream, known.nextSequence(), choice.hintUnits, choice.chargedUnits, 0 });
-        occupy(choice.key.requestClass, upstream);
-        if (--shown_[choice.key] == 0)
-            shown_.erase(choice.key);
+        known.addGrant(id, OutstandingGrant { key, upstream, known.nextSequence(), 0.0 });
+        occupy(key.requestClass, upstream);
+        if (--shown_[key] == 0)
+            shown_.erase(key);
         --waiting_;
         ++granted_;
-        return Grant { id, choice.key.organisation, choice.key.requestClass, upstream };
+        return Grant { id, key.organisation, key.requestClass, upstream };
     }
 
     auto occupy(RequestClass requestClass, UpstreamId upstream) -> void
@@ -238,39 +236,21 @@
 
     auto release(RouterLedger& known, Slots::iterator position) -> Slots::iterator
     {
-        slots_.release(position->second.upstream);
-        if (position->second.key.requestClass == RequestClass::Deferrable)
+        const auto& slot = position->second;
+        policy_.ended(slot.key, slot.servedUnits);
+        slots_.release(slot.upstream);
+        if (slot.key.requestClass == RequestClass::Deferrable)
             --deferrableUsed_;
         return known.slots().erase(position);
     }
 
-    /** Units served so far; the charge follows once it is too low. */
-    auto chargeServed(OutstandingGrant& slot, double units) -> void
-    {
-        if (units > slot.servedUnits) {
-            policy_.served(slot.key, units - slot.servedUnits);
-            slot.servedUnits = units;
-        }
-        if (slot.servedUnits > slot.chargedUnits)
-            correct(slot, slot.servedUnits);
-    }
-
-    auto settle(OutstandingGrant& slot, double totalUnits) -> void
+    /** Units served so far, absolute. */
+    auto progress(OutstandingGrant& slot, double units) -> void
     {
-        chargeServed(slot, totalUnits);
-        correct(slot, slot.servedUnits);
-        // A held slot came without its stated cost; one that served nothing says nothing about costs.
-        if (slot.sequence > 0 && slot.servedUnits > 0)
-            policy_.settled(slot.key, slot.hintUnits, slot.servedUnits);
-    }
-
-    /** Takes back the part of the charge that was not served. */
-    auto refund(OutstandingGrant& slot) -> void { correct(slot, slot.servedUnits); }
-
-    auto correct(OutstandingGrant& slot, double units) -> void
-    {
-        policy_.charge(slot.key, units - slot.chargedUnits);
-        slot.chargedUnits = units;
+        if (units <= slot.servedUnits)
+            return;
+        policy_.progressed(slot.key, units - slot.servedUnits);
+        slot.servedUnits = units;
     }
 
     ShardSettings settings_;
--- a/src/libcamphorshunt/routerledger.cpp
+++ b/src/libcamphorshunt/routerledger.cpp
@@ -63,14 +63,10 @@
     unacknowledged_.push_back(Unacknowledged { grant.sequence, grant.key });
 }
 
-auto RouterLedger::addHeld(const HeldSlot& held) -> OutstandingGrant&
+auto RouterLedger::addHeld(const HeldSlot& held) -> void
 {
     const auto key = DemandKey { router_, held.organisation, held.requestClass };
-    return slots_
-        .emplace(held.grant,
-            OutstandingGrant {
-                key, held.upstream, 0, held.chargedUnits, held.chargedUnits, held.chargedUnits })
-        .first->second;
+    slots_.emplace(held.grant, OutstandingGrant { key, held.upstream, 0, held.chargedUnits });
 }
 
 auto RouterLedger::forgetIfEmpty(const DemandKey& key) -> void
--- a/src/libcamphorshunt/routerledger.h
+++ b/src/libcamphorshunt/routerledger.h
@@ -22,8 +22,6 @@
     UpstreamId upstream;
     /** Of the Grants message that carried it; 0 if it was told in a full demand. */
     std::uint64_t sequence {};
-    double hintUnits {};
-    double chargedUnits {};
     /** Units known to be served. */
     double servedUnits {};
 };
@@ -53,7 +51,7 @@
     auto waiting(const DemandKey& key) const -> std::uint32_t;
 
     auto addGrant(GrantId id, const OutstandingGrant& grant) -> void;
-    auto addHeld(const HeldSlot& held) -> OutstandingGrant&;
+    auto addHeld(const HeldSlot& held) -> void;
     /** The number of the Grants message now being filled. */
     auto nextSequence() const -> std::uint64_t { return sequence_ + 1; }
     auto closeSequence() -> std::uint64_t { return ++sequence_; }
--- a/src/plugins/fcfspolicy/arrivalorder.cpp
+++ b/src/plugins/fcfspolicy/arrivalorder.cpp
@@ -9,7 +9,6 @@
     auto& known = waiting_[key];
     countOrganisation(key, known.count, waiting);
     known.count = waiting;
-    known.headUnits = headUnits;
     if (waiting > known.inLine) {
         auto& line = lines_[key.requestClass == RequestClass::Interactive ? 0 : 1];
         line.push_back(Arrivals { key, waiting - known.inLine, ++arrivals_ });
@@ -19,7 +18,7 @@
         waiting_.erase(key);
 }
 
-auto ArrivalOrder::choose(bool deferrableAllowed) -> std::optional<Choice>
+auto ArrivalOrder::choose(bool deferrableAllowed) -> std::optional<DemandKey>
 {
     for (auto& line : lines_)
         dropStale(line);
@@ -32,7 +31,6 @@
 
     const auto key = line.front().key;
     auto& known = waiting_.at(key);
-    const auto hint = static_cast<double>(known.headUnits);
     countOrganisation(key, known.count, known.count - 1);
     --known.count;
     --known.inLine;
@@ -40,7 +38,7 @@
         waiting_.erase(key);
     if (--line.front().count == 0)
         line.pop_front();
-    return Choice { key, hint, 0.0 };
+    return key;
 }
 
 auto ArrivalOrder::dropStale(Line& line) -> void
--- a/src/plugins/fcfspolicy/arrivalorder.h
+++ b/src/plugins/fcfspolicy/arrivalorder.h
@@ -20,10 +20,10 @@
 
     auto setWeight(OrganisationId organisation, double weight) -> void { }
     auto setWaiting(const DemandKey& key, std::uint32_t waiting, std::uint32_t headUnits) -> void;
-    auto choose(bool deferrableAllowed) -> std::optional<Choice>;
-    auto charge(const DemandKey& key, double units) -> void { }
-    auto served(const DemandKey& key, double units) -> void { }
-    auto settled(const DemandKey& key, double hintUnits, double totalUnits) -> void { }
+    auto choose(bool deferrableAllowed) -> std::optional<DemandKey>;
+    auto progressed(const DemandKey& key, double units) -> void { }
+    auto ended(const DemandKey& key, double servedUnits) -> void { }
+    auto adopt(const DemandKey& key) -> void { }
     auto apply(const Totals& totals) -> void { }
     auto takeTotals() -> std::vector<ServiceTotal> { return {}; }
     auto backlogged() const -> std::size_t { return organisations_.size(); }
@@ -38,7 +38,6 @@
         std::uint32_t count {};
         /** Arrivals in line; more than wait after requests were taken back. */
         std::uint32_t inLine {};
-        std::uint32_t headUnits {};
     };
     using Line = std::deque<Arrivals>;
 
--- a/src/plugins/localfairpolicy/routershares.cpp
+++ b/src/plugins/localfairpolicy/routershares.cpp
@@ -21,7 +21,7 @@
     countBacklogged(key, waiting);
 }
 
-auto RouterShares::choose(bool deferrableAllowed) -> std::optional<Choice>
+auto RouterShares::choose(bool deferrableAllowed) -> std::optional<DemandKey>
 {
     auto next = routers_.upper_bound(lastServed_);
     for (auto tried = std::size_t { 0 }; tried < routers_.size(); ++tried, ++next) {
@@ -31,22 +31,12 @@
         if (!choice)
             continue;
         lastServed_ = next->first;
-        countBacklogged(choice->key, waiting_.at(choice->key) - 1);
+        countBacklogged(*choice, waiting_.at(*choice) - 1);
         return choice;
     }
     return std::nullopt;
 }
 
-auto RouterShares::charge(const DemandKey& key, double units) -> void
-{
-    shares(key.router).charge(key, units);
-}
-
-auto RouterShares::settled(const DemandKey& key, double hintUnits, double totalUnits) -> void
-{
-    shares(key.router).settled(key, hintUnits, totalUnits);
-}
-
 auto RouterShares::shares(RouterId router) -> FairShares&
 {
     const auto [position, isNew] = routers_.try_emplace(router, dispatch_, dispatcher_);
--- a/src/plugins/localfairpolicy/routershares.h
+++ b/src/plugins/localfairpolicy/routershares.h
@@ -18,10 +18,13 @@
 
     auto setWeight(OrganisationId organisation, double weight) -> void;
     auto setWaiting(const DemandKey& key, std::uint32_t waiting, std::uint32_t headUnits) -> void;
-    auto choose(bool deferrableAllowed) -> std::optional<Choice>;
-    auto charge(const DemandKey& key, double units) -> void;
-    auto served(const DemandKey& key, double units) -> void { }
-    auto settled(const DemandKey& key, double hintUnits, double totalUnits) -> void;
+    auto choose(bool deferrableAllowed) -> std::optional<DemandKey>;
+    auto progressed(const DemandKey& key, double units) -> void { shares(key.router).progressed(key, units); }
+    auto ended(const DemandKey& key, double servedUnits) -> void
+    {
+        shares(key.router).ended(key, servedUnits);
+    }
+    auto adopt(const DemandKey& key) -> void { shares(key.router).adopt(key); }
     auto apply(const Totals& totals) -> void { }
     auto takeTotals() -> std::vector<ServiceTotal> { return {}; }
     auto backlogged() const -> std::size_t { return organisations_.size(); }
--- a/src/plugins/oraclepolicy/oraclepolicy.cpp
+++ b/src/plugins/oraclepolicy/oraclepolicy.cpp
@@ -8,15 +8,11 @@
 namespace {
 
 /**
- * The bound that the others are measured against. It assumes what only an experiment can give it: one
- * shard for all upstreams, so that nothing is unreported, and callers whose hints are the exact costs.
+ * The bound that the others are measured against: the fair policy where it knows all. That assumes one
+ * shard for all upstreams, so that no service is unreported, and a document that says so; costs it need
+ * not know beforehand.
  */
-auto makeOracle(const ShardSettings& settings) -> std::unique_ptr<ShardDispatcher>
-{
-    return std::make_unique<PolicyShard<FairShares>>(settings, FairShares::Estimates::Exact);
-}
-
-const auto kRegistered = Registry<DispatcherFactory>::instance().add("oracle", &makeOracle);
+const auto kRegistered = Registry<DispatcherFactory>::instance().add("oracle", &makePolicyShard<FairShares>);
 
 } // namespace
 
