--- /dev/null
+++ b/src/camphorshuntctl/command.cpp
@@ -0,0 +1,36 @@
+#include "command.h"
+
+#include <array>
+#include <iostream>
+
+#include "documentcommands.h"
+#include "statuscommand.h"
+
+namespace camphorshunt::ctl {
+
+auto commands() -> std::span<const Command>
+{
+    static const auto all = std::array {
+        Command {
+            "validate", "validate FILE...", "Check documents without touching the fleet.", runValidate },
+        Command { "publish",
+            "publish FILE --log=IP:PORT [--base=VERSION] [--edit_id=ID] [--admin=IP:PORT,...]",
+            "Append an edit, say who won, wait until it is in force. Example: camphorshuntctl publish "
+            "samples/demo-assistant.json --log=127.0.0.1:7300 --admin=127.0.0.1:7201",
+            runPublish },
+        Command { "show", "show SERVICE --log=IP:PORT", "Print the document in force.", runShow },
+        Command { "history", "history SERVICE --log=IP:PORT", "Print the edits and what became of each.",
+            runHistory },
+        Command { "status", "status --admin=IP:PORT,... [--json]",
+            "Print daemons, duties, versions in force, queues by organisation and slots.", runStatus },
+    };
+    return all;
+}
+
+auto fail(ExitCode code, std::string_view message) -> ExitCode
+{
+    std::cerr << "error: " << message << '\n';
+    return code;
+}
+
+} // namespace camphorshunt::ctl
