--- a/src/camphorshuntd/callers.cpp
+++ b/src/camphorshuntd/callers.cpp
@@ -28,8 +28,8 @@
 {
     auto callers = std::unique_ptr<Callers>(new Callers(rings, settings.firstRequest));
     auto server = net::HttpServer::listen(context, settings.listen, settings.limits,
-        [self = callers.get()](net::HttpRequest request, std::shared_ptr<net::HttpExchange> exchange) {
-            self->take(std::move(request), std::move(exchange));
+        [self = callers.get()](net::HttpRequest request, const std::shared_ptr<net::HttpExchange>& exchange) {
+            self->take(std::move(request), exchange);
         });
     if (server.has_error())
         return server.error();
@@ -49,7 +49,7 @@
     });
 }
 
-auto Callers::take(net::HttpRequest request, std::shared_ptr<net::HttpExchange> exchange) -> void
+auto Callers::take(net::HttpRequest request, const std::shared_ptr<net::HttpExchange>& exchange) -> void
 {
     const auto id = RequestId { nextRequest_++ };
     auto read = readCallerRequest(id, request);
--- a/src/camphorshuntd/callers.h
+++ b/src/camphorshuntd/callers.h
@@ -48,7 +48,7 @@
 
     Callers(const Rings& rings, RequestId firstRequest);
 
-    auto take(net::HttpRequest request, std::shared_ptr<net::HttpExchange> exchange) -> void;
+    auto take(net::HttpRequest request, const std::shared_ptr<net::HttpExchange>& exchange) -> void;
     auto enqueue(RequestId id, NewBody body, RequestArrived arrived) -> bool;
     auto callerGone(RequestId id) -> void;
     auto forget(RequestId id) -> void;
--- /dev/null
+++ b/tests/unit/ringtest.cpp
@@ -0,0 +1,88 @@
+#include "camphorshunt/ring.h"
+
+#include <numeric>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+using camphorshunt::Ring;
+
+TEST_CASE("A ring refuses new work at its mark and still takes control messages")
+{
+    auto producer = boost::asio::io_context {};
+    auto consumer = boost::asio::io_context {};
+    auto ring = Ring<int>(producer, consumer, 4, 2);
+    auto taken = std::vector<int> {};
+    ring.onItem([&taken](int item) { taken.push_back(item); });
+
+    CHECK(ring.tryPush(0));
+    CHECK(ring.tryPush(1));
+    CHECK_FALSE(ring.tryPush(100));
+    for (auto item = 2; item < 10; ++item)
+        ring.push(item);
+    CHECK(ring.overflowing());
+
+    while (consumer.poll() + producer.poll() != 0) {
+        consumer.restart();
+        producer.restart();
+    }
+    auto wanted = std::vector<int>(10);
+    std::iota(wanted.begin(), wanted.end(), 0);
+    CHECK(taken == wanted);
+    CHECK_FALSE(ring.overflowing());
+    CHECK(ring.tryPush(10));
+}
+
+TEST_CASE("A ring tells its producer once the overflow has gone in")
+{
+    auto producer = boost::asio::io_context {};
+    auto consumer = boost::asio::io_context {};
+    auto ring = Ring<int>(producer, consumer, 2, 1);
+    auto flushed = 0;
+    ring.onItem([](int) {});
+    ring.onFlushed([&] { ++flushed; });
+    for (auto item = 0; item < 4; ++item)
+        ring.push(item);
+    while (consumer.poll() + producer.poll() != 0) {
+        consumer.restart();
+        producer.restart();
+    }
+    CHECK(flushed == 1);
+}
+
+TEST_CASE("A ring loses and reorders nothing between two threads")
+{
+    rc::check("every pushed item comes in order", [] {
+        const auto count = *rc::gen::inRange(0, 2000);
+        const auto capacity = *rc::gen::inRange<std::size_t>(2, 16);
+        auto producer = boost::asio::io_context {};
+        auto consumer = boost::asio::io_context {};
+        auto producerGuard = boost::asio::make_work_guard(producer);
+        auto consumerGuard = boost::asio::make_work_guard(consumer);
+        auto ring = Ring<int>(producer, consumer, capacity, 1);
+        auto taken = std::vector<int> {};
+        ring.onItem([&](int item) {
+            taken.push_back(item);
+            if (item == count) {
+                consumer.stop();
+                producer.stop();
+            }
+        });
+
+        boost::asio::post(producer, [&] {
+            for (auto item = 0; item <= count; ++item)
+                ring.push(item);
+        });
+        auto consuming = std::thread([&] { consumer.run(); });
+        producer.run();
+        consuming.join();
+
+        auto wanted = std::vector<int>(static_cast<std::size_t>(count) + 1);
+        std::iota(wanted.begin(), wanted.end(), 0);
+        RC_ASSERT(taken == wanted);
+    });
+}
