Stand in for the engine, the plain service, the log and the VM list

One program with a role flag; each role is a class that tests run in-process. All share the fault switch at POST /admin/faults. The service counts a run when it starts, so its count judges at-most-once also when the answer is lost or the caller has gone.

The tests of the engine found that the client held each chunk back until the next one came: Beast's eager parsing takes the next chunk's header as missing and reads on. It is off now, with a test of its own that failed before. The test support evaluated a reached condition twice; it no longer does. Exchanges of a destroyed server let go of their callbacks, which may hold the exchange itself.

--- a/src/libnet/httpclientcall.cpp
+++ b/src/libnet/httpclientcall.cpp
@@ -157,7 +157,8 @@
     inBody_ = true;
     // Without a length or chunks an answer that was cut looks like a whole one.
     cut_ = parser_->need_eof() && !parser_->is_done();
-    parser_->eager(true);
+    // Eager parsing would hold a chunk back until the next one.
+    parser_->eager(false);
     const auto head = headOf(parser_->get());
     // A copy, since the caller may cancel from inside its handler.
     if (const auto onHead = handlers_.onHead)
--- a/src/libnet/httpidlepool.cpp
+++ b/src/libnet/httpidlepool.cpp
@@ -36,7 +36,7 @@
 
 auto HttpIdlePool::take(const Endpoint& endpoint) -> std::optional<Tcp::socket>
 {
-    const auto found = idle_.find(endpoint);
+    const auto found = idle_.find(endpoint.text());
     if (found == idle_.end())
         return std::nullopt;
     auto& kept = found->second;
@@ -61,12 +61,13 @@
 {
     if (cleared_ || perEndpoint_ == 0)
         return;
-    auto& kept = idle_[endpoint];
+    const auto key = endpoint.text();
+    const auto& kept = idle_[key];
     if (kept.size() >= perEndpoint_)
-        remove(endpoint, kept.front());
+        remove(key, kept.front());
     const auto idle = std::make_shared<Idle>(std::move(socket));
-    idle_[endpoint].push_back(idle);
-    watch(endpoint, idle);
+    idle_[key].push_back(idle);
+    watch(key, idle);
 }
 
 auto HttpIdlePool::clear() -> void
@@ -75,27 +76,26 @@
     idle_.clear();
 }
 
-auto HttpIdlePool::watch(const Endpoint& endpoint, const std::shared_ptr<Idle>& idle) -> void
+auto HttpIdlePool::watch(const std::string& key, const std::shared_ptr<Idle>& idle) -> void
 {
     const auto drop
-        = [weakPool = weak_from_this(), weakIdle = std::weak_ptr(idle), endpoint](const ErrorCode& error) {
+        = [weakPool = weak_from_this(), weakIdle = std::weak_ptr(idle), key](const ErrorCode& error) {
               const auto pool = weakPool.lock();
               const auto entry = weakIdle.lock();
               if (pool && entry && error != asio::error::operation_aborted)
-                  pool->remove(endpoint, entry);
+                  pool->remove(key, entry);
           };
     idle->socket.async_wait(Tcp::socket::wait_read, drop);
     idle->expiry.expires_after(idleTimeout_);
     idle->expiry.async_wait(drop);
 }
 
-auto HttpIdlePool::remove(const Endpoint& endpoint, const std::shared_ptr<Idle>& idle) -> void
+auto HttpIdlePool::remove(const std::string& key, const std::shared_ptr<Idle>& idle) -> void
 {
-    const auto found = idle_.find(endpoint);
+    const auto found = idle_.find(key);
     if (found == idle_.end())
         return;
-    const auto doomed = idle;
-    std::erase(found->second, doomed);
+    std::erase_if(found->second, [doomed = idle.get()](const auto& kept) { return kept.get() == doomed; });
     if (found->second.empty())
         idle_.erase(found);
 }
--- a/src/libnet/httpidlepool.h
+++ b/src/libnet/httpidlepool.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -38,10 +39,10 @@
         boost::asio::steady_timer expiry;
     };
 
-    auto watch(const Endpoint& endpoint, const std::shared_ptr<Idle>& idle) -> void;
-    auto remove(const Endpoint& endpoint, const std::shared_ptr<Idle>& idle) -> void;
+    auto watch(const std::string& key, const std::shared_ptr<Idle>& idle) -> void;
+    auto remove(const std::string& key, const std::shared_ptr<Idle>& idle) -> void;
 
-    std::map<Endpoint, std::vector<std::shared_ptr<Idle>>> idle_;
+    std::map<std::string, std::vector<std::shared_ptr<Idle>>> idle_;
     std::size_t perEndpoint_;
     std::chrono::milliseconds idleTimeout_;
     bool cleared_ = false;
--- a/src/libnet/httpserverconnection.cpp
+++ b/src/libnet/httpserverconnection.cpp
@@ -250,6 +250,8 @@
 
 auto HttpServerConnection::abort() -> void
 {
+    if (const auto exchange = exchange_.lock())
+        exchange->ended();
     exchange_.reset();
     auto ignored = ErrorCode {};
     // An HTTP/1.0 body ends with the connection, so only a reset shows that it was cut.
@@ -281,7 +283,7 @@
         if (self && !error && self->writeTimer_.expiry() <= asio::steady_timer::clock_type::now())
             self->close();
     });
-    asio::async_write(socket_, std::move(buffers),
+    asio::async_write(socket_, buffers,
         [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->outputWritten(error); });
 }
 
--- /dev/null
+++ b/src/standins/enginestandin.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+
+#include "enginestream.h"
+#include "standin.h"
+
+namespace camphorshunt::standins {
+
+/**
+ * A model engine: a batch of streams that each yield a token per token time, further requests
+ * waiting in order of arrival. A stream whose reader is lost goes on and can be resumed.
+ */
+class EngineStandIn : public StandInRole<EngineStandIn> {
+public:
+    using StandInRole::StandInRole;
+
+private:
+    using StreamPtr = std::shared_ptr<EngineStream>;
+
+    struct Load {
+        std::chrono::steady_clock::time_point at;
+        std::size_t running {};
+        std::size_t waiting {};
+    };
+
+    auto kindOf(const Request& request) const -> RequestKind override;
+    auto serve(const Request& request, const Exchange& exchange, const Fault& fault) -> void override;
+    auto generate(const Request& request, const Exchange& exchange, const Fault& fault) -> void;
+    auto resume(const Request& request, const Exchange& exchange, const Fault& fault) -> void;
+    auto cancel(const Request& request, const Exchange& exchange) -> void;
+    auto attach(const StreamPtr& stream, const Request& request, const Exchange& exchange, const Fault& fault)
+        -> void;
+    auto readerLost(const StreamPtr& stream) -> void;
+    auto startWaiting() -> void;
+    auto scheduleToken(const StreamPtr& stream) -> void;
+    auto produceToken(const StreamPtr& stream) -> void;
+    auto end(const StreamPtr& stream, bool whole) -> void;
+    auto forget(const StreamPtr& stream) -> void;
+    auto isFenced(const Request& request) -> bool;
+    auto promptTimeOf(const Request& request, std::uint64_t tokens) -> Milliseconds;
+    auto noteLoad() -> void;
+    auto reportLoad(net::HttpExchange& exchange) -> void;
+
+    /** By attempt id; a resumed stream is known by each of its attempts. */
+    std::map<std::string, StreamPtr> streams_;
+    std::deque<StreamPtr> waiting_;
+    std::list<std::size_t> cachedPrefixes_;
+    std::deque<Load> loads_;
+    std::size_t running_ = 0;
+    std::uint64_t streamCount_ = 0;
+    std::uint64_t greatestFencing_ = 0;
+};
+
+} // namespace camphorshunt::standins
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -1,1 +1,110 @@
-auto main() -> int { return 0; }
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/asio/signal_set.hpp>
+
+#include "enginestandin.h"
+#include "logstandin.h"
+#include "servicestandin.h"
+#include "vmsstandin.h"
+
+ABSL_FLAG(std::string, role, "", "engine, service, log or vms");
+ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP number and port; port 0 takes a free one");
+ABSL_FLAG(std::uint32_t, slots, 4, "engine, service: requests that run at the same time");
+ABSL_FLAG(double, token_ms, 1, "engine: time for one output token, in ms");
+ABSL_FLAG(double, prompt_ms, 10, "engine: time to read 1,000 prompt tokens, in ms");
+ABSL_FLAG(double, load_lag_ms, 0, "engine: age of the reported load, in ms");
+ABSL_FLAG(double, resume_window_ms, 10000, "engine: how long a stream without a reader is kept, in ms");
+ABSL_FLAG(std::uint32_t, cached_prefixes, 16, "engine: prompt prefixes in the cache");
+ABSL_FLAG(bool, check_fencing, false, "engine: answer 409 to an older fencing token");
+ABSL_FLAG(double, call_ms, 1, "service: time for one call, in ms");
+ABSL_FLAG(std::uint32_t, retention_records, 0, "log: records kept in each stream, 0 for all");
+ABSL_FLAG(std::uint32_t, appends_per_second, 0, "log: appends taken each second, 0 for no limit");
+ABSL_FLAG(double, lag_ms, 0, "vms: time until a change shows, in ms");
+
+namespace {
+
+using namespace camphorshunt;
+using namespace camphorshunt::standins;
+
+constexpr auto badUsage = 2;
+
+auto fail(const Error& error) -> int
+{
+    std::cerr << "standins: " << error.text() << "\n";
+    return badUsage;
+}
+
+auto optionsFromFlags() -> Result<StandInOptions>
+{
+    const auto listen = Endpoint::parse(absl::GetFlag(FLAGS_listen), "--listen");
+    if (!listen)
+        return listen.error();
+    auto options = StandInOptions {};
+    options.listen = listen.value();
+    options.slots = absl::GetFlag(FLAGS_slots);
+    options.tokenTime = Milliseconds(absl::GetFlag(FLAGS_token_ms));
+    options.promptTime = Milliseconds(absl::GetFlag(FLAGS_prompt_ms));
+    options.loadLag = Milliseconds(absl::GetFlag(FLAGS_load_lag_ms));
+    options.resumeWindow = Milliseconds(absl::GetFlag(FLAGS_resume_window_ms));
+    options.cachedPrefixes = absl::GetFlag(FLAGS_cached_prefixes);
+    options.checkFencing = absl::GetFlag(FLAGS_check_fencing);
+    options.callTime = Milliseconds(absl::GetFlag(FLAGS_call_ms));
+    options.retentionRecords = absl::GetFlag(FLAGS_retention_records);
+    options.appendsPerSecond = absl::GetFlag(FLAGS_appends_per_second);
+    options.listLag = Milliseconds(absl::GetFlag(FLAGS_lag_ms));
+    for (const auto time : { options.tokenTime, options.promptTime, options.loadLag, options.resumeWindow,
+             options.callTime, options.listLag }) {
+        if (!std::isfinite(time.count()) || time.count() < 0)
+            return failure(Error::Code::Invalid, "--*_ms", "a time is 0 or more");
+    }
+    return options;
+}
+
+/** Abseil names flags with underscores; `--token-ms=2` is read as `--token_ms=2`. */
+auto dashesToUnderscores(char* argument) -> void
+{
+    const auto text = std::string_view(argument);
+    if (text.starts_with("--") && text.size() > 2)
+        std::replace(argument + 2, argument + std::min(text.find('='), text.size()), '-', '_');
+}
+
+template <typename Role> auto run(const StandInOptions& options) -> int
+{
+    auto context = boost::asio::io_context(1);
+    const auto role = Role::start(context, options);
+    if (!role)
+        return fail(role.error());
+    auto signals = boost::asio::signal_set(context, SIGTERM, SIGINT);
+    signals.async_wait([&context](const boost::system::error_code&, int) { context.stop(); });
+    std::cout << "listening " << role.value()->endpoint().text() << std::endl;
+    context.run();
+    return 0;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    absl::SetProgramUsageMessage("Stands in for an upstream or a platform service in trials and tests.");
+    std::for_each(argv + 1, argv + argc, dashesToUnderscores);
+    absl::ParseCommandLine(argc, argv);
+    const auto options = optionsFromFlags();
+    if (!options)
+        return fail(options.error());
+    const auto role = absl::GetFlag(FLAGS_role);
+    const auto runs
+        = std::map<std::string_view, int (*)(const StandInOptions&)> { { "engine", run<EngineStandIn> },
+              { "service", run<ServiceStandIn> }, { "log", run<LogStandIn> }, { "vms", run<VmsStandIn> } };
+    const auto found = runs.find(role);
+    if (found != runs.end())
+        return found->second(options.value());
+    return fail(failure(Error::Code::Invalid, "--role", "'" + role + "' is not engine, service, log or vms"));
+}
--- a/src/standins/placeholder.cpp
+++ /dev/null
@@ -1,2 +0,0 @@
-namespace camphorshunt {
-}
--- a/tests/unit/httpclienttest.cpp
+++ b/tests/unit/httpclienttest.cpp
@@ -195,3 +195,17 @@
     REQUIRE(fixture.awaitEnd(call) == HttpCallEnd::Complete);
     CHECK(peer.seesClose());
 }
+
+TEST_CASE("Each chunk is handed on as it comes, not with the next one")
+{
+    auto fixture = ClientFixture {};
+    auto call = Recorded {};
+    fixture.client->start(callTo(fixture.endpoint), call.handlers());
+    auto peer = fixture.accept();
+    REQUIRE(peer.receives("\r\n\r\n"));
+    peer.send(std::string(chunkedHead) + "1\r\na\r\n");
+    CHECK(runUntil(fixture.context, [&] { return call.body == "a"; }));
+    peer.send("1\r\nb\r\n0\r\n\r\n");
+    CHECK(fixture.awaitEnd(call) == HttpCallEnd::Complete);
+    CHECK(call.body == "ab");
+}
--- a/tests/unit/httptestsupport.h
+++ b/tests/unit/httptestsupport.h
@@ -26,11 +26,13 @@
 template <typename Predicate> auto runUntil(boost::asio::io_context& context, Predicate reached) -> bool
 {
     const auto giveUp = std::chrono::steady_clock::now() + 30s;
-    while (!reached() && std::chrono::steady_clock::now() < giveUp) {
+    while (!reached()) {
+        if (std::chrono::steady_clock::now() >= giveUp)
+            return false;
         context.restart();
         context.run_one_for(5ms);
     }
-    return reached();
+    return true;
 }
 
 /** What one call reported. */
