Fold the document stream and trade documents with peers

An edit counts only if it names the version in force at its own offset; version = offset + 1, zero stands for none. Without the list a fleet whose routers were replaced one by one after a trim could never accept the first edit of a new service.

--- /dev/null
+++ b/src/libcamphorshunt/documentbook.cpp
@@ -0,0 +1,285 @@
+#include "documentbook.h"
+
+#include <algorithm>
+#include <random>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "camphorshunt/documentfold.h"
+
+#include "logfields.h"
+
+namespace camphorshunt {
+
+namespace {
+
+namespace json = boost::json;
+
+/** Snapshots that several routers find due are spread over this time; the first one suffices. */
+constexpr Duration snapshotSpread = 5s;
+/** Time for an appended snapshot to show on the tail before another try. */
+constexpr Duration snapshotRetry = 5s;
+/** Shortest time between two requests to peers for one service. */
+constexpr Duration requestInterval = 1s;
+/** Set in the append ids of documents, clear in those of claims. */
+constexpr std::uint64_t documentAppendBit = std::uint64_t { 1 } << 63U;
+
+auto writeLog(Actions& actions, LogLevel level, std::string event, std::vector<LogField> fields) -> void
+{
+    actions.emplace_back(WriteLog { level, std::move(event), std::move(fields) });
+}
+
+/** The book over one fold. */
+class LogDocumentBook final : public DocumentBook {
+public:
+    explicit LogDocumentBook(const DocumentBookSettings& settings)
+        : settings_(settings)
+        , random_(settings.seed ^ settings.router.value ^ settings.incarnation.value)
+    {
+    }
+
+    auto handle(Time now, const LogRead& read, Actions& actions) -> void override;
+    auto handle(Time now, const LogUnavailable& unavailable, Actions& actions) -> void override;
+    auto handle(Time now, const AppendEnded& ended, Actions& actions) -> void override;
+    auto handle(Time now, RouterId from, const DocumentRequest& request, Actions& actions) -> void override;
+    auto handle(Time now, const DocumentTransfer& transfer, Actions& actions) -> void override;
+    auto peerVersions(Time now, RouterId from, std::span<const DocumentVersion> versions, Actions& actions)
+        -> void override;
+    auto tick(Time now, Actions& actions) -> void override;
+
+    auto versions() const -> std::span<const DocumentVersion> override { return versions_; }
+    auto document(ServiceId service) const -> std::shared_ptr<const Document> override;
+    auto documents() const -> std::vector<std::shared_ptr<const Document>> override;
+    auto takeChanged() -> std::vector<ServiceId> override { return std::exchange(changed_, {}); }
+    auto status(Time now) const -> std::string override;
+
+private:
+    /** When a service's snapshot is to be appended. */
+    struct SnapshotDuty {
+        std::optional<Time> due;
+        std::optional<Time> retryAt;
+        std::optional<Offset> seen;
+        Time seenAt;
+    };
+
+    auto noteChanges(Actions& actions) -> void;
+    auto noteOutcomes(Actions& actions) -> void;
+    auto needsSnapshot(Time now, const SnapshotDuty& duty, std::string_view service) const -> bool;
+    auto keepSnapshot(Time now, std::string_view service, Actions& actions) -> void;
+    auto serviceById(ServiceId service) const -> const ServiceDocument*;
+
+    DocumentBookSettings settings_;
+    std::mt19937_64 random_;
+    DocumentFold fold_;
+    std::vector<DocumentVersion> versions_;
+    std::vector<ServiceId> changed_;
+    absl::flat_hash_map<ServiceId, std::string> names_;
+    absl::flat_hash_map<ServiceId, Time> requested_;
+    std::map<std::string, SnapshotDuty, std::less<>> duties_;
+    Offset lastOutcome_;
+    bool tailing_ {};
+    bool atTail_ {};
+    Offset first_;
+    Offset end_;
+};
+
+auto LogDocumentBook::handle(Time now, const LogRead& read, Actions& actions) -> void
+{
+    if (read.stream != documentStream)
+        return;
+    fold_.apply(read);
+    first_ = read.first;
+    end_ = read.end;
+    atTail_ = fold_.next() >= read.end;
+    if (!read.records.empty() && read.records.front().offset > fold_.next())
+        actions.emplace_back(TailLog { std::string(documentStream), fold_.next() });
+    noteChanges(actions);
+    noteOutcomes(actions);
+}
+
+auto LogDocumentBook::handle(Time now, const LogUnavailable& unavailable, Actions& actions) -> void
+{
+    if (unavailable.stream == documentStream)
+        atTail_ = false;
+}
+
+auto LogDocumentBook::handle(Time now, const AppendEnded& ended, Actions& actions) -> void
+{
+    // Whatever became of a snapshot, only the tail shows it; `tick` tries again if it does not.
+}
+
+auto LogDocumentBook::handle(Time now, RouterId from, const DocumentRequest& request, Actions& actions)
+    -> void
+{
+    const auto* const known = serviceById(request.service);
+    if (known == nullptr || known->version <= request.have)
+        return;
+    actions.emplace_back(SendPeer { from,
+        DocumentTransfer {
+            request.service, known->version, known->digest, encodeRecord(fold_.snapshot(known->service)) } });
+}
+
+auto LogDocumentBook::handle(Time now, const DocumentTransfer& transfer, Actions& actions) -> void
+{
+    const auto refuse = [&](const std::string& reason) {
+        writeLog(actions, LogLevel::Warning, "document-transfer-refused", { { "reason", reason } });
+    };
+    const auto decoded = decodeDocumentRecord(transfer.snapshot);
+    if (!decoded)
+        return refuse(decoded.error().text());
+    const auto* const snapshot = std::get_if<SnapshotRecord>(&decoded.value());
+    if (snapshot == nullptr || idOf<ServiceId>(snapshot->service) != transfer.service
+        || snapshot->version != transfer.version || snapshot->digest != transfer.digest)
+        return refuse("the document is not the one announced");
+    const auto taken = fold_.take(*snapshot);
+    if (!taken && taken.error().code != Error::Code::Conflict)
+        refuse(taken.error().text());
+    noteChanges(actions);
+    noteOutcomes(actions);
+}
+
+auto LogDocumentBook::peerVersions(
+    Time now, RouterId from, std::span<const DocumentVersion> versions, Actions& actions) -> void
+{
+    for (const auto& version : versions) {
+        const auto* const known = serviceById(version.service);
+        const auto isNewer = known == nullptr || known->version < version.version;
+        const auto isExact = fold_.isComplete() && known != nullptr && fold_.isExact(known->service);
+        if (!isNewer && isExact)
+            continue;
+        const auto [last, isFirst] = requested_.try_emplace(version.service, now);
+        if (!isFirst && now - last->second < requestInterval)
+            continue;
+        last->second = now;
+        // A router that may have missed records asks also for what it has, to learn how far it holds.
+        const auto have = isExact ? known->version : Offset {};
+        actions.emplace_back(SendPeer { from, DocumentRequest { version.service, have } });
+    }
+}
+
+auto LogDocumentBook::tick(Time now, Actions& actions) -> void
+{
+    if (!tailing_) {
+        tailing_ = true;
+        actions.emplace_back(TailLog { std::string(documentStream), fold_.next() });
+    }
+    if (!atTail_)
+        return;
+    for (const auto* service : fold_.services())
+        keepSnapshot(now, service->service, actions);
+}
+
+auto LogDocumentBook::needsSnapshot(Time now, const SnapshotDuty& duty, std::string_view service) const
+    -> bool
+{
+    const auto half = first_.value + (end_.value - first_.value) / 2;
+    return fold_.snapshotAsOf(service).value_or(Offset {}).value < half
+        || now - duty.seenAt > settings_.snapshotInterval;
+}
+
+auto LogDocumentBook::keepSnapshot(Time now, std::string_view service, Actions& actions) -> void
+{
+    if (!fold_.isExact(service) || !fold_.isComplete())
+        return;
+    const auto [found, isNew] = duties_.try_emplace(std::string(service));
+    auto& duty = found->second;
+    const auto seen = fold_.snapshotAsOf(service);
+    if (isNew || seen != duty.seen) {
+        duty.seen = seen;
+        duty.seenAt = now;
+    }
+    if (!needsSnapshot(now, duty, service)) {
+        duty.due.reset();
+        duty.retryAt.reset();
+        return;
+    }
+    if (!duty.due) {
+        auto spread = std::uniform_int_distribution<Duration::rep>(0, snapshotSpread.count());
+        duty.due = now + Duration(spread(random_));
+    }
+    if (now < *duty.due || (duty.retryAt && now < *duty.retryAt))
+        return;
+    duty.retryAt = now + snapshotRetry;
+    actions.emplace_back(AppendLog { AppendId { random_() | documentAppendBit }, std::string(documentStream),
+        encodeRecord(fold_.snapshot(service)) });
+}
+
+auto LogDocumentBook::noteChanges(Actions& actions) -> void
+{
+    auto versions = std::vector<DocumentVersion>();
+    for (const auto* service : fold_.services()) {
+        const auto id = service->document->id;
+        names_.try_emplace(id, service->service);
+        versions.push_back({ id, service->version, service->digest });
+        const auto isSame = std::any_of(versions_.begin(), versions_.end(),
+            [&](const auto& old) { return old.service == id && old.version == service->version; });
+        if (isSame)
+            continue;
+        if (std::find(changed_.begin(), changed_.end(), id) == changed_.end())
+            changed_.push_back(id);
+        writeLog(actions, LogLevel::Info, "document-in-force",
+            { { "service", service->service }, { "version", std::to_string(service->version.value) } });
+    }
+    versions_ = std::move(versions);
+}
+
+auto LogDocumentBook::noteOutcomes(Actions& actions) -> void
+{
+    for (const auto& outcome : fold_.outcomes()) {
+        if (outcome.offset < lastOutcome_)
+            continue;
+        lastOutcome_ = Offset { outcome.offset.value + 1 };
+        const auto isAccepted = outcome.refusal.empty();
+        writeLog(actions, isAccepted ? LogLevel::Info : LogLevel::Warning,
+            isAccepted ? "edit-accepted" : "edit-refused",
+            { { "service", outcome.service }, { "editId", outcome.editId }, { "author", outcome.author },
+                { "reason", outcome.refusal } });
+    }
+}
+
+auto LogDocumentBook::serviceById(ServiceId service) const -> const ServiceDocument*
+{
+    const auto name = names_.find(service);
+    return name == names_.end() ? nullptr : fold_.find(name->second);
+}
+
+auto LogDocumentBook::document(ServiceId service) const -> std::shared_ptr<const Document>
+{
+    const auto* const known = serviceById(service);
+    return known == nullptr ? nullptr : known->document;
+}
+
+auto LogDocumentBook::documents() const -> std::vector<std::shared_ptr<const Document>>
+{
+    auto all = std::vector<std::shared_ptr<const Document>>();
+    for (const auto* service : fold_.services())
+        all.push_back(service->document);
+    return all;
+}
+
+auto LogDocumentBook::status(Time now) const -> std::string
+{
+    auto services = json::array();
+    for (const auto* service : fold_.services())
+        services.push_back({ { "service", service->service }, { "version", service->version.value },
+            { "digest", hexText(service->digest) }, { "exact", fold_.isExact(service->service) } });
+    auto outcomes = json::array();
+    for (const auto& outcome : fold_.outcomes())
+        outcomes.push_back(
+            { { "service", outcome.service }, { "editId", outcome.editId }, { "author", outcome.author },
+                { "version", outcome.version.value }, { "refusal", outcome.refusal } });
+    return json::serialize(json::object { { "next", fold_.next().value }, { "atTail", atTail_ },
+        { "complete", fold_.isComplete() }, { "services", std::move(services) },
+        { "edits", std::move(outcomes) } });
+}
+
+} // namespace
+
+auto DocumentBook::create(const DocumentBookSettings& settings) -> std::unique_ptr<DocumentBook>
+{
+    return std::make_unique<LogDocumentBook>(settings);
+}
+
+} // namespace camphorshunt
--- a/src/libcamphorshunt/documentbook.h
+++ b/src/libcamphorshunt/documentbook.h
@@ -21,6 +21,8 @@
     RouterId router;
     Incarnation incarnation;
     std::uint64_t seed {};
+    /** A document whose newest snapshot on the log is older gets a new one; well below the retention. */
+    Duration snapshotInterval = 600s;
 };
 
 /**
--- /dev/null
+++ b/src/libcamphorshunt/documentfold.cpp
@@ -0,0 +1,313 @@
+#include "camphorshunt/documentfold.h"
+
+#include <algorithm>
+
+#include <boost/json/serialize.hpp>
+#include <xxhash.h>
+
+#include "documentjson.h"
+
+namespace camphorshunt {
+
+namespace {
+
+/** Accepted edits kept with a document, and sent with its snapshots. */
+constexpr std::size_t mostEdits = 32;
+constexpr std::size_t mostOutcomes = 256;
+/** Most bytes of edits kept aside for one service. */
+constexpr std::size_t mostWaitingBytes = std::size_t { 8 } * 1024 * 1024;
+
+auto invalidEdit(std::string message) -> Error
+{
+    return failure(Error::Code::Invalid, "edit", std::move(message));
+}
+
+/** True for the second landing of an edit that counted. */
+auto wasAccepted(const ServiceDocument& current, std::string_view editId) -> bool
+{
+    return std::any_of(current.edits.begin(), current.edits.end(),
+        [&](const auto& accepted) { return accepted.editId == editId; });
+}
+
+/** The text of the document that an edit makes of the current one. */
+auto editedBody(const ServiceDocument& current, const EditRecord& edit) -> Result<std::string>
+{
+    if (edit.kind == EditKind::Whole)
+        return edit.body;
+    if (current.version.value == 0)
+        return invalidEdit("a patch needs a document to apply to");
+    auto value = parseDocumentJson(current.body);
+    auto patch = parseDocumentJson(edit.body);
+    if (!value)
+        return value.error();
+    if (!patch)
+        return patch.error();
+    applyMergePatch(value.value(), patch.value());
+    return boost::json::serialize(value.value());
+}
+
+auto parseFor(std::string_view service, std::string_view body) -> Result<std::shared_ptr<const Document>>
+{
+    auto document = Document::parse(body);
+    if (!document)
+        return document.error();
+    if (document.value().service != service)
+        return failure(Error::Code::Invalid, "service",
+            "'" + document.value().service + "' is not allowed; the edit is of '" + std::string(service)
+                + "'");
+    return std::make_shared<const Document>(std::move(document.value()));
+}
+
+} // namespace
+
+auto documentDigest(std::string_view body) -> std::uint64_t { return XXH64(body.data(), body.size(), 0); }
+
+auto DocumentFold::apply(const LogRead& read) -> void
+{
+    if (read.first > next_)
+        beginRun(read.first);
+    for (const auto& record : read.records) {
+        if (record.offset > next_)
+            return;
+        if (record.offset < next_)
+            continue;
+        next_ = Offset { record.offset.value + 1 };
+        applyRecord(record);
+    }
+}
+
+auto DocumentFold::beginRun(Offset first) -> void
+{
+    next_ = first;
+    runStart_ = first;
+    complete_ = complete_ && absentAsOf_ >= first;
+    for (auto& [name, service] : services_) {
+        service.waiting.clear();
+        service.waitingBytes = 0;
+        service.waitingSince = first;
+        service.exact = service.exact && service.asOf >= first;
+    }
+}
+
+auto DocumentFold::serviceOf(const std::string& name) -> Service&
+{
+    const auto [found, isNew] = services_.try_emplace(name);
+    auto& service = found->second;
+    if (isNew) {
+        service.current.service = name;
+        service.waitingSince = runStart_;
+        service.exact = complete_;
+        service.asOf = absentAsOf_;
+    }
+    return service;
+}
+
+auto DocumentFold::applyRecord(const LogRecord& record) -> void
+{
+    const auto decoded = decodeDocumentRecord(record.body);
+    if (!decoded)
+        return;
+    if (const auto* const edit = std::get_if<EditRecord>(&decoded.value())) {
+        auto& service = serviceOf(edit->service);
+        if (service.exact)
+            applyEdit(service, record.offset, *edit);
+        else
+            hold(service, record.offset, *edit);
+        return;
+    }
+    const auto& snapshot = std::get<SnapshotRecord>(decoded.value());
+    if (snapshot.version.value > record.offset.value || snapshot.asOf > record.offset || !take(snapshot))
+        return;
+    auto& seen = services_.find(snapshot.service)->second.snapshotAsOf;
+    if (snapshot.complete)
+        seen = std::max(seen.value_or(Offset {}), snapshot.asOf);
+}
+
+auto DocumentFold::applyEdit(Service& service, Offset offset, const EditRecord& edit) -> void
+{
+    if (offset < service.asOf)
+        return;
+    auto& current = service.current;
+    if (edit.base != current.version) {
+        if (wasAccepted(current, edit.editId))
+            return;
+        note(offset, edit, {},
+            "conflict: based on version " + std::to_string(edit.base.value) + ", but version "
+                + std::to_string(current.version.value) + " was in force");
+        return;
+    }
+    auto body = editedBody(current, edit);
+    if (!body)
+        return note(offset, edit, {}, body.error().text());
+    auto document = parseFor(edit.service, body.value());
+    if (!document)
+        return note(offset, edit, {}, document.error().text());
+
+    const auto version = DocumentVersionNumber { offset.value + 1 };
+    current.version = version;
+    current.body = std::move(body.value());
+    current.digest = documentDigest(current.body);
+    current.document = std::move(document.value());
+    current.edits.push_back({ edit.editId, version });
+    if (current.edits.size() > mostEdits)
+        current.edits.erase(current.edits.begin());
+    note(offset, edit, version, {});
+}
+
+auto DocumentFold::hold(Service& service, Offset offset, const EditRecord& edit) -> void
+{
+    service.waiting.push_back({ offset, edit });
+    service.waitingBytes += edit.body.size();
+    while (service.waitingBytes > mostWaitingBytes) {
+        service.waitingBytes -= service.waiting.front().edit.body.size();
+        service.waitingSince = Offset { service.waiting.front().offset.value + 1 };
+        service.waiting.pop_front();
+    }
+}
+
+auto DocumentFold::take(const SnapshotRecord& snapshot) -> Result<bool>
+{
+    if (documentDigest(snapshot.body) != snapshot.digest)
+        return failure(Error::Code::Invalid, "digest", "does not match the document");
+    if (snapshot.version > snapshot.asOf)
+        return failure(Error::Code::Invalid, "version", "is above the offset it was read at");
+    const auto* const known = find(snapshot.service);
+    if (known != nullptr && known->version > snapshot.version)
+        return failure(Error::Code::Conflict, "version", "is older than the one in force");
+    if (known != nullptr && known->version == snapshot.version && known->digest != snapshot.digest)
+        return failure(Error::Code::Conflict, "digest", "differs from that of the same version in force");
+
+    auto document = parseFor(snapshot.service, snapshot.body);
+    if (!document)
+        return document.error();
+    const auto isNewer = known == nullptr || known->version < snapshot.version;
+    install(serviceOf(snapshot.service), snapshot, std::move(document.value()));
+    learnServices(snapshot);
+    return isNewer;
+}
+
+auto DocumentFold::install(
+    Service& service, const SnapshotRecord& snapshot, std::shared_ptr<const Document> document) -> void
+{
+    auto& current = service.current;
+    if (snapshot.version > current.version) {
+        current.version = snapshot.version;
+        current.digest = snapshot.digest;
+        current.body = snapshot.body;
+        current.document = std::move(document);
+        current.edits = snapshot.edits;
+    }
+    if (service.exact) {
+        service.asOf = std::max(service.asOf, snapshot.asOf);
+        return;
+    }
+    if (snapshot.asOf < service.waitingSince)
+        return;
+    service.exact = true;
+    service.asOf = snapshot.asOf;
+    replay(service);
+}
+
+auto DocumentFold::replay(Service& service) -> void
+{
+    const auto waiting = std::move(service.waiting);
+    service.waiting.clear();
+    service.waitingBytes = 0;
+    for (const auto& [offset, edit] : waiting)
+        applyEdit(service, offset, edit);
+}
+
+auto DocumentFold::learnServices(const SnapshotRecord& snapshot) -> void
+{
+    if (complete_ || !snapshot.complete || snapshot.asOf < runStart_)
+        return;
+    complete_ = true;
+    absentAsOf_ = snapshot.asOf;
+    const auto isListed = [&](const std::string& name) {
+        return std::any_of(snapshot.services.begin(), snapshot.services.end(),
+            [&](const auto& listed) { return listed.service == name; });
+    };
+    // Services that had a document then are waited for; all others had none.
+    for (const auto& listed : snapshot.services) {
+        const auto [found, isNew] = services_.try_emplace(listed.service);
+        if (!isNew)
+            continue;
+        found->second.current.service = listed.service;
+        found->second.waitingSince = runStart_;
+    }
+    for (auto& [name, service] : services_) {
+        if (service.exact || service.current.version.value != 0 || isListed(name)
+            || service.waitingSince > snapshot.asOf)
+            continue;
+        service.exact = true;
+        service.asOf = snapshot.asOf;
+        replay(service);
+    }
+}
+
+auto DocumentFold::note(
+    Offset offset, const EditRecord& edit, DocumentVersionNumber version, std::string refusal) -> void
+{
+    const auto isKnown = std::any_of(outcomes_.begin(), outcomes_.end(), [&](const auto& outcome) {
+        return outcome.editId == edit.editId && outcome.service == edit.service;
+    });
+    if (isKnown)
+        return;
+    outcomes_.push_back({ edit.service, edit.editId, edit.author, offset, version, std::move(refusal) });
+    if (outcomes_.size() > mostOutcomes)
+        outcomes_.pop_front();
+}
+
+auto DocumentFold::isExact(std::string_view name) const -> bool
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? complete_ : found->second.exact;
+}
+
+auto DocumentFold::find(std::string_view name) const -> const ServiceDocument*
+{
+    const auto found = services_.find(name);
+    if (found == services_.end() || found->second.current.version.value == 0)
+        return nullptr;
+    return &found->second.current;
+}
+
+auto DocumentFold::services() const -> std::vector<const ServiceDocument*>
+{
+    auto known = std::vector<const ServiceDocument*>();
+    for (const auto& [name, service] : services_) {
+        if (service.current.version.value != 0)
+            known.push_back(&service.current);
+    }
+    return known;
+}
+
+auto DocumentFold::snapshot(std::string_view name) const -> SnapshotRecord
+{
+    const auto& service = services_.find(name)->second;
+    const auto& current = service.current;
+    auto record = SnapshotRecord { .service = current.service,
+        .version = current.version,
+        .digest = current.digest,
+        .asOf = service.exact ? std::max(service.asOf, next_) : current.version,
+        .edits = current.edits,
+        .complete = false,
+        .services = {},
+        .body = current.body };
+    auto allExact = complete_;
+    for (const auto& [other, state] : services_) {
+        allExact = allExact && state.exact;
+        if (state.current.version.value != 0)
+            record.services.push_back({ other, state.current.version });
+    }
+    record.complete = allExact && service.asOf <= next_ && absentAsOf_ <= next_;
+    return record;
+}
+
+auto DocumentFold::snapshotAsOf(std::string_view name) const -> std::optional<Offset>
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? std::nullopt : found->second.snapshotAsOf;
+}
+
+} // namespace camphorshunt
--- a/src/libcamphorshunt/documentrules.cpp
+++ b/src/libcamphorshunt/documentrules.cpp
@@ -91,11 +91,11 @@
 
 auto checkUpstreams(const std::vector<Upstream>& upstreams) -> Fault
 {
-    auto seen = std::set<Endpoint>();
+    auto seen = std::set<std::string>();
     for (auto i = std::size_t { 0 }; i < upstreams.size(); ++i) {
         if (auto fault = checkName(upstreams[i].failureDomain, itemPath("upstreams", i, "failureDomain")))
             return fault;
-        if (!seen.insert(upstreams[i].endpoint).second)
+        if (!seen.insert(upstreams[i].endpoint.text()).second)
             return invalid(itemPath("upstreams", i, "address"),
                 shown(upstreams[i].endpoint.text()) + " is not allowed; another upstream has it already");
     }
--- /dev/null
+++ b/src/libcamphorshunt/logfields.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/json/value.hpp>
+
+#include "camphorshunt/result.h"
+
+namespace camphorshunt {
+
+/** 16 lower-case hex digits. */
+auto hexText(std::uint64_t value) -> std::string;
+/** Reads exactly 16 hex digits. */
+auto parseHex(std::string_view text) -> std::optional<std::uint64_t>;
+
+/** Reads the fields of a JSON object in a log record; the first fault is kept, later reads give zeros. */
+class LogFields {
+public:
+    explicit LogFields(const boost::json::value& value);
+
+    auto text(std::string_view field) -> std::string;
+    auto number(std::string_view field) -> std::uint64_t;
+    auto hex(std::string_view field) -> std::uint64_t;
+    auto flag(std::string_view field) -> bool;
+    /** Visits the objects of a list. */
+    auto forEach(std::string_view field, const std::function<void(LogFields&)>& visit) -> void;
+    /** Visits the texts of a list. */
+    auto forEachText(std::string_view field, const std::function<void(std::string_view)>& visit) -> void;
+
+    auto fail(std::string_view field, std::string message) -> void;
+    auto error() const -> const std::optional<Error>& { return error_; }
+
+private:
+    /** The field if it is of this kind. */
+    auto find(std::string_view field, boost::json::kind kind) -> const boost::json::value*;
+
+    const boost::json::object* object_;
+    std::optional<Error> error_;
+};
+
+} // namespace camphorshunt
