--- /dev/null
+++ b/tests/unit/claimsfixture.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "claimsbook.h"
+
+/** A few routers' claims books on a log in memory that can lose, delay, repeat and trim. */
+namespace claimsfixture {
+
+using namespace camphorshunt;
+
+inline const auto stream = std::string("claims-0");
+inline constexpr auto window = Duration(3600s);
+/** 2026-01-01 as a wall time. */
+inline constexpr auto wallOffset = Duration(1'767'225'600s);
+
+struct TestLog {
+    std::vector<std::string> bodies;
+    std::size_t first {};
+
+    auto end() const -> std::size_t { return bodies.size(); }
+    auto read(std::size_t from, std::size_t most) const -> LogRead
+    {
+        auto read = LogRead { stream, Offset { first }, Offset { end() }, {} };
+        for (auto i = std::max(from, first); i < end() && read.records.size() < most; ++i)
+            read.records.push_back({ Offset { i }, bodies[i] });
+        return read;
+    }
+};
+
+enum class Fate {
+    Lands,
+    LandsUnanswered,
+    /** Unanswered; may land later, any number of times. */
+    LandsLate,
+    Refused,
+};
+
+struct TestRouter {
+    std::unique_ptr<ClaimsBook> book;
+    std::size_t position {};
+    std::optional<AppendLog> append;
+    std::set<RequestId> won;
+    std::map<RequestId, ClaimRefusal> refused;
+};
+
+class Fleet {
+public:
+    explicit Fleet(std::size_t routers)
+    {
+        routers_.resize(routers);
+        for (auto i = std::size_t { 0 }; i < routers; ++i)
+            crash(i);
+        settleDown();
+    }
+
+    auto router(std::size_t i) -> TestRouter& { return routers_[i]; }
+    auto size() const -> std::size_t { return routers_.size(); }
+    auto pass(Duration time) -> void { now += time; }
+
+    auto keyIssued(Duration fromNow) -> ClaimKey
+    {
+        const auto wall = now.time_since_epoch() + wallOffset + fromNow;
+        const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wall).count();
+        return { { 1 }, { 2 }, (static_cast<std::uint64_t>(ms) << 16U) | 0x7000U, ++keys_ };
+    }
+    auto newKey() -> ClaimKey { return keyIssued(0s); }
+
+    auto begin(std::size_t i, const ClaimKey& key) -> std::optional<RequestId>
+    {
+        const auto request = RequestId { ++requests_ };
+        if (routers_[i].book->begin(now, request, key, window))
+            return std::nullopt;
+        return request;
+    }
+    auto refusal(std::size_t i, const ClaimKey& key) -> std::optional<ClaimRefusal>
+    {
+        return routers_[i].book->begin(now, RequestId { ++requests_ }, key, window);
+    }
+    auto isWon(std::size_t i, RequestId request) const -> bool { return routers_[i].won.contains(request); }
+
+    auto tick(std::size_t i) -> void
+    {
+        auto actions = Actions();
+        routers_[i].book->tick(now, routers_.size(), actions);
+        apply(i, actions);
+    }
+    auto read(std::size_t i, std::size_t most) -> void
+    {
+        auto actions = Actions();
+        auto& router = routers_[i];
+        const auto read = log.read(router.position, most);
+        router.position = std::max(router.position, log.first) + read.records.size();
+        router.book->handle(now, read, actions);
+        apply(i, actions);
+    }
+    auto readAll(std::size_t i) -> void { read(i, log.end() + 1); }
+    auto endAppend(std::size_t i, Fate fate) -> void
+    {
+        auto& router = routers_[i];
+        if (!router.append)
+            return;
+        const auto append = *std::exchange(router.append, std::nullopt);
+        const auto offset = Offset { log.end() };
+        if (fate == Fate::Lands || fate == Fate::LandsUnanswered)
+            log.bodies.push_back(append.body);
+        if (fate == Fate::LandsLate)
+            late.push_back(append.body);
+        const auto outcome = fate == Fate::Lands ? AppendOutcome::Landed
+            : fate == Fate::Refused              ? AppendOutcome::Refused
+                                                 : AppendOutcome::Unknown;
+        auto actions = Actions();
+        router.book->handle(now, AppendEnded { append.append, outcome, offset }, actions);
+        apply(i, actions);
+    }
+    auto landLate(std::size_t i) -> void
+    {
+        if (!late.empty())
+            log.bodies.push_back(late[i % late.size()]);
+    }
+    /** Restarts a router with no memory; what it had in flight may land later. */
+    auto crash(std::size_t i) -> void
+    {
+        auto& router = routers_[i];
+        if (router.append)
+            late.push_back(router.append->body);
+        router = TestRouter();
+        router.book
+            = ClaimsBook::create({ RouterId { i + 1 }, Incarnation { ++incarnations_ }, wallOffset, 7, 1 });
+        tick(i);
+    }
+    auto trimAll() -> void { log.first = log.end(); }
+    auto shareMemory(std::size_t from, std::size_t to) -> void
+    {
+        auto actions = Actions();
+        routers_[from].book->handle(now, RouterId { to + 1 }, ClaimsRequest { stream }, actions);
+        for (const auto& action : actions) {
+            const auto* const sent = std::get_if<SendPeer>(&action);
+            auto replies = Actions();
+            if (sent != nullptr)
+                routers_[to].book->handle(now, std::get<ClaimsTransfer>(sent->message), replies);
+            apply(to, replies);
+        }
+    }
+    /** Lets all routers write and read without faults until nothing changes. */
+    auto settleDown() -> void
+    {
+        for (auto round = 0; round < 60; ++round) {
+            pass(50ms);
+            for (auto i = std::size_t { 0 }; i < routers_.size(); ++i) {
+                tick(i);
+                endAppend(i, Fate::Lands);
+                readAll(i);
+            }
+        }
+    }
+
+    TestLog log;
+    std::vector<std::string> late;
+    Time now { 1000s };
+
+private:
+    auto apply(std::size_t i, const Actions& actions) -> void
+    {
+        auto& router = routers_[i];
+        for (const auto& action : actions) {
+            if (const auto* const append = std::get_if<AppendLog>(&action))
+                router.append = *append;
+            else if (const auto* const tail = std::get_if<TailLog>(&action))
+                router.position = tail->from.value;
+        }
+        for (const auto& decision : router.book->takeDecisions()) {
+            if (decision.won)
+                router.won.insert(decision.request);
+            else
+                router.refused[decision.request] = decision.refusal;
+        }
+    }
+
+    std::vector<TestRouter> routers_;
+    std::uint64_t keys_ {};
+    std::uint64_t requests_ {};
+    std::uint64_t incarnations_ {};
+};
+
+} // namespace claimsfixture
