Finish a drain once, and leave out an empty content type

A trial of the daemon around a core that repeats Exit showed that each repeat moved the time limit of the last answers, read by another thread; only the first counts now. A plain answer without a content type gave the caller an empty header; it is left out.

--- a/src/camphorshuntd/callerrequest.cpp
+++ b/src/camphorshuntd/callerrequest.cpp
@@ -152,8 +152,11 @@
 
 auto answerHeaders(RequestId id, std::string_view outcome, std::string_view contentType) -> net::HttpHeaders
 {
-    return { { "Content-Type", std::string(contentType) }, { "Cache-Control", "no-store" },
+    auto headers = net::HttpHeaders { { "Cache-Control", "no-store" },
         { "Camphorshunt-Request-Id", requestIdText(id) }, { "Camphorshunt-Outcome", std::string(outcome) } };
+    if (!contentType.empty())
+        headers.push_back({ "Content-Type", std::string(contentType) });
+    return headers;
 }
 
 auto refusalBody(RequestId id, std::string_view outcome, std::string_view reason) -> std::string
--- a/src/camphorshuntd/daemon.cpp
+++ b/src/camphorshuntd/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <random>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -151,6 +152,8 @@
 /** Lets the last answers leave, then ends `run`. */
 auto Daemon::finishAnswers() -> void
 {
+    if (std::exchange(finishing_, true))
+        return;
     finishBy_ = std::chrono::steady_clock::now() + longestFinish;
     boost::asio::post(callersThread_.context(), [this] { callers_->stopAccepting(); });
     waitForCallers();
--- a/src/camphorshuntd/daemon.h
+++ b/src/camphorshuntd/daemon.h
@@ -74,6 +74,8 @@
     std::unique_ptr<Telemetry> telemetry_;
 
     boost::asio::steady_timer finishTimer_;
+    /** Set by the first Exit; later ones change nothing. */
+    bool finishing_ = false;
     std::chrono::steady_clock::time_point finishBy_;
 };
 
--- a/tests/unit/daemonrequesttest.cpp
+++ b/tests/unit/daemonrequesttest.cpp
@@ -72,3 +72,11 @@
     CHECK(refusalBody(RequestId { 0x1f }, "not-run", "queue-full")
         == R"({"outcome":"not-run","reason":"queue-full","requestId":"000000000000001f"})");
 }
+
+TEST_CASE("An answer without a content type has no empty header for it")
+{
+    CHECK(net::headerValue(answerHeaders(RequestId { 1 }, "done", "text/plain"), "Content-Type")
+        == "text/plain");
+    for (const auto& header : answerHeaders(RequestId { 1 }, "done", {}))
+        CHECK_FALSE(header.value.empty());
+}
