--- a/src/libcamphorshunt/membership.cpp
+++ b/src/libcamphorshunt/membership.cpp
@@ -121,9 +121,8 @@
         return;
     }
     member->lostAt = now;
-    auto& pending = pending_[disconnected.router];
-    pending = { ++sequence_, now, true };
-    sendIndirect(disconnected.router, pending.sequence, actions);
+    pending_[disconnected.router] = { ++sequence_, now, true };
+    sendIndirect(disconnected.router, sequence_, actions);
 }
 
 auto SwimMembership::handle(Time now, RouterId from, const Probe& probe, Actions& actions) -> void
--- a/tests/unit/membershiptest.cpp
+++ b/tests/unit/membershiptest.cpp
@@ -87,9 +87,9 @@
     {
         for (const auto end = now_ + time; now_ < end;) {
             now_ += 20ms;
-            for (auto& [router, membership] : routers_) {
-                if (!silent_.contains(router))
-                    act(router, [&](Actions& actions) { membership->tick(now_, actions); });
+            for (auto& entry : routers_) {
+                if (!silent_.contains(entry.first))
+                    act(entry.first, [&](Actions& actions) { entry.second->tick(now_, actions); });
             }
             deliver();
         }
--- a/tests/unit/peertransporttest.cpp
+++ b/tests/unit/peertransporttest.cpp
@@ -42,7 +42,8 @@
                 },
             .onDisconnected = [this](RouterId router) { CHECK(connected.erase(router) == 1); },
             .onMessage = [this](RouterId, PeerMessage message) { messages.push_back(std::move(message)); },
-            .onLog = [this](LogLevel, std::string event, std::vector<LogField>) { events.push_back(event); },
+            .onLog = [this](LogLevel, const std::string& event,
+                         const std::vector<LogField>&) { events.push_back(event); },
         };
         const auto settings = PeerTransport::Settings { name, { incarnation }, { "127.0.0.1", port }, key };
         transport = std::move(PeerTransport::listen(context, settings, std::move(handlers)).value());
