--- a/src/libcamphorshunt/documentbook.cpp
+++ b/src/libcamphorshunt/documentbook.cpp
@@ -7,8 +7,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "camphorshunt/documentfold.h"
-
+#include "documentfold.h"
 #include "logfields.h"
 
 namespace camphorshunt {
--- a/src/libcamphorshunt/documentfold.cpp
+++ b/src/libcamphorshunt/documentfold.cpp
@@ -1,4 +1,4 @@
-#include "camphorshunt/documentfold.h"
+#include "documentfold.h"
 
 #include <algorithm>
 
