--- /dev/null
+++ b/tests/unit/documentbooktest.cpp
@@ -0,0 +1,130 @@
+#include "documentbook.h"
+
+#include <catch2/catch.hpp>
+
+#include "documentfixture.h"
+
+using namespace camphorshunt;
+using namespace documentfixture;
+
+namespace {
+
+/** One router's book beside a log in memory. */
+struct TestRouter {
+    explicit TestRouter(std::uint64_t id)
+        : book(DocumentBook::create({ RouterId { id }, Incarnation { id }, 7 }))
+    {
+    }
+
+    auto read(DocumentLog& log) -> void
+    {
+        auto actions = Actions();
+        book->handle(now, log.read(position), actions);
+        position = log.bodies.size();
+    }
+    /** Passes time; what is appended lands at once. Returns the number of appends. */
+    auto pass(Duration time, DocumentLog& log) -> int
+    {
+        auto appends = 0;
+        for (const auto end = now + time; now < end; now += 100ms) {
+            auto actions = Actions();
+            book->tick(now, actions);
+            for (const auto& action : actions) {
+                if (const auto* const append = std::get_if<AppendLog>(&action)) {
+                    log.bodies.push_back(append->body);
+                    ++appends;
+                }
+            }
+            read(log);
+        }
+        return appends;
+    }
+    /** Tells this router of a peer's versions and brings what it asks for. */
+    auto hear(TestRouter& peer) -> int
+    {
+        auto asked = Actions();
+        book->peerVersions(now, { 9 }, peer.book->versions(), asked);
+        for (const auto& action : asked) {
+            auto answers = Actions();
+            peer.book->handle(
+                now, { 8 }, std::get<DocumentRequest>(std::get<SendPeer>(action).message), answers);
+            for (const auto& answer : answers)
+                book->handle(now, std::get<DocumentTransfer>(std::get<SendPeer>(answer).message), answers_);
+        }
+        return static_cast<int>(asked.size());
+    }
+    auto version() const -> std::uint64_t
+    {
+        return book->versions().empty() ? 0 : book->versions()[0].version.value;
+    }
+
+    std::unique_ptr<DocumentBook> book;
+    Time now { 100s };
+    std::size_t position {};
+    Actions answers_;
+};
+
+} // namespace
+
+TEST_CASE("A document on the log is in force and told as changed once")
+{
+    auto log = DocumentLog();
+    log.add(edit("first", 0, 1));
+    auto router = TestRouter(1);
+    router.read(log);
+    CHECK(router.version() == 1);
+    CHECK(router.book->document(idOf<ServiceId>("s"))->organisations[0].weight == 1);
+    CHECK(router.book->takeChanged() == std::vector { idOf<ServiceId>("s") });
+    router.read(log);
+    CHECK(router.book->takeChanged().empty());
+}
+
+TEST_CASE("A document is taken from a peer without the log, and asked for once")
+{
+    auto log = DocumentLog();
+    log.add(edit("first", 0, 1));
+    auto first = TestRouter(1);
+    auto second = TestRouter(2);
+    first.read(log);
+    CHECK(second.hear(first) == 1);
+    CHECK(second.version() == 1);
+    CHECK(second.hear(first) == 0);
+}
+
+TEST_CASE("A log that has trimmed the document gets a snapshot from a router's memory")
+{
+    auto log = DocumentLog();
+    log.add(edit("first", 0, 1));
+    auto router = TestRouter(1);
+    router.read(log);
+    log.first = log.bodies.size();
+    CHECK(router.pass(20s, log) == 1);
+
+    auto fresh = TestRouter(2);
+    fresh.read(log);
+    CHECK(fresh.version() == 1);
+    CHECK(fresh.pass(20s, log) == 0);
+}
+
+TEST_CASE("A snapshot is repeated before it grows old, and not while another's is young")
+{
+    auto log = DocumentLog();
+    log.add(edit("first", 0, 1));
+    auto router = TestRouter(1);
+    auto other = TestRouter(2);
+    router.read(log);
+    CHECK(router.pass(595s, log) == 0);
+    CHECK(router.pass(20s, log) == 1);
+    other.read(log);
+    CHECK(other.pass(500s, log) == 0);
+}
+
+TEST_CASE("A transfer that is not what was announced changes nothing")
+{
+    auto router = TestRouter(1);
+    auto actions = Actions();
+    router.book->handle(
+        router.now, DocumentTransfer { idOf<ServiceId>("s"), Offset { 5 }, 1, "nonsense" }, actions);
+    CHECK(router.version() == 0);
+    CHECK(std::holds_alternative<WriteLog>(actions.at(0)));
+}
