--- a/src/camphorshuntctl/documentcommands.cpp
+++ b/src/camphorshuntctl/documentcommands.cpp
@@ -11,11 +11,11 @@
 #include <absl/flags/flag.h>
 
 #include "camphorshunt/document.h"
-#include "camphorshunt/documentfold.h"
 #include "camphorshunt/logrecord.h"
 
 #include "adminclient.h"
 #include "documentbook.h"
+#include "documentfold.h"
 #include "linediff.h"
 #include "logclient.h"
 
