--- a/src/libcamphorshunt/policyshard.h
+++ b/src/libcamphorshunt/policyshard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <algorithm>
+#include <array>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -136,8 +136,16 @@
 
     auto status() const -> ShardStatus override
     {
-        return ShardStatus { slots_.slots(), slots_.used(), waiting_,
-            static_cast<std::uint32_t>(policy_.backlogged()), granted_, ignoredEnds_ };
+        auto status = ShardStatus {};
+        status.slots = slots_.slots();
+        status.used = slots_.used();
+        status.waiting = waiting_[0] + waiting_[1];
+        status.usedDeferrable = deferrableUsed_;
+        status.waitingDeferrable = waiting_[1];
+        status.organisations = static_cast<std::uint32_t>(policy_.backlogged());
+        status.granted = granted_;
+        status.ignoredEnds = ignoredEnds_;
+        return status;
     }
 
 private:
@@ -148,6 +156,11 @@
         return ledgers_.try_emplace(router, router).first->second;
     }
 
+    auto waitingOf(RequestClass requestClass) -> std::uint32_t&
+    {
+        return waiting_[requestClass == RequestClass::Deferrable ? 1 : 0];
+    }
+
     auto deferrableCap() const -> std::uint32_t
     {
         return deferrableLimit(slots_.slots(), settings_.dispatch.reservedSlots);
@@ -157,7 +170,7 @@
     {
         const auto waiting = known.waiting(key);
         auto& shown = shown_[key];
-        waiting_ += waiting - shown;
+        waitingOf(key.requestClass) += waiting - shown;
         shown = waiting;
         if (waiting == 0)
             shown_.erase(key);
@@ -193,8 +206,7 @@
                 ++position;
                 continue;
             }
-            if (slot.sequence > seen)
-                position = release(known, position);
+            position = release(known, position);
         }
         for (const auto& slot : heldSlots)
             takeHeld(known, from, slot);
@@ -222,7 +234,7 @@
         occupy(key.requestClass, upstream);
         if (--shown_[key] == 0)
             shown_.erase(key);
-        --waiting_;
+        --waitingOf(key.requestClass);
         ++granted_;
         return Grant { id, key.organisation, key.requestClass, upstream };
     }
@@ -260,7 +272,7 @@
     /** Waiting counts as the policy knows them. */
     absl::flat_hash_map<DemandKey, std::uint32_t> shown_;
     GrantId nextGrant_;
-    std::uint32_t waiting_ {};
+    std::array<std::uint32_t, 2> waiting_ {};
     std::uint32_t deferrableUsed_ {};
     std::uint64_t granted_ {};
     std::uint64_t ignoredEnds_ {};
--- a/src/libcamphorshunt/sharddispatcher.cpp
+++ b/src/libcamphorshunt/sharddispatcher.cpp
@@ -1,5 +1,7 @@
 #include "sharddispatcher.h"
 
+#include <array>
+
 #include <xxhash.h>
 
 #include "camphorshunt/registry.h"
--- a/src/libcamphorshunt/sharddispatcher.h
+++ b/src/libcamphorshunt/sharddispatcher.h
@@ -42,6 +42,9 @@
     std::uint32_t slots {};
     std::uint32_t used {};
     std::uint32_t waiting {};
+    /** The deferrable part of `used` and `waiting`. */
+    std::uint32_t usedDeferrable {};
+    std::uint32_t waitingDeferrable {};
     std::uint32_t organisations {};
     std::uint64_t granted {};
     /** Ends of grants that were not outstanding: told twice, or late. */
