Export control traffic, log appends, processor time and memory

The counters become atomic, since the telemetry thread reads what the peers and platform threads count; asking those threads for a copy was ruled out, as /metrics must answer also when one of them is slow.

--- a/src/camphorshuntd/daemon.cpp
+++ b/src/camphorshuntd/daemon.cpp
@@ -9,6 +9,7 @@
 #include <boost/outcome/try.hpp>
 
 #include "callerrequest.h"
+#include "processmetrics.h"
 
 namespace camphorshunt {
 
@@ -100,6 +101,9 @@
         Platform::Settings { settings.platformLog, settings.platformVms, own.seed }, platformToScheduler_,
         schedulerToPlatform_);
 
+    telemetry_->add(std::make_unique<ProcessMetrics>(ProcessMetrics::Sources {
+        [this] { return peers_->traffic(); }, [this] { return platform_->appends(); } }));
+
     auto recorder = std::unique_ptr<Recorder> {};
     if (!settings.recordFile.empty()) {
         BOOST_OUTCOME_TRY(recorder, Recorder::create(settings.recordFile, settings.recordLimitBytes, own));
--- a/src/camphorshuntd/peerlink.cpp
+++ b/src/camphorshuntd/peerlink.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 PeerLink::PeerLink(Socket socket, HandshakeRole role, const PeerTransport::Settings& settings,
-    PeerTransport::Traffic& traffic, Handlers handlers)
+    PeerTraffic& traffic, Handlers handlers)
     : socket_(std::move(socket))
     , timer_(socket_.get_executor())
     , role_(role)
--- a/src/camphorshuntd/peerlink.h
+++ b/src/camphorshuntd/peerlink.h
@@ -19,7 +19,7 @@
 
 #include "framereader.h"
 #include "handshake.h"
-#include "peertransport.h"
+#include "peertraffic.h"
 
 namespace camphorshunt {
 
@@ -36,8 +36,8 @@
         std::function<void(PeerLink&, const Error&)> onClosed;
     };
 
-    PeerLink(Socket socket, HandshakeRole role, const PeerTransport::Settings& settings,
-        PeerTransport::Traffic& traffic, Handlers handlers);
+    PeerLink(Socket socket, HandshakeRole role, const PeerTransport::Settings& settings, PeerTraffic& traffic,
+        Handlers handlers);
 
     /** For a dialler: connects first. */
     auto dial(const boost::asio::ip::tcp::endpoint& endpoint) -> void;
@@ -74,7 +74,7 @@
     boost::asio::steady_timer timer_;
     HandshakeRole role_;
     std::string key_;
-    PeerTransport::Traffic* traffic_;
+    PeerTraffic* traffic_;
     Handlers handlers_;
     Hello local_;
     Hello remote_;
--- a/src/camphorshuntd/peers.h
+++ b/src/camphorshuntd/peers.h
@@ -14,6 +14,7 @@
         Ring<Event>& toScheduler, Ring<SchedulerToPeers>& fromScheduler) -> Result<std::unique_ptr<Peers>>;
 
     auto endpoint() const -> Endpoint { return transport_->endpoint(); }
+    auto traffic() const -> PeerTransport::Traffic { return transport_->traffic(); }
 
 private:
     Peers() = default;
--- /dev/null
+++ b/src/camphorshuntd/peertraffic.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+#include "peertransport.h"
+
+namespace camphorshunt {
+
+/** Counts what the peers thread carries, for any thread to read. */
+struct PeerTraffic {
+    std::atomic<std::uint64_t> framesIn {};
+    std::atomic<std::uint64_t> framesOut {};
+    std::atomic<std::uint64_t> bytesIn {};
+    std::atomic<std::uint64_t> bytesOut {};
+    std::atomic<std::uint64_t> malformed {};
+
+    auto counts() const -> PeerTransport::Traffic
+    {
+        return { framesIn, framesOut, bytesIn, bytesOut, malformed };
+    }
+};
+
+} // namespace camphorshunt
--- a/src/camphorshuntd/peertransport.cpp
+++ b/src/camphorshuntd/peertransport.cpp
@@ -93,7 +93,7 @@
     auto endpoint() const -> Endpoint override;
     auto keep(RouterId router, const Endpoint& endpoint) -> void override;
     auto send(RouterId router, const PeerMessage& message) -> void override;
-    auto traffic() const -> Traffic override { return traffic_; }
+    auto traffic() const -> Traffic override { return traffic_.counts(); }
 
 private:
     auto accept() -> void;
@@ -121,7 +121,7 @@
     Settings settings_;
     Handlers handlers_;
     RouterId self_;
-    Traffic traffic_;
+    PeerTraffic traffic_;
     std::shared_ptr<char> alive_ = std::make_shared<char>();
     tcp::acceptor acceptor_;
     boost::asio::steady_timer acceptTimer_;
--- a/src/camphorshuntd/peertransport.h
+++ b/src/camphorshuntd/peertransport.h
@@ -52,6 +52,7 @@
         std::uint64_t bytesOut {};
         std::uint64_t malformed {};
     };
+    /** May be called on any thread. */
     virtual auto traffic() const -> Traffic = 0;
 };
 
--- a/src/camphorshuntd/platform.cpp
+++ b/src/camphorshuntd/platform.cpp
@@ -57,6 +57,7 @@
 
 auto Platform::handle(const AppendLog& order) -> void
 {
+    ++appends_;
     auto request = net::HttpRequest { "POST", "/streams/" + order.stream, {}, order.body };
     request.headers.push_back({ "Content-Type", "application/json" });
     callWhole(*client_, settings_.log, std::move(request), appendTimes,
--- a/src/camphorshuntd/platform.h
+++ b/src/camphorshuntd/platform.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <random>
@@ -27,6 +28,8 @@
 
     /** Starts to poll the list of VMs. */
     auto start() -> void;
+    /** Appends begun so far; may be called on any thread. */
+    auto appends() const -> std::uint64_t { return appends_; }
 
 private:
     /** A stream that is followed. */
@@ -52,6 +55,7 @@
     std::unique_ptr<net::HttpClient> client_;
     std::mt19937_64 random_;
     std::uint64_t runs_ {};
+    std::atomic<std::uint64_t> appends_ {};
     std::unordered_map<std::string, Tail> tails_;
     boost::asio::steady_timer vmsTimer_;
 };
--- /dev/null
+++ b/src/camphorshuntd/processmetrics.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <vector>
+
+#include <prometheus/collectable.h>
+#include <prometheus/metric_family.h>
+
+#include "peertransport.h"
+
+namespace camphorshunt {
+
+/** What the process costs: control traffic, appends to the log, processor time and memory. */
+class ProcessMetrics : public prometheus::Collectable {
+public:
+    /** Both are called on the telemetry thread. */
+    struct Sources {
+        std::function<PeerTransport::Traffic()> traffic;
+        std::function<std::uint64_t()> logAppends;
+    };
+
+    explicit ProcessMetrics(Sources sources)
+        : sources_(std::move(sources))
+    {
+    }
+
+    auto Collect() const -> std::vector<prometheus::MetricFamily> override;
+
+private:
+    Sources sources_;
+};
+
+} // namespace camphorshunt
--- a/src/camphorshuntd/telemetry.cpp
+++ b/src/camphorshuntd/telemetry.cpp
@@ -1,5 +1,8 @@
 #include "telemetry.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include <boost/describe/enum_to_string.hpp>
 #include <prometheus/text_serializer.h>
 
@@ -81,7 +84,12 @@
 
 auto Telemetry::metrics() const -> std::string
 {
-    return prometheus::TextSerializer().Serialize(registry_.Collect());
+    auto families = registry_.Collect();
+    for (const auto& collectable : more_) {
+        auto further = collectable->Collect();
+        std::ranges::move(further, std::back_inserter(families));
+    }
+    return prometheus::TextSerializer().Serialize(families);
 }
 
 auto Telemetry::handle(StatusAnswer answer) -> void
--- a/src/camphorshuntd/telemetry.h
+++ b/src/camphorshuntd/telemetry.h
@@ -3,9 +3,12 @@
 #include <cstdint>
 #include <memory>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
+#include <prometheus/collectable.h>
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
 #include <prometheus/registry.h>
@@ -25,6 +28,11 @@
         -> Result<std::unique_ptr<Telemetry>>;
 
     auto endpoint() const -> Endpoint { return server_->endpoint(); }
+    /** Adds metrics that are read when they are asked for. Before the thread starts. */
+    auto add(std::unique_ptr<prometheus::Collectable> metrics) -> void
+    {
+        more_.push_back(std::move(metrics));
+    }
 
 private:
     explicit Telemetry(Ring<StatusRequest>& toScheduler);
@@ -42,6 +50,7 @@
     std::uint64_t nextStatus_ {};
     std::unordered_map<std::uint64_t, std::shared_ptr<net::HttpExchange>> waiting_;
     prometheus::Registry registry_;
+    std::vector<std::unique_ptr<prometheus::Collectable>> more_;
     prometheus::Family<prometheus::Counter>& steps_;
     prometheus::Family<prometheus::Counter>& outcomes_;
     std::unique_ptr<net::HttpServer> server_;
