Add the load tool and the experiment script

A plan names daemons, organisations with open or closed loops, skew, lengths and hints; the tool offers the load, measures from the callers' side and the upstreams' load reports, and prints one row for each run. The scripts that start fleets share scripts/fleet.sh; the settings reader gains lists and real numbers, so that plans report faults as settings do.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,38 +7,7 @@
 cmake --preset release >/dev/null
 cmake --build --preset release --target camphorshuntd camphorshuntctl standins
 bin=build/release
-work=$(mktemp -d)
-pids=()
-
-stop_all() {
-    for pid in "${pids[@]}"; do
-        kill "$pid" 2>/dev/null || true
-    done
-    wait 2>/dev/null || true
-    rm -rf "$work"
-}
-trap stop_all EXIT
-
-# Starts a program whose first line begins with "listening" and puts that line in $line.
-start() {
-    local name=$1
-    shift
-    "$@" >"$work/$name.out" 2>"$work/$name.log" &
-    pids+=($!)
-    for _ in $(seq 200); do
-        line=$(grep -m 1 '^listening' "$work/$name.out" || true)
-        [ -n "$line" ] && return
-        sleep 0.05
-    done
-    echo "$name did not start:" >&2
-    cat "$work/$name.log" >&2
-    exit 1
-}
-
-start_standin() {
-    start "$1" "$bin/standins" --listen=127.0.0.1:0 "${@:2}"
-    address=${line#listening }
-}
+source scripts/fleet.sh
 
 start_standin log --role=log; log=$address
 start_standin vms --role=vms; vms=$address
@@ -50,30 +19,13 @@
 sed -e "s/127.0.0.1:7101/$e1/; s/127.0.0.1:7102/$e2/" samples/demo-assistant.json >"$work/assistant.json"
 sed -e "s/127.0.0.1:7111/$b1/" samples/demo-booking.json >"$work/booking.json"
 
-routers=()
-admins=()
-listed=""
 for name in r1 r2 r3; do
-    cat >"$work/$name.json" <<SETTINGS
-{
-    "name": "$name", "failureDomain": "a",
-    "callers": { "listen": "127.0.0.1:0" },
-    "admin": { "listen": "127.0.0.1:0" },
-    "peers": { "listen": "127.0.0.1:0", "sharedKey": "a key for this demonstration" },
-    "platform": { "log": "$log", "vms": "$vms" }
-}
-SETTINGS
-    start "$name" "$bin/camphorshuntd" --settings="$work/$name.json"
-    routers+=("$(sed 's/.*callers=\([^ ]*\).*/\1/' <<<"$line")")
-    admins+=("$(sed 's/.*admin=\([^ ]*\).*/\1/' <<<"$line")")
-    peer=$(sed 's/.*peers=\([^ ]*\).*/\1/' <<<"$line")
-    listed+="{\"name\":\"$name\",\"role\":\"router\",\"address\":\"$peer\",\"failureDomain\":\"a\",\"state\":\"live\"},"
+    start_router "$name"
 done
-curl -sS -X POST "http://$vms/admin/vms" -d "{\"vms\":[${listed%,}]}" >/dev/null
+publish_vms
 
-admin=$(IFS=,; echo "${admins[*]}")
-"$bin/camphorshuntctl" publish "$work/assistant.json" --log="$log" --admin="$admin" | grep -v '^[+-]'
-"$bin/camphorshuntctl" publish "$work/booking.json" --log="$log" --admin="$admin" | grep -v '^[+-]'
+publish "$work/assistant.json" | grep -v '^[+-]'
+publish "$work/booking.json" | grep -v '^[+-]'
 
 for router in "${routers[@]}"; do
     echo
@@ -95,4 +47,5 @@
 
 echo
 echo "The fleet:"
+admin=$(IFS=,; echo "${admins[*]}")
 "$bin/camphorshuntctl" status --admin="$admin"
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,68 @@
+# Starts and stops a fleet with stand-ins on loopback; sourced by the other scripts.
+# Uses $bin, the folder of the programs, and keeps what is started in $work until the script ends.
+work=$(mktemp -d)
+pids=()
+declare -A pid_of
+
+stop_all() {
+    for pid in "${pids[@]}"; do
+        kill "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+    rm -rf "$work"
+}
+trap stop_all EXIT
+
+# Starts a program whose first line begins with "listening" and puts that line in $line.
+start() {
+    local name=$1
+    shift
+    "$@" >"$work/$name.out" 2>"$work/$name.log" &
+    pids+=($!)
+    pid_of[$name]=$!
+    for _ in $(seq 200); do
+        line=$(grep -m 1 '^listening' "$work/$name.out" || true)
+        [ -n "$line" ] && return
+        sleep 0.05
+    done
+    echo "$name did not start:" >&2
+    cat "$work/$name.log" >&2
+    exit 1
+}
+
+# Leaves the stand-in's address in $address.
+start_standin() {
+    start "$1" "$bin/standins" --listen=127.0.0.1:0 "${@:2}"
+    address=${line#listening }
+}
+
+# Needs the addresses $log and $vms; fills routers, admins and the VM list's entries in $listed.
+routers=()
+admins=()
+listed=""
+start_router() {
+    local name=$1 domain=${2:-a}
+    cat >"$work/$name.json" <<SETTINGS
+{
+    "name": "$name", "failureDomain": "$domain",
+    "callers": { "listen": "127.0.0.1:0" },
+    "admin": { "listen": "127.0.0.1:0" },
+    "peers": { "listen": "127.0.0.1:0", "sharedKey": "a key for this demonstration" },
+    "platform": { "log": "$log", "vms": "$vms" }
+}
+SETTINGS
+    start "$name" "$bin/camphorshuntd" --settings="$work/$name.json"
+    routers+=("$(sed 's/.*callers=\([^ ]*\).*/\1/' <<<"$line")")
+    admins+=("$(sed 's/.*admin=\([^ ]*\).*/\1/' <<<"$line")")
+    local peer
+    peer=$(sed 's/.*peers=\([^ ]*\).*/\1/' <<<"$line")
+    listed+="{\"name\":\"$name\",\"role\":\"router\",\"address\":\"$peer\",\"failureDomain\":\"$domain\",\"state\":\"live\"},"
+}
+
+publish_vms() {
+    curl -sS -X POST "http://$vms/admin/vms" -d "{\"vms\":[${listed%,}]}" >/dev/null
+}
+
+publish() {
+    "$bin/camphorshuntctl" publish "$1" --log="$log" --admin="$(IFS=,; echo "${admins[*]}")"
+}
--- a/src/camphorshuntd/settingsreader.cpp
+++ b/src/camphorshuntd/settingsreader.cpp
@@ -1,6 +1,8 @@
 #include "settingsreader.h"
 
 #include <algorithm>
+#include <cmath>
+#include <sstream>
 
 #include <boost/json/value.hpp>
 
@@ -97,6 +99,40 @@
     return fallback;
 }
 
+auto SettingsReader::real(std::string_view name, double fallback, double least, double most) -> double
+{
+    const auto* const found = value(name);
+    if (found == nullptr)
+        return fallback;
+    const auto given = found->is_number() ? found->to_number<double>() : std::nan("");
+    if (given >= least && given <= most)
+        return given;
+    auto message = std::ostringstream {};
+    message << "must be a number from " << least << " to " << most;
+    refuse(name, message.str());
+    return fallback;
+}
+
+auto SettingsReader::objects(std::string_view name) -> std::vector<SettingsReader>
+{
+    auto readers = std::vector<SettingsReader> {};
+    const auto* const found = value(name);
+    if (found == nullptr)
+        return readers;
+    if (!found->is_array()) {
+        refuse(name, "must be a list");
+        return readers;
+    }
+    for (const auto& element : found->get_array()) {
+        const auto path = pathOf(name) + "[" + std::to_string(readers.size()) + "]";
+        if (!element.is_object())
+            refuse(name, "must hold objects only");
+        else
+            readers.emplace_back(element.get_object(), path, error_);
+    }
+    return readers;
+}
+
 auto SettingsReader::refuse(std::string_view name, std::string message) -> void
 {
     if (!error_)
--- a/src/camphorshuntd/settingsreader.h
+++ b/src/camphorshuntd/settingsreader.h
@@ -23,6 +23,8 @@
 
     auto object(std::string_view name) -> SettingsReader;
     auto optionalObject(std::string_view name) -> SettingsReader;
+    /** One reader for each object of a list; none when the field is missing. */
+    auto objects(std::string_view name) -> std::vector<SettingsReader>;
     auto text(std::string_view name) -> std::string;
     /** Empty when the field is missing. */
     auto optionalText(std::string_view name) -> std::string;
@@ -30,6 +32,7 @@
     /** The number as given, or `fallback` when the field is missing. */
     auto number(std::string_view name, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
         -> std::uint64_t;
+    auto real(std::string_view name, double fallback, double least, double most) -> double;
     auto refuse(std::string_view name, std::string message) -> void;
     auto finish() -> void;
 
--- /dev/null
+++ b/src/camphorshuntload/generator.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "httpclient.h"
+#include "loadcall.h"
+#include "measurements.h"
+
+namespace camphorshunt::load {
+
+/** Offers the load of one organisation: an open loop with exponential gaps, or a closed loop. */
+class Generator {
+public:
+    Generator(boost::asio::io_context& context, net::HttpClient& client, const Plan& plan,
+        std::size_t organisation, Measurements& measurements);
+
+    auto start() -> void;
+
+private:
+    auto begin() -> void;
+    auto arriveLater() -> void;
+    auto send() -> void;
+    auto sendLater() -> void;
+    auto ended(std::size_t daemon, LoadCall::End how) -> void;
+    auto chooseDaemon() -> std::size_t;
+    auto isOver() const -> bool { return end_ && Clock::now() >= *end_; }
+
+    boost::asio::io_context& context_;
+    net::HttpClient& client_;
+    const Plan& plan_;
+    const PlannedOrganisation& organisation_;
+    std::size_t index_;
+    Measurements& measurements_;
+    std::mt19937_64 random_;
+    boost::asio::steady_timer timer_;
+    std::optional<Clock::time_point> end_;
+    /** Daemons that failed are passed over until then. */
+    std::vector<Clock::time_point> avoidUntil_;
+};
+
+} // namespace camphorshunt::load
--- /dev/null
+++ b/src/camphorshuntload/loadcall.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "httpclient.h"
+#include "measurements.h"
+
+namespace camphorshunt::load {
+
+/** One request of an organisation, from its sending to its end. */
+class LoadCall : public std::enable_shared_from_this<LoadCall> {
+public:
+    enum class End { Done, Refused, Failed };
+
+    LoadCall(Measurements& measurements, const Plan& plan, std::size_t organisation);
+
+    auto start(net::HttpClient& client, const PlannedDaemon& daemon, std::uint64_t promptTokens,
+        std::uint64_t outputTokens, std::function<void(End)> onEnd) -> void;
+
+private:
+    auto take(std::string_view bytes) -> void;
+    auto end(net::HttpCallEnd how) -> void;
+    auto units() const -> double;
+
+    Measurements& measurements_;
+    const Plan& plan_;
+    std::size_t organisation_;
+    std::shared_ptr<net::HttpCall> call_;
+    std::function<void(End)> onEnd_;
+    Clock::time_point sentAt_;
+    std::uint16_t status_ {};
+    double promptUnits_ {};
+    std::uint64_t tokens_ {};
+    char lastByte_ = '\n';
+};
+
+} // namespace camphorshunt::load
--- /dev/null
+++ b/src/camphorshuntload/loadrun.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "generator.h"
+#include "httpclient.h"
+#include "measurements.h"
+#include "sampler.h"
+
+namespace camphorshunt::load {
+
+/** One run of a plan, from its first request to its figures. */
+class LoadRun {
+public:
+    explicit LoadRun(const Plan& plan);
+
+    /** Returns when the plan's time is over. */
+    auto run() -> void;
+
+    auto measurements() const -> const Measurements& { return measurements_; }
+    auto sampler() const -> const Sampler& { return sampler_; }
+
+private:
+    auto after(Milliseconds delay, std::function<void()> callback) -> void;
+    auto sampleLater() -> void;
+    auto inject(const PlannedFault& fault) -> void;
+
+    const Plan& plan_;
+    boost::asio::io_context context_ { 1 };
+    std::unique_ptr<net::HttpClient> client_;
+    Measurements measurements_;
+    Sampler sampler_;
+    std::deque<Generator> generators_;
+    boost::asio::steady_timer sampleTimer_;
+};
+
+} // namespace camphorshunt::load
--- /dev/null
+++ b/src/camphorshuntload/main.cpp
@@ -0,0 +1,93 @@
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "latencyprobe.h"
+#include "loadrun.h"
+#include "plan.h"
+#include "report.h"
+
+ABSL_FLAG(std::string, plan, "", "the plan of a run, JSON with comments");
+ABSL_FLAG(std::string, name, "run", "what the table calls the run");
+ABSL_FLAG(std::string, report, "", "file for the figures, JSON");
+ABSL_FLAG(std::string, base, "oracle", "the run that ratios are to");
+ABSL_FLAG(std::uint64_t, latency, 0, "measure this many calls direct and through the daemon instead");
+
+namespace {
+
+using namespace camphorshunt;
+using namespace camphorshunt::load;
+
+constexpr auto badUsage = 2;
+
+auto fail(const Error& error) -> int
+{
+    std::cerr << "camphorshuntload: " << error.text() << "\n";
+    return badUsage;
+}
+
+/** Prints the table of the reports in these files. */
+auto compare(const std::vector<char*>& files) -> int
+{
+    auto reports = std::vector<boost::json::object> {};
+    for (auto file = files.begin() + 1; file != files.end(); ++file) {
+        auto stream = std::ifstream(*file, std::ios::binary);
+        auto code = boost::system::error_code {};
+        const auto value = boost::json::parse(std::string(std::istreambuf_iterator<char>(stream), {}), code);
+        if (code || !value.is_object())
+            return fail(failure(Error::Code::Malformed, *file, "is not a report"));
+        reports.push_back(value.get_object());
+    }
+    std::cout << reportTable(reports, absl::GetFlag(FLAGS_base));
+    return 0;
+}
+
+auto runPlan(const Plan& plan) -> int
+{
+    auto run = LoadRun(plan);
+    std::cout << "began" << std::endl;
+    run.run();
+    const auto report = reportJson(absl::GetFlag(FLAGS_name), plan, run);
+    std::cout << reportTable({ &report, 1 }, absl::GetFlag(FLAGS_base));
+    if (absl::GetFlag(FLAGS_report).empty())
+        return 0;
+    auto stream = std::ofstream(absl::GetFlag(FLAGS_report), std::ios::binary);
+    stream << boost::json::serialize(report) << "\n";
+    return stream ? 0 : fail(failure(Error::Code::Io, absl::GetFlag(FLAGS_report), "cannot be written"));
+}
+
+auto runLatency(const Plan& plan) -> int
+{
+    auto probe = LatencyProbe(plan);
+    probe.run(absl::GetFlag(FLAGS_latency));
+    std::cout << probe.text();
+    return 0;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    absl::SetProgramUsageMessage("Offers a planned load to a fleet and measures what comes of it.\n\n"
+                                 "  camphorshuntload --plan=FILE [--name=NAME] [--report=FILE]\n"
+                                 "  camphorshuntload --plan=FILE --latency=CALLS\n"
+                                 "  camphorshuntload [--base=NAME] REPORT...");
+    const auto files = absl::ParseCommandLine(argc, argv);
+    if (absl::GetFlag(FLAGS_plan).empty())
+        return compare(files);
+    const auto plan = Plan::load(absl::GetFlag(FLAGS_plan));
+    if (!plan)
+        return fail(plan.error());
+    const auto needsUpstream = absl::GetFlag(FLAGS_latency) > 0;
+    if (needsUpstream && (plan.value().upstreams.empty() || plan.value().organisations.empty()))
+        return fail(failure(Error::Code::Invalid, "upstreams", "an upstream and an organisation are needed"));
+    return needsUpstream ? runLatency(plan.value()) : runPlan(plan.value());
+}
--- /dev/null
+++ b/src/camphorshuntload/plan.cpp
@@ -0,0 +1,160 @@
+#include "plan.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <map>
+#include <optional>
+
+#include <boost/json/parse.hpp>
+
+#include "settingsreader.h"
+
+namespace camphorshunt::load {
+
+namespace {
+
+constexpr auto longestRunMs = std::uint64_t { 3'600'000 };
+constexpr auto mostInProgress = std::uint64_t { 10'000 };
+constexpr auto mostRate = 100'000.0;
+constexpr auto mostTokens = 100'000.0;
+
+auto milliseconds(SettingsReader& reader, std::string_view name) -> Milliseconds
+{
+    return Milliseconds(reader.number(name, 0, 0, longestRunMs));
+}
+
+auto readLengths(SettingsReader reader) -> Lengths
+{
+    using Shape = Lengths::Shape;
+    static const auto shapes = std::map<std::string, Shape, std::less<>> { { "constant", Shape::Constant },
+        { "uniform", Shape::Uniform }, { "lognormal", Shape::Lognormal }, { "bimodal", Shape::Bimodal } };
+    auto lengths = Lengths {};
+    const auto found = shapes.find(reader.text("shape"));
+    if (found == shapes.end())
+        reader.refuse("shape", "must be constant, uniform, lognormal or bimodal");
+    else
+        lengths.shape = found->second;
+    lengths.first = reader.real("first", 1.0, 1.0, mostTokens);
+    lengths.second = reader.real("second", 0.0, 0.0, mostTokens);
+    lengths.rareFraction = reader.real("rareFraction", 0.0, 0.0, 1.0);
+    lengths.longest = reader.real("longest", mostTokens, 1.0, mostTokens);
+    if (lengths.shape == Shape::Uniform && lengths.second < lengths.first)
+        reader.refuse("second", "must not be less than first");
+    if (lengths.shape == Shape::Bimodal && lengths.second < 1.0)
+        reader.refuse("second", "must be 1 or more");
+    reader.finish();
+    return lengths;
+}
+
+auto readEntries(SettingsReader& reader, const Plan& plan) -> std::vector<Entry>
+{
+    auto entries = std::vector<Entry> {};
+    for (auto& item : reader.objects("entries")) {
+        const auto name = item.text("daemon");
+        const auto found = std::ranges::find(plan.daemons, name, &PlannedDaemon::name);
+        if (found == plan.daemons.end())
+            item.refuse("daemon", "names no daemon of the plan");
+        entries.push_back({ static_cast<std::size_t>(found - plan.daemons.begin()),
+            item.number("share", 1, 1, 1'000'000) });
+        item.finish();
+    }
+    if (entries.empty())
+        reader.refuse("entries", "must hold one daemon or more");
+    return entries;
+}
+
+auto readOrganisation(SettingsReader& reader, const Plan& plan) -> PlannedOrganisation
+{
+    auto organisation = PlannedOrganisation {};
+    organisation.name = reader.text("name");
+    organisation.key = reader.text("key");
+    organisation.weight = reader.real("weight", 1.0, 0.001, 1'000'000.0);
+    organisation.rate = reader.real("rate", 0.0, 0.0, mostRate);
+    organisation.concurrency = reader.number("concurrency", 0, 0, mostInProgress);
+    if ((organisation.rate > 0) == (organisation.concurrency > 0))
+        reader.refuse("rate", "must stand alone or be replaced by concurrency; give one of the two");
+    organisation.operation = reader.text("operation");
+    organisation.waitClass = reader.text("class");
+    organisation.promptTokens = readLengths(reader.object("promptTokens"));
+    organisation.outputTokens = readLengths(reader.object("outputTokens"));
+    organisation.hintFactor = reader.real("hintFactor", 1.0, 0.0, 1000.0);
+    organisation.from = milliseconds(reader, "fromMs");
+    organisation.to = milliseconds(reader, "toMs");
+    organisation.deadline = milliseconds(reader, "deadlineMs");
+    organisation.entries = readEntries(reader, plan);
+    reader.finish();
+    return organisation;
+}
+
+auto readFault(SettingsReader& reader) -> PlannedFault
+{
+    auto fault = PlannedFault {};
+    fault.at = milliseconds(reader, "atMs");
+    fault.endpoint = reader.endpoint("endpoint");
+    fault.body = reader.text("body");
+    reader.finish();
+    return fault;
+}
+
+auto readPlan(SettingsReader& reader) -> Plan
+{
+    auto plan = Plan {};
+    plan.service = reader.text("service");
+    plan.seed = reader.number("seed", 1, 0, ~std::uint64_t {});
+    plan.duration = Milliseconds(reader.number("durationMs", 8000, 100, longestRunMs));
+    plan.warmUp = milliseconds(reader, "warmUpMs");
+    if (plan.warmUp >= plan.duration)
+        reader.refuse("warmUpMs", "must be less than durationMs");
+    plan.slots = reader.number("slots", 0, 1, 1'000'000);
+    plan.tokenMs = reader.real("tokenMs", 1.0, 0.001, 60'000.0);
+    plan.promptWeight = reader.real("promptWeight", 0.1, 0.0, 1'000'000.0);
+    for (auto& item : reader.objects("daemons")) {
+        plan.daemons.push_back({ item.text("name"), item.endpoint("callers"), item.endpoint("admin") });
+        item.finish();
+    }
+    if (plan.daemons.empty())
+        reader.refuse("daemons", "must hold one daemon or more");
+    for (auto& item : reader.objects("upstreams")) {
+        plan.upstreams.push_back({ item.text("name"), item.endpoint("endpoint") });
+        item.finish();
+    }
+    for (auto& item : reader.objects("organisations"))
+        plan.organisations.push_back(readOrganisation(item, plan));
+    for (auto& item : reader.objects("faults"))
+        plan.faults.push_back(readFault(item));
+    reader.finish();
+    return plan;
+}
+
+} // namespace
+
+auto Plan::parse(std::string_view text, std::string_view file) -> Result<Plan>
+{
+    auto options = boost::json::parse_options {};
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    auto code = boost::system::error_code {};
+    const auto document = boost::json::parse(text, code, {}, options);
+    if (code)
+        return failure(Error::Code::Malformed, std::string(file), "is not JSON: " + code.message());
+    if (!document.is_object())
+        return failure(Error::Code::Invalid, std::string(file), "must hold one JSON object");
+
+    auto error = std::optional<Error> {};
+    auto reader = SettingsReader(document.get_object(), {}, error);
+    auto plan = readPlan(reader);
+    if (error)
+        return failure(error->code, std::string(file) + ": " + error->field, std::move(error->message));
+    return plan;
+}
+
+auto Plan::load(const std::string& file) -> Result<Plan>
+{
+    auto stream = std::ifstream(file, std::ios::binary);
+    if (!stream)
+        return failure(Error::Code::Io, file, "cannot be read");
+    return parse(std::string(std::istreambuf_iterator<char>(stream), {}), file);
+}
+
+} // namespace camphorshunt::load
--- /dev/null
+++ b/src/camphorshuntload/sampler.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+#include "httpclient.h"
+#include "measurements.h"
+
+namespace camphorshunt::load {
+
+/** What a daemon has cost since it started. */
+struct DaemonCost {
+    double sentBytes {};
+    double receivedBytes {};
+    double sentFrames {};
+    double receivedFrames {};
+    double logAppends {};
+    double processorSeconds {};
+    double residentBytes {};
+};
+
+/** The cost that the text of `/metrics` states. */
+auto parseDaemonCost(std::string_view metrics) -> DaemonCost;
+
+/** Reads the upstreams' load reports, the dispatchers' status and the daemons' metrics during a run. */
+class Sampler {
+public:
+    struct Point {
+        Clock::time_point at;
+        /** Slots in use at the upstreams. */
+        double busy {};
+        /** Slots not in use though a request waits, as callers and upstreams see it. */
+        double idleWhileWaiting {};
+    };
+    /** Sums over the dispatchers' own views. */
+    struct DispatcherView {
+        double slots {};
+        double used {};
+        double idleWhileWaiting {};
+        double samples {};
+    };
+
+    Sampler(boost::asio::io_context& context, net::HttpClient& client, const Plan& plan,
+        const Measurements& measurements);
+
+    auto start() -> void;
+    /** Begins the time that counts. */
+    auto begin() -> void;
+    /** Reads the metrics once more; the callback comes when all have answered or failed. */
+    auto finish(std::function<void()> onDone) -> void;
+
+    auto points() const -> const std::vector<Point>& { return points_; }
+    auto dispatchers() const -> const DispatcherView& { return dispatchers_; }
+    /** By daemon; nothing for one that did not answer both times. */
+    auto costs() const -> std::map<std::string, DaemonCost>;
+    auto countedSeconds() const -> double;
+
+private:
+    using Answer = std::function<void(bool whole, const std::string& body)>;
+    using Costs = std::map<std::string, DaemonCost>;
+
+    auto ask(const Endpoint& endpoint, std::string_view target, Answer answer) -> void;
+    auto tick() -> void;
+    auto readLoads() -> void;
+    auto readStatus() -> void;
+    auto readCosts(Costs& into, std::function<void()> onDone) -> void;
+    auto takeStatus(const std::string& body) -> void;
+
+    boost::asio::io_context& context_;
+    net::HttpClient& client_;
+    const Plan& plan_;
+    const Measurements& measurements_;
+    boost::asio::steady_timer timer_;
+    std::uint64_t ticks_ {};
+    std::vector<Point> points_;
+    DispatcherView dispatchers_;
+    Clock::time_point beganAt_;
+    Clock::time_point endedAt_;
+    Costs before_;
+    Costs after_;
+};
+
+} // namespace camphorshunt::load
--- /dev/null
+++ b/src/camphorshuntload/waits.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstddef>
+
+#include <boost/histogram.hpp>
+
+namespace camphorshunt::load {
+
+/** Waiting times from 0.1 ms to 1,000 s, kept to within 5%. */
+class Waits {
+public:
+    auto add(double seconds) -> void { histogram_(seconds); }
+    auto count() const -> double;
+    /** In seconds, the upper edge of the bin; 0 without any waits. */
+    auto quantile(double fraction) const -> double;
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+
+    static constexpr auto bins = 330U;
+    static constexpr auto leastSeconds = 1e-4;
+    static constexpr auto mostSeconds = 1e3;
+
+    decltype(boost::histogram::make_histogram(Axis(1, 1.0, 2.0))) histogram_
+        = boost::histogram::make_histogram(Axis(bins, leastSeconds, mostSeconds));
+};
+
+} // namespace camphorshunt::load
