Tell the dispatcher how each attempt ended; resume where the stream runs

A dispatcher judged the upstreams by the attempts of its own router alone, so that an ill upstream seen only through other entry routers was never ejected. SlotEnd now carries the attempt's result (one byte on the wire, in the padding), and the dispatcher's health takes it from there.

A resumed stream went to whatever upstream the new slot was for; only the one that runs the stream can go on with it. It is sent there, while the slot stands for the work. Later attempts use a fresh connection, since the last one's silence may be the connection's.

--- a/include/camphorshunt/peermessage.h
+++ b/include/camphorshunt/peermessage.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "camphorshunt/attemptresult.h"
 #include "camphorshunt/document.h"
 #include "camphorshunt/ids.h"
 
@@ -65,6 +66,9 @@
     /** All units of service of the attempt. */
     double totalUnits {};
     bool unused {};
+    /** How the attempt ended, for the dispatcher's view of the upstream; meaningless when unused by choice.
+     */
+    AttemptResult result {};
 };
 
 /** Units streamed so far under a grant, absolute. */
--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -108,6 +108,9 @@
     const auto found = duties_.find(ends.shard);
     if (found == duties_.end())
         return;
+    auto& health = services_.at(ends.shard.service).health;
+    for (const auto& end : ends.ends)
+        health.noteEnd(now, end.upstream, end.result, false);
     found->second.lastDemand = now;
     found->second.dispatcher->apply(now, from, ends);
 }
@@ -146,12 +149,11 @@
         duty.dispatcher->dropRouter(now, router);
 }
 
-auto DutyTable::noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
-    -> void
+auto DutyTable::noteLeaving(Time now, ServiceId service, UpstreamId upstream) -> void
 {
     const auto found = services_.find(service);
     if (found != services_.end())
-        found->second.health.noteEnd(now, upstream, result, leaving);
+        found->second.health.noteEnd(now, upstream, AttemptResult::Cancelled, true);
 }
 
 auto DutyTable::accepts(ServiceId service, UpstreamId upstream) const -> bool
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -41,8 +41,7 @@
     auto connectionLost(Time now, RouterId router) -> void;
     /** The router is dead or runs anew: what it held is free. */
     auto routerLost(Time now, RouterId router) -> void;
-    auto noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
-        -> void;
+    auto noteLeaving(Time now, ServiceId service, UpstreamId upstream) -> void;
     auto accepts(ServiceId service, UpstreamId upstream) const -> bool;
 
     /** Hands out what is free; called once all that is known has been applied. */
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -101,7 +101,7 @@
     if (link->owner != from) {
         for (const auto& grant : grants.grants)
             link->strays.emplace_back(
-                from, SlotEnd { grant.id, grant.organisation, grant.upstream, 0.0, true });
+                from, SlotEnd { grant.id, grant.organisation, grant.upstream, 0.0, true, {} });
         return;
     }
 
@@ -110,7 +110,7 @@
         const auto held = HeldSlot { grant.id, grant.organisation, grant.requestClass, grant.upstream, 0.0 };
         if (!document_->upstream(grant.upstream)
             || !takeWaiting(assignments, { grants.shard.index, held, 0.0, false }))
-            link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true });
+            link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true, {} });
     }
 }
 
@@ -159,7 +159,7 @@
         link->charges.push_back({ grant, units });
 }
 
-auto EntryService::release(GrantId grant, double units, bool unused) -> void
+auto EntryService::release(GrantId grant, double units, bool unused, AttemptResult result) -> void
 {
     const auto found = held_.find(grant);
     if (found == held_.end())
@@ -167,7 +167,7 @@
 
     const auto& slot = found->second;
     if (auto* const link = linkOf(slot.shard))
-        link->ends.push_back({ grant, slot.held.organisation, slot.held.upstream, units, unused });
+        link->ends.push_back({ grant, slot.held.organisation, slot.held.upstream, units, unused, result });
     held_.erase(found);
 }
 
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -56,7 +56,7 @@
     auto admitLocally(Time now, std::vector<Assignment>& assignments) -> void;
     /** Units streamed so far under a grant, absolute. */
     auto charge(GrantId grant, double units) -> void;
-    auto release(GrantId grant, double units, bool unused) -> void;
+    auto release(GrantId grant, double units, bool unused, AttemptResult result) -> void;
 
     /** Sends what changed to the dispatchers. */
     auto flush(Time now, Actions& actions) -> void;
--- a/src/libcamphorshunt/framecodec.cpp
+++ b/src/libcamphorshunt/framecodec.cpp
@@ -46,7 +46,8 @@
 
 auto packed(const SlotEnd& end) -> wire::SlotEnd
 {
-    return { end.grant.value, end.organisation.value, end.upstream.value, end.totalUnits, end.unused };
+    return { end.grant.value, end.organisation.value, end.upstream.value, end.totalUnits, end.unused,
+        static_cast<std::uint8_t>(end.result) };
 }
 
 auto packed(const Charge& charge) -> wire::Charge { return { charge.grant.value, charge.totalUnits }; }
@@ -200,10 +201,10 @@
 
 auto unpacked(const wire::SlotEnd& end) -> std::optional<SlotEnd>
 {
-    if (!isUnits(end.total_units()))
+    if (!isUnits(end.total_units()) || end.result() > static_cast<std::uint8_t>(AttemptResult::Cancelled))
         return std::nullopt;
     return SlotEnd { { end.grant() }, { end.organisation() }, { end.upstream() }, end.total_units(),
-        end.unused() };
+        end.unused(), static_cast<AttemptResult>(end.result()) };
 }
 
 auto unpacked(const wire::Charge& charge) -> std::optional<Charge>
--- a/src/libcamphorshunt/requestflow.cpp
+++ b/src/libcamphorshunt/requestflow.cpp
@@ -223,7 +223,7 @@
         auto* const request = requests_.find(assignment.request);
         const auto usable = request && duties_.accepts(request->document->id, assignment.upstream);
         if (!usable) {
-            service.release(assignment.grant, 0.0, true);
+            service.release(assignment.grant, 0.0, true, AttemptResult::Cancelled);
             if (request)
                 enqueue(now, *request, actions);
             continue;
@@ -238,19 +238,30 @@
 auto RequestFlow::send(Time now, ActiveRequest& request, Actions& actions) -> void
 {
     if (!request.life.send()) {
-        entry(request.document->id)->release(request.grant, 0.0, true);
+        entry(request.document->id)->release(request.grant, 0.0, true, AttemptResult::Cancelled);
         return;
     }
     const auto& document = *request.document;
-    const auto* upstream = document.upstream(request.upstream);
+    // A stream goes on where it runs; the slot stands for the work, which that upstream still carries.
+    const auto target = request.eventsPassed > 0 ? request.streamedFrom : request.upstream;
+    const auto* upstream = document.upstream(target);
     if (!upstream)
-        upstream = entry(document.id)->document()->upstream(request.upstream);
+        upstream = entry(document.id)->document()->upstream(target);
+    if (!upstream) {
+        request.life.retry();
+        entry(document.id)->release(request.grant, 0.0, true, AttemptResult::Cancelled);
+        conclude(request, RequestOutcome::Unknown, 502, "upstream-gone", actions);
+        request.life.endSent();
+        requests_.erase(request.id);
+        return;
+    }
 
     ++request.attempts;
     const auto& limits = document.limits;
-    actions.emplace_back(SendAttempt { request.id, request.attempts, request.upstream, upstream->endpoint,
-        document.upstreamKind, request.operation.name, request.keyed, request.eventsPassed, 0,
-        limits.connectTimeout, limits.firstByteTimeout, limits.gapTimeout });
+    const auto fresh = request.keyed || request.attempts > 1;
+    actions.emplace_back(SendAttempt { request.id, request.attempts, target, upstream->endpoint,
+        document.upstreamKind, request.operation.name, fresh, request.eventsPassed, 0, limits.connectTimeout,
+        limits.firstByteTimeout, limits.gapTimeout });
     note(request, RequestStep::Sent, {}, actions);
 }
 
@@ -269,9 +280,11 @@
     if (!request || request->attempts != ended.attempt || request->life.state() != RequestState::Sent)
         return;
 
-    duties_.noteEnd(now, request->document->id, request->upstream, ended.result, ended.leaving);
+    if (ended.leaving)
+        duties_.noteLeaving(now, request->document->id, request->upstream);
     const auto units = servedUnits(*request->document, ended.promptTokens, ended.outputTokens);
-    entry(request->document->id)->release(request->grant, units, ended.result == AttemptResult::NotSent);
+    entry(request->document->id)
+        ->release(request->grant, units, ended.result == AttemptResult::NotSent, ended.result);
     request->eventsPassed = ended.eventsPassed;
     request->headPassed = request->headPassed || ended.headPassed;
     if (ended.eventsPassed > 0)
--- a/src/libcamphorshunt/tracedescribe.h
+++ b/src/libcamphorshunt/tracedescribe.h
@@ -23,7 +23,7 @@
 BOOST_DESCRIBE_STRUCT(Demand, (), (shard, full, grantsSeen, entries, held))
 BOOST_DESCRIBE_STRUCT(Grant, (), (id, organisation, requestClass, upstream))
 BOOST_DESCRIBE_STRUCT(Grants, (), (shard, sequence, grants))
-BOOST_DESCRIBE_STRUCT(SlotEnd, (), (grant, organisation, upstream, totalUnits, unused))
+BOOST_DESCRIBE_STRUCT(SlotEnd, (), (grant, organisation, upstream, totalUnits, unused, result))
 BOOST_DESCRIBE_STRUCT(Charge, (), (grant, totalUnits))
 BOOST_DESCRIBE_STRUCT(Ends, (), (shard, ends, charges))
 BOOST_DESCRIBE_STRUCT(ServiceTotal, (), (organisation, units))
--- a/src/libcamphorshunt/wire_generated.h
+++ b/src/libcamphorshunt/wire_generated.h
@@ -328,7 +328,8 @@
   uint64_t upstream_;
   double total_units_;
   uint8_t unused_;
-  int8_t padding0__;  int16_t padding1__;  int32_t padding2__;
+  uint8_t result_;
+  int16_t padding0__;  int32_t padding1__;
 
  public:
   SlotEnd()
@@ -337,25 +338,23 @@
         upstream_(0),
         total_units_(0),
         unused_(0),
+        result_(0),
         padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding1__(0) {
     (void)padding0__;
     (void)padding1__;
-    (void)padding2__;
   }
-  SlotEnd(uint64_t _grant, uint64_t _organisation, uint64_t _upstream, double _total_units, bool _unused)
+  SlotEnd(uint64_t _grant, uint64_t _organisation, uint64_t _upstream, double _total_units, bool _unused, uint8_t _result)
       : grant_(flatbuffers::EndianScalar(_grant)),
         organisation_(flatbuffers::EndianScalar(_organisation)),
         upstream_(flatbuffers::EndianScalar(_upstream)),
         total_units_(flatbuffers::EndianScalar(_total_units)),
         unused_(flatbuffers::EndianScalar(static_cast<uint8_t>(_unused))),
+        result_(flatbuffers::EndianScalar(_result)),
         padding0__(0),
-        padding1__(0),
-        padding2__(0) {
+        padding1__(0) {
     (void)padding0__;
     (void)padding1__;
-    (void)padding2__;
   }
   uint64_t grant() const {
     return flatbuffers::EndianScalar(grant_);
@@ -372,6 +371,9 @@
   bool unused() const {
     return flatbuffers::EndianScalar(unused_) != 0;
   }
+  uint8_t result() const {
+    return flatbuffers::EndianScalar(result_);
+  }
 };
 FLATBUFFERS_STRUCT_END(SlotEnd, 40);
 
