Meet a router that returns from the dead on a new connection

When a router was taken for dead while its connection stood (it stood still for a second, SIGSTOP), the dispatcher dropped its demand and marked its ledger lost until the next full demand. When the router went on, nothing told it so: the connection had never broken, so it sent changes only, the dispatcher ignored them all, and what waited there was granted nothing until its deadline.

Seen by the process test "A holder of a claim that stands still and goes on runs its key once, and nobody else does": the claimed booking was still queued 60 s after SIGCONT, with a free slot at the dispatcher and waiting 0 in its status (records of the three daemons compared). Ruled out: a lost grant (granted 1, of another request), an ejected upstream (1 slot free), two dispatchers.

Death now closes the connection and dials anew, so that both sides see a disconnect and start from a full demand.

--- a/src/libcamphorshunt/coreimpl.cpp
+++ b/src/libcamphorshunt/coreimpl.cpp
@@ -70,7 +70,7 @@
 auto CoreImpl::settle(Time now, Actions& actions, std::size_t begin) -> void
 {
     applyDocuments(actions);
-    applyMembers(now);
+    applyMembers(now, actions);
     if (ownersStale_)
         updateOwners(now);
     flow_.advance(now, actions);
@@ -137,11 +137,15 @@
         membership_->setVersions(documents_->versions());
 }
 
-auto CoreImpl::applyMembers(Time now) -> void
+auto CoreImpl::applyMembers(Time now, Actions& actions) -> void
 {
     for (const auto& change : membership_->takeChanges()) {
-        if (change.state == MemberState::Dead)
+        if (change.state == MemberState::Dead) {
             duties_.routerLost(now, change.router);
+            // If it stood still and goes on, only a new connection tells both to start from a full demand.
+            actions.emplace_back(KeepPeer { change.router, {} });
+            actions.emplace_back(KeepPeer { change.router, membership_->endpoint(change.router) });
+        }
         ownersStale_ = true;
     }
 }
--- a/src/libcamphorshunt/coreimpl.h
+++ b/src/libcamphorshunt/coreimpl.h
@@ -59,7 +59,7 @@
     auto deliverToSelf(Time now, Actions& actions, std::size_t begin) -> bool;
     auto flush(Time now, Actions& actions) -> void;
     auto applyDocuments(Actions& actions) -> void;
-    auto applyMembers(Time now) -> void;
+    auto applyMembers(Time now, Actions& actions) -> void;
     auto updateOwners(Time now) -> void;
     auto updateReadiness(Actions& actions) -> void;
     auto drainStep(Time now, Actions& actions) -> void;
--- a/src/libcamphorshunt/membership.cpp
+++ b/src/libcamphorshunt/membership.cpp
@@ -51,6 +51,7 @@
     auto live() const -> std::span<const RouterId> override { return live_; }
     auto expected() const -> std::size_t override;
     auto state(RouterId router) const -> MemberState override;
+    auto endpoint(RouterId router) const -> Endpoint override;
     auto owner(const ShardId& shard) const -> RouterId override;
     auto takeChanges() -> std::vector<MemberChange> override { return members_.takeChanges(); }
     auto status(Time now) const -> std::string override;
@@ -369,6 +370,12 @@
     members_.delay(pause);
 }
 
+auto SwimMembership::endpoint(RouterId router) const -> Endpoint
+{
+    const auto* const member = members_.find(router);
+    return member ? member->endpoint : Endpoint {};
+}
+
 auto SwimMembership::forgetUnlisted(Actions& actions) -> void
 {
     for (const auto router : members_.takeGone()) {
--- a/src/libcamphorshunt/membership.h
+++ b/src/libcamphorshunt/membership.h
@@ -65,6 +65,8 @@
     /** Routers on the VM list that are not marked leaving, this one included. */
     virtual auto expected() const -> std::size_t = 0;
     virtual auto state(RouterId router) const -> MemberState = 0;
+    /** Where the VM list says that a router listens for its peers; empty when it is not listed. */
+    virtual auto endpoint(RouterId router) const -> Endpoint = 0;
     /** The live router that holds the duty of a shard: the highest rendezvous hash. */
     virtual auto owner(const ShardId& shard) const -> RouterId = 0;
     /** Changes of state since the last call. */
