--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -47,6 +47,8 @@
 ChildProcess::~ChildProcess()
 {
     kill();
+    if (reader_.joinable())
+        reader_.join();
     ::close(output_);
 }
 
@@ -69,6 +71,14 @@
     }
 }
 
+auto ChildProcess::discardOutput() -> void
+{
+    reader_ = std::thread([output = output_] {
+        char bytes[4096];
+        while (::read(output, bytes, sizeof bytes) > 0) { }
+    });
+}
+
 auto ChildProcess::readAll() -> std::string
 {
     char bytes[4096];
--- a/tests/process/childprocess.h
+++ b/tests/process/childprocess.h
@@ -3,6 +3,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include <sys/types.h>
@@ -20,6 +21,8 @@
 
     /** Reads standard output up to the line that begins with `prefix`; empty if the program ends before. */
     auto readLine(std::string_view prefix) -> std::string;
+    /** Reads on without keeping it, so that a program that goes on writing never waits for its reader. */
+    auto discardOutput() -> void;
     auto signal(int number) const -> void;
     /** Waits for the end; the exit code, or 128 + the signal's number. */
     auto wait() -> int;
@@ -34,6 +37,7 @@
     int output_ = -1;
     int status_ = 0;
     std::string buffered_;
+    std::thread reader_;
 };
 
 } // namespace camphorshunt::test
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -9,6 +9,7 @@
 #include <sstream>
 #include <thread>
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <boost/json.hpp>
@@ -48,6 +49,18 @@
     return { "Authorization", "Bearer key-" + std::to_string(organisation) };
 }
 
+auto serviceFigure(const json::value& status, std::string_view service, std::string_view name)
+    -> std::uint64_t
+{
+    if (!status.is_object())
+        return 0;
+    for (const auto& entry : status.at("services").as_array()) {
+        if (entry.at("service").as_string() == service)
+            return entry.at(name).to_number<std::uint64_t>();
+    }
+    return 0;
+}
+
 auto endpointAfter(const std::string& line, std::string_view prefix) -> Endpoint
 {
     const auto begin = line.find(prefix) + prefix.size();
@@ -129,13 +142,15 @@
     auto& router = routers_.at(index);
     router.name = "r" + std::to_string(index);
     const auto settings = TemporaryFile(daemonSettings(router.name, log_.endpoint, vms_.endpoint));
-    const auto arguments
-        = std::vector<std::string> { "--settings=" + settings.path(), "--log_level=warning" };
+    auto arguments = std::vector<std::string> { "--settings=" + settings.path(), "--log_level=warning" };
+    for (const auto& flag : options_.daemonFlags)
+        arguments.push_back(flag.starts_with("--record=") ? flag + "." + router.name : flag);
     router.process = std::make_unique<ChildProcess>("camphorshuntd", arguments);
     const auto line = router.process->readLine("listening ");
     router.callers = endpointAfter(line, "callers=");
     router.admin = endpointAfter(line, "admin=");
     router.peers = endpointAfter(line, "peers=");
+    router.process->discardOutput();
     tellVms();
 }
 
@@ -145,6 +160,18 @@
     startRouter(index);
 }
 
+auto Fleet::restartAll() -> void
+{
+    for (auto& router : routers_)
+        router.process->kill();
+    for (auto index = std::size_t {}; index < routers_.size(); ++index)
+        startRouter(index);
+}
+
+auto Fleet::pauseRouter(std::size_t index) -> void { routers_.at(index).process->signal(SIGSTOP); }
+
+auto Fleet::continueRouter(std::size_t index) -> void { routers_.at(index).process->signal(SIGCONT); }
+
 auto Fleet::tellVms(std::string_view leavingName) -> void
 {
     auto list = json::array {};
@@ -198,7 +225,8 @@
         json::object { { "name", "history" } },
     };
     const auto upstreams = json::array { json::object { { "name", "b0" },
-        { "address", service_.endpoint.text() }, { "failureDomain", "a" }, { "slots", options_.slots } } };
+        { "address", service_.endpoint.text() }, { "failureDomain", "a" },
+        { "slots", options_.bookingSlots ? options_.bookingSlots : options_.slots } } };
     return json::serialize(json::object {
         { "service", "booking" },
         { "upstreamKind", "plain-service" },
@@ -212,18 +240,48 @@
 }
 
 auto Fleet::publish(std::string_view document) -> void
+{
+    if (tryPublish(document) != 0)
+        throw std::runtime_error("the document was not published");
+}
+
+auto Fleet::tryPublish(std::string_view document, std::vector<std::string> more) -> int
 {
     const auto file = TemporaryFile(document);
-    const auto arguments
-        = std::vector<std::string> { "publish", file.path(), "--log=" + log_.endpoint.text() };
+    auto arguments = std::vector<std::string> { "publish", file.path(), "--log=" + log_.endpoint.text() };
+    arguments.insert(arguments.end(), more.begin(), more.end());
     auto tool = ChildProcess("camphorshuntctl", arguments);
     tool.readAll();
-    if (tool.wait() != 0)
-        std::fprintf(stderr, "publish failed\n");
+    return tool.wait();
 }
 
 auto Fleet::status(std::size_t index) -> std::string { return get(routers_.at(index).admin, "/status").body; }
 
+auto Fleet::statusJson(std::size_t index) -> json::value
+{
+    auto error = boost::system::error_code {};
+    auto status = json::parse(this->status(index), error);
+    return error ? json::value {} : status;
+}
+
+auto Fleet::waiting(std::size_t index, std::string_view service) -> std::size_t
+{
+    return static_cast<std::size_t>(serviceFigure(statusJson(index), service, "waiting"));
+}
+
+auto Fleet::version(std::size_t index, std::string_view service) -> std::uint64_t
+{
+    return serviceFigure(statusJson(index), service, "version");
+}
+
+auto Fleet::claimsFigure(std::size_t index, std::string_view name) -> std::uint64_t
+{
+    const auto status = statusJson(index);
+    if (!status.is_object())
+        return 0;
+    return status.at("claims").at("streams").at(0).at(name).to_number<std::uint64_t>();
+}
+
 auto Fleet::awaitMembers(std::size_t alive) -> bool
 {
     const auto complete = [&](std::size_t index) {
@@ -294,4 +352,22 @@
     return runs ? runs->as_int64() : 0;
 }
 
+auto Fleet::trim(std::string_view stream, std::optional<std::uint64_t> first) -> void
+{
+    post(log_.endpoint, "/admin/trim",
+        json::serialize(
+            json::object { { "stream", stream }, { "first", first ? *first : endOfStream(stream) } }));
+}
+
+auto Fleet::endOfStream(std::string_view stream) -> std::uint64_t
+{
+    const auto answer = get(log_.endpoint, "/streams/" + std::string(stream) + "?from=0&max=0&waitMs=0");
+    return json::parse(answer.body).at("end").to_number<std::uint64_t>();
+}
+
+auto Fleet::running(const StandIn& upstream) -> std::uint64_t
+{
+    return json::parse(get(upstream.endpoint, "/load").body).at("running").to_number<std::uint64_t>();
+}
+
 } // namespace camphorshunt::test
