Ask entry routers for their demand when a duty begins anew

Seen with scripts/experiment.sh on one fleet: after a document changed the policy from fair to fcfs, no request of the service was run any more (utilisation 0%, 64 of 64 slots idle), and with four shards one shard of sixteen slots stayed without a dispatcher (utilisation 74%). Cause: the router with the duty drops its dispatcher, but entry routers keep to partial demands, which nobody takes. Ruled out: the policies themselves (each serves when it is the first). A duty lost and regained within one run had a like fault: its Grants were numbered from 1 again and ignored.

Grants number 0 now asks for a full demand, at most every 100 ms per shard, and a new dispatcher goes on from the number that the entry router has seen.

--- a/include/camphorshunt/peermessage.h
+++ b/include/camphorshunt/peermessage.h
@@ -52,7 +52,10 @@
 /** Slots handed to one entry router. */
 struct Grants {
     ShardId shard;
-    /** Numbered from 1 per (dispatcher run, entry router). */
+    /**
+     * Numbered without gaps per entry router, from 1 or from what its full demand says it has seen. 0
+     * carries no grants and asks for a full demand: the sender has no duty that knows the entry router.
+     */
     std::uint64_t sequence {};
     std::vector<Grant> grants;
 };
--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -143,7 +143,7 @@
     "$bin/camphorshuntload" --plan="$out/$run.plan.json" --name="$run" --report="$out/$run.json" \
         >"$out/$run.txt" &
     load=$!
-    if [ "$run" = kill ]; then
+    if [ "$run" = kill ] && [ -n "$dispatcher" ]; then
         sleep "$((kill_at / 1000))"
         kill -9 "${pid_of[r$dispatcher]}"
     fi
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -17,6 +17,7 @@
 start() {
     local name=$1
     shift
+    : >"$work/$name.out"
     "$@" >"$work/$name.out" 2>"$work/$name.log" &
     pids+=($!)
     pid_of[$name]=$!
--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -32,13 +32,25 @@
         serviceOfUpstream_[upstream.id] = id;
 
     if (rebuilt)
-        std::erase_if(duties_, [id](const auto& entry) { return entry.first.service == id; });
+        dropDuties(id);
     for (auto& [shard, duty] : duties_) {
         if (shard.service == id)
             duty.dirty = true;
     }
 }
 
+auto DutyTable::dropDuties(ServiceId service) -> void
+{
+    std::erase_if(duties_, [&](const auto& entry) {
+        const auto& [shard, duty] = entry;
+        if (shard.service != service)
+            return false;
+        for (const auto router : duty.known)
+            asks_.emplace_back(router, shard);
+        return true;
+    });
+}
+
 auto DutyTable::setLeaving(std::span<const std::string> names) -> void
 {
     leaving_.assign(names.begin(), names.end());
@@ -94,10 +106,14 @@
     auto* duty = static_cast<Duty*>(nullptr);
     if (demand.full)
         duty = takeDuty(now, demand.shard, actions);
-    else if (const auto found = duties_.find(demand.shard); found != duties_.end())
+    else if (const auto found = duties_.find(demand.shard);
+             found != duties_.end() && found->second.known.contains(from))
         duty = &found->second;
-    if (!duty)
+    if (!duty) {
+        actions.emplace_back(SendPeer { from, Grants { demand.shard, 0, {} } });
         return;
+    }
+    duty->known.insert(from);
 
     duty->lastDemand = now;
     duty->dispatcher->apply(now, from, demand);
@@ -212,6 +228,8 @@
 
 auto DutyTable::grant(Time now, Actions& actions) -> void
 {
+    for (const auto& [router, shard] : std::exchange(asks_, {}))
+        actions.emplace_back(SendPeer { router, Grants { shard, 0, {} } });
     for (auto& [shard, duty] : duties_) {
         if (duty.dirty)
             configure(now, shard, duty);
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "camphorshunt/action.h"
 #include "camphorshunt/document.h"
@@ -51,6 +53,8 @@
     struct Duty {
         std::unique_ptr<ShardDispatcher> dispatcher;
         Time lastDemand;
+        /** Entry routers that have sent a full demand. */
+        absl::flat_hash_set<RouterId> known;
         bool dirty = true;
     };
     auto duties() const -> const std::map<ShardId, Duty>& { return duties_; }
@@ -62,6 +66,7 @@
     };
 
     auto takeDuty(Time now, const ShardId& shard, Actions& actions) -> Duty*;
+    auto dropDuties(ServiceId service) -> void;
     auto configure(Time now, const ShardId& shard, Duty& duty) -> void;
     auto pollLoads(Time now, Actions& actions) -> void;
     auto tellTotals(Time now, const std::function<RouterId(const ShardId&)>& owner, Actions& actions) -> void;
@@ -72,6 +77,8 @@
     absl::flat_hash_map<ServiceId, Service> services_;
     absl::flat_hash_map<UpstreamId, ServiceId> serviceOfUpstream_;
     std::map<ShardId, Duty> duties_;
+    /** Entry routers that are to send a full demand, since the dispatcher they knew is gone. */
+    std::vector<std::pair<RouterId, ShardId>> asks_;
     std::vector<std::string> leaving_;
     Time nextPoll_ {};
 };
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -10,6 +10,9 @@
 /** A dispatcher that is out of reach for longer no longer decides for this router. */
 constexpr auto dispatcherPatience = Duration(300ms);
 
+/** A dispatcher that asks for all again, since it lacks the document so far, is told no sooner. */
+constexpr auto resyncPause = Duration(100ms);
+
 /** Streamed units are reported once they exceed the last report by this much. */
 constexpr auto chargeStep = 64.0;
 
@@ -39,10 +42,9 @@
         if (link.owner == owners[shard])
             continue;
         link.owner = owners[shard];
-        link.synced = false;
         link.ends.clear();
         link.charges.clear();
-        link.silentSince = now;
+        resync(now, link);
     }
 }
 
@@ -52,10 +54,8 @@
     for (auto& link : links_) {
         if (newRun)
             link.grantsSeen.erase(router);
-        if (link.owner != router)
-            continue;
-        link.synced = false;
-        link.silentSince = now;
+        if (link.owner == router)
+            resync(now, link);
     }
 }
 
@@ -63,10 +63,8 @@
 {
     peers_.erase(router);
     for (auto& link : links_) {
-        if (link.owner != router)
-            continue;
-        link.synced = false;
-        link.silentSince = now;
+        if (link.owner == router)
+            resync(now, link);
     }
 }
 
@@ -75,6 +73,13 @@
     return router == self_ || peers_.contains(router);
 }
 
+auto EntryService::resync(Time now, Link& link) -> void
+{
+    link.synced = false;
+    link.syncedAt.reset();
+    link.silentSince = now;
+}
+
 auto EntryService::linkOf(std::uint32_t shard) -> Link*
 {
     return shard < links_.size() ? &links_[shard] : nullptr;
@@ -94,7 +99,11 @@
     Time now, RouterId from, const Grants& grants, std::vector<Assignment>& assignments) -> void
 {
     auto* const link = linkOf(grants.shard.index);
-    if (!link || grants.sequence <= link->grantsSeen[from])
+    if (!link)
+        return;
+    if (grants.sequence == 0 && link->owner == from)
+        link->synced = false;
+    if (grants.sequence <= link->grantsSeen[from])
         return;
 
     link->grantsSeen[from] = grants.sequence;
@@ -202,6 +211,9 @@
         return;
 
     if (!link.synced) {
+        if (link.syncedAt && now - *link.syncedAt < resyncPause)
+            return;
+        link.syncedAt = now;
         // Ended slots are simply absent from a full demand; their service was charged by the old one.
         link.synced = true;
         actions.emplace_back(SendPeer { link.owner, fullDemand(shard) });
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
@@ -68,6 +69,8 @@
         RouterId owner;
         /** False until a full demand has gone to the present owner. */
         bool synced {};
+        /** When that was; nothing if the owner or its connection is new. */
+        std::optional<Time> syncedAt;
         /** Sequence of the last grants by each router, dispatcher now or before. */
         absl::flat_hash_map<RouterId, std::uint64_t> grantsSeen;
         Time silentSince {};
@@ -83,6 +86,7 @@
         bool local {};
     };
 
+    static auto resync(Time now, Link& link) -> void;
     auto linkOf(std::uint32_t shard) -> Link*;
     auto fullDemand(std::uint32_t shard) const -> Demand;
     auto returnStrays(std::uint32_t shard, Actions& actions) -> void;
--- a/src/libcamphorshunt/policyshard.h
+++ b/src/libcamphorshunt/policyshard.h
@@ -48,7 +48,13 @@
         auto& known = ledger(from);
         if (known.lost && !demand.full)
             return;
-        // A number beyond the last one is of an earlier run.
+        // A number beyond the last one is of an earlier duty: none of this one's grants were heeded.
+        if (demand.full && demand.grantsSeen > known.sequence()) {
+            known.loseUnacknowledged();
+            for (auto position = known.slots().begin(); position != known.slots().end();)
+                position = release(known, position);
+            known.continueFrom(demand.grantsSeen);
+        }
         const auto seen = demand.grantsSeen <= known.sequence() ? demand.grantsSeen : 0;
         known.acknowledge(seen);
         auto withdrawn = std::vector<DemandKey> {};
--- a/src/libcamphorshunt/routerledger.h
+++ b/src/libcamphorshunt/routerledger.h
@@ -56,6 +56,8 @@
     auto nextSequence() const -> std::uint64_t { return sequence_ + 1; }
     auto closeSequence() -> std::uint64_t { return ++sequence_; }
     auto sequence() const -> std::uint64_t { return sequence_; }
+    /** The router knows a dispatcher's numbers up to this one, and ignores them when they come again. */
+    auto continueFrom(std::uint64_t sequence) -> void { sequence_ = sequence; }
 
     auto slots() -> Slots& { return slots_; }
 
