Replay a recorded run and hold it against stated outcomes

A daemon records its core's events and actions, but nothing read the record. camphorshuntctl replay feeds it to a core made with the recorded settings, compares every action and ends with code 1 and the first difference. OutcomeCheck holds any run against rules that need no record: one final answer, nothing sent after it, not-run only while no attempt can have run; a trace may state outcomes on lines of its own.

--- a/src/camphorshuntctl/command.cpp
+++ b/src/camphorshuntctl/command.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "documentcommands.h"
+#include "replaycommand.h"
 #include "statuscommand.h"
 
 namespace camphorshunt::ctl {
@@ -23,6 +24,11 @@
             runHistory },
         Command { "status", "status --admin=IP:PORT,... [--json]",
             "Print daemons, duties, versions in force, queues by organisation and slots.", runStatus },
+        Command { "replay", "replay TRACE",
+            "Feed a daemon's record (camphorshuntd --record=FILE) to the core and compare what it does; exit "
+            "code 1 tells the first difference. Example: camphorshuntctl replay "
+            "tests/traces/streamed.jsonl",
+            runReplay },
     };
     return all;
 }
--- /dev/null
+++ b/src/camphorshuntctl/outcomecheck.cpp
@@ -0,0 +1,118 @@
+#include "outcomecheck.h"
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+#include <boost/json.hpp>
+
+namespace camphorshunt::ctl {
+
+namespace {
+
+namespace json = boost::json;
+
+auto broken(RequestId id, std::string_view rule) -> Error
+{
+    return failure(Error::Code::Invalid, "request " + std::to_string(id.value), std::string(rule));
+}
+
+auto outcomeNamed(std::string_view name) -> std::optional<RequestOutcome>
+{
+    static constexpr auto outcomes = std::array { RequestOutcome::Done, RequestOutcome::NotRun,
+        RequestOutcome::Unknown, RequestOutcome::Failed };
+    const auto* const found = std::ranges::find(outcomes, name, outcomeName);
+    return found == outcomes.end() ? std::nullopt : std::optional(*found);
+}
+
+auto ranNothing(AttemptResult result) -> bool
+{
+    return result == AttemptResult::NotSent || result == AttemptResult::Refused;
+}
+
+} // namespace
+
+auto parseStatedOutcome(std::string_view line) -> Result<std::optional<StatedOutcome>>
+{
+    auto code = boost::system::error_code {};
+    const auto value = json::parse(line, code);
+    const auto* const object = code ? nullptr : value.if_object();
+    const auto* const expect = object ? object->if_contains("expect") : nullptr;
+    if (!expect)
+        return std::optional<StatedOutcome> {};
+
+    const auto* const fields = expect->if_object();
+    const auto* const request = fields ? fields->if_contains("request") : nullptr;
+    const auto* const name = fields ? fields->if_contains("outcome") : nullptr;
+    const auto outcome = name && name->is_string() ? outcomeNamed(name->get_string()) : std::nullopt;
+    const auto id = request ? request->to_number<std::uint64_t>(code) : std::uint64_t {};
+    if (!request || code || !outcome)
+        return failure(Error::Code::Malformed, "expect",
+            "must hold a request's number and an outcome; allowed are done, not-run, unknown and failed");
+    return std::optional(StatedOutcome { RequestId { id }, *outcome });
+}
+
+auto OutcomeCheck::apply(const Event& event, const Actions& actions) -> Result<void>
+{
+    if (const auto* const arrived = std::get_if<RequestArrived>(&event))
+        requests_[arrived->request];
+    if (const auto* const ended = std::get_if<AttemptEnded>(&event)) {
+        auto& request = requests_[ended->request];
+        request.open -= request.open > 0 ? 1 : 0;
+        request.mayHaveRun = request.mayHaveRun || !ranNothing(ended->result);
+    }
+    for (const auto& action : actions) {
+        const auto checked = std::visit([this](const auto& order) { return apply(order); }, action);
+        if (!checked)
+            return checked.error();
+    }
+    return boost::outcome_v2::success();
+}
+
+auto OutcomeCheck::finish(const StatedOutcome& stated) const -> Result<void>
+{
+    const auto found = requests_.find(stated.request);
+    const auto seen = found == requests_.end() ? std::nullopt : found->second.outcome;
+    if (seen == stated.outcome)
+        return boost::outcome_v2::success();
+    return broken(stated.request,
+        "ended as " + std::string(seen ? outcomeName(*seen) : "nothing") + ", stated is "
+            + std::string(outcomeName(stated.outcome)));
+}
+
+auto OutcomeCheck::apply(const AnswerCaller& answer) -> Result<void>
+{
+    return end(answer.request, answer.outcome);
+}
+
+auto OutcomeCheck::apply(const FinishCaller& finish) -> Result<void>
+{
+    return end(finish.request, finish.outcome);
+}
+
+auto OutcomeCheck::apply(const SendAttempt& send) -> Result<void>
+{
+    auto& request = requests_[send.request];
+    if (request.outcome)
+        return broken(send.request, "was sent to an upstream after its caller was answered");
+    ++request.open;
+    return boost::outcome_v2::success();
+}
+
+template <typename Other> auto OutcomeCheck::apply(const Other&) -> Result<void>
+{
+    return boost::outcome_v2::success();
+}
+
+auto OutcomeCheck::end(RequestId id, RequestOutcome outcome) -> Result<void>
+{
+    auto& request = requests_[id];
+    if (request.outcome)
+        return broken(id, "was given two final answers");
+    if (outcome == RequestOutcome::NotRun && (request.open > 0 || request.mayHaveRun))
+        return broken(id, "was told not-run though an attempt may have run");
+    request.outcome = outcome;
+    return boost::outcome_v2::success();
+}
+
+} // namespace camphorshunt::ctl
