Send the slots of a full demand in the order of their grants

The list came out of a hash map, whose order differs from run to run, so a run with slots held over a new connection could not be replayed. The other loops over hash maps in the core that reach an action sort their result (EntryQueue::all, RouterLedger::clearDemand) or do not depend on the order.

--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -184,6 +184,8 @@
         if (slot.shard == shard)
             demand.held.push_back(slot.held);
     }
+    // The order of a hash map differs from run to run; a replay must send the same.
+    std::ranges::sort(demand.held, {}, &HeldSlot::grant);
     return demand;
 }
 
