--- a/tests/unit/dispatchsynctest.cpp
+++ b/tests/unit/dispatchsynctest.cpp
@@ -81,7 +81,7 @@
             auto assignments = std::vector<Assignment> {};
             step(assignments);
             for (const auto& assignment : assignments)
-                entry.release(assignment.grant, 10.0, false);
+                entry.release(assignment.grant, 10.0, false, AttemptResult::Complete);
             done += assignments.size();
         }
         return done == count;
