--- a/src/libcamphorshunt/tracejson.cpp
+++ b/src/libcamphorshunt/tracejson.cpp
@@ -15,6 +15,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/mp11/algorithm.hpp>
+#include <boost/pfr.hpp>
 
 #include "tracedescribe.h"
 
@@ -45,6 +46,8 @@
 
 template <typename T> auto structToJson(const T& value) -> json::value
 {
+    // A member that tracedescribe.h leaves out would be lost in a record, and the replay would differ.
+    static_assert(boost::pfr::tuple_size_v<T> == boost::mp11::mp_size<Members<T>>::value);
     auto object = json::object {};
     boost::mp11::mp_for_each<Members<T>>(
         [&](auto member) { object.emplace(member.name, toJson(value.*member.pointer)); });
