Give a later dispatcher run of one daemon other grant ids; ask for full demands by number 0

The dispatcher's own request for a full demand follows the protocol: Grants number 0, where it was an empty message of the next number, which entry routers do not heed.

--- a/src/libcamphorshunt/policyshard.h
+++ b/src/libcamphorshunt/policyshard.h
@@ -16,7 +16,7 @@
 namespace camphorshunt {
 
 /** The first grant id of a dispatcher's run: its upper half tells runs apart. */
-auto firstGrantId(const ShardSettings& settings) -> GrantId;
+auto firstGrantId(const ShardSettings& settings, Time started) -> GrantId;
 
 /** Slots of one shard that deferrable work may use: all but the reserved ones, at least one. */
 auto deferrableLimit(std::uint32_t slots, std::uint32_t reserved) -> std::uint32_t;
@@ -28,7 +28,6 @@
     explicit PolicyShard(const ShardSettings& settings, PolicyArguments&&... arguments)
         : settings_(settings)
         , policy_(settings.dispatch, settings.dispatcher, std::forward<PolicyArguments>(arguments)...)
-        , nextGrant_(firstGrantId(settings))
     {
     }
 
@@ -45,7 +44,7 @@
 
     auto apply(Time now, RouterId from, const Demand& demand) -> void override
     {
-        auto& known = ledger(from);
+        auto& known = ledger(now, from);
         if (known.lost && !demand.full)
             return;
         // A number beyond the last one is of an earlier duty: none of this one's grants were heeded.
@@ -72,7 +71,7 @@
 
     auto apply(Time now, RouterId from, const Ends& ends) -> void override
     {
-        auto& known = ledger(from);
+        auto& known = ledger(now, from);
         for (const auto& [grant, totalUnits] : ends.charges) {
             const auto found = known.slots().find(grant);
             if (found != known.slots().end())
@@ -120,11 +119,11 @@
 
     auto grant(Time now, Actions& actions) -> void override
     {
-        auto batches = absl::btree_map<RouterId, std::vector<Grant>> {};
         for (auto& [router, known] : ledgers_) {
             if (!known.lost && !std::exchange(known.greeted, true))
-                batches[router];
+                actions.emplace_back(SendPeer { router, Grants { settings_.shard, 0, {} } });
         }
+        auto batches = absl::btree_map<RouterId, std::vector<Grant>> {};
         while (const auto upstream = slots_.freest()) {
             const auto choice = policy_.choose(deferrableUsed_ < deferrableCap());
             if (!choice)
@@ -157,8 +156,10 @@
 private:
     using Slots = RouterLedger::Slots;
 
-    auto ledger(RouterId router) -> RouterLedger&
+    auto ledger(Time now, RouterId router) -> RouterLedger&
     {
+        if (ledgers_.empty())
+            nextGrant_ = firstGrantId(settings_, now);
         return ledgers_.try_emplace(router, router).first->second;
     }
 
--- a/src/libcamphorshunt/sharddispatcher.cpp
+++ b/src/libcamphorshunt/sharddispatcher.cpp
@@ -10,10 +10,11 @@
 
 namespace camphorshunt {
 
-auto firstGrantId(const ShardSettings& settings) -> GrantId
+auto firstGrantId(const ShardSettings& settings, Time started) -> GrantId
 {
     const auto parts = std::array { settings.dispatcher.value, settings.self.value, settings.seed,
-        settings.shard.service.value, std::uint64_t { settings.shard.index } };
+        settings.shard.service.value, std::uint64_t { settings.shard.index },
+        static_cast<std::uint64_t>(started.time_since_epoch().count()) };
     return GrantId { XXH64(parts.data(), sizeof(parts), 0) & ~std::uint64_t { 0xffff'ffff } };
 }
 
--- a/src/libcamphorshunt/sharddispatcher.h
+++ b/src/libcamphorshunt/sharddispatcher.h
@@ -60,12 +60,12 @@
  *   `connectionLost` before it gets the full demand of the next one. That demand releases all grants
  *   not in `held`: those up to `grantsSeen` have ended, the later ones were lost on the way. A full
  *   demand on a connection that stands leaves the later ones alone, as they are still on their way.
- * - `grantsSeen` is the number of the last Grants message of this dispatcher's run. An entry router that
- *   gets one whose number is not the last plus one is talking to a new run, and answers with a full
- *   demand. A dispatcher that hears from a router without a full demand sends an empty Grants message
- *   for this purpose.
- * - `HeldSlot::chargedUnits` is the greater of the estimate and the units streamed: this much was
- *   balanced by the dispatcher that granted the slot.
+ * - `grantsSeen` is the number of the last Grants message seen; a new dispatcher goes on from there.
+ *   Number 0 carries no grants and asks for a full demand; a dispatcher sends it once to a router that it
+ *   hears from without one.
+ * - Ends that wait while the connection is down go before the full demand, which would else release
+ *   their slots uncharged.
+ * - `HeldSlot::chargedUnits` are the units served so far; what follows is charged here.
  * - A grant id is never handed out twice; the end of a grant that is not outstanding is ignored and
  *   counted.
  */
