Let organisations take turns when a router admits on its own

They now take turns, interactive work first. The report gains each organisation's service over time, and a class of its own for the organisations that aren't backlogged.

--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -118,7 +118,7 @@
     for at in $(seq 5); do
         flood=""
         [ "$run-$at" != flood-1 ] || flood=',"fromMs":4000,"toMs":7000'
-        organisation "small$at" "\"rate\":$([ -n "$flood" ] && echo 400 || echo 3)$flood" interactive chat \
+        organisation "small$at" "\"rate\":$([ -n "$flood" ] && echo 400 || echo 3)$flood" small chat \
             "$usual" "$(entries "$at" 1 "$((at + 2))" 1)"
     done
     cat >"$out/$run.plan.json" <<PLAN
--- a/src/camphorshuntload/report.cpp
+++ b/src/camphorshuntload/report.cpp
@@ -19,7 +19,7 @@
 constexpr auto percent = 100.0;
 constexpr auto milli = 1000.0;
 constexpr auto gapsShown = std::size_t { 5 };
-/** Part of the greatest interval in which the slots that were lost are looked for. */
+/** Between two points of the series in a report. */
 constexpr auto seriesStep = std::chrono::milliseconds(200);
 
 struct Column {
@@ -39,6 +39,8 @@
     Column { "done/s", "donePerSecond", 0, true },
     Column { "refused", "refused", 0, false },
     Column { "failed", "failed", 0, false },
+    Column { "small p50ms", "smallP50Ms", 0, false },
+    Column { "small p99ms", "smallP99Ms", 0, false },
     Column { "i.p50ms", "interactiveP50Ms", 0, false },
     Column { "i.p99ms", "interactiveP99Ms", 0, false },
     Column { "d.p50ms", "deferrableP50Ms", 0, false },
@@ -140,6 +142,16 @@
     report["daemons"] = std::move(daemons);
 }
 
+/** Units served in each step. */
+auto serviceSeries(const ServiceSeries& series) -> json::array
+{
+    constexpr auto step = static_cast<std::size_t>(seriesStep / sampleInterval);
+    auto units = json::array {};
+    for (auto at = step; at < series.samples.size(); at += step)
+        units.push_back(series.samples[at].service - series.samples[at - step].service);
+    return units;
+}
+
 auto addOrganisations(const Plan& plan, const Measurements& measurements, json::object& report) -> void
 {
     auto organisations = json::array {};
@@ -147,7 +159,8 @@
         const auto& counts = measurements.counts(at);
         organisations.push_back({ { "name", plan.organisations[at].name }, { "sent", counts.sent },
             { "done", counts.done }, { "refused", counts.refused }, { "failed", counts.failed },
-            { "outputTokens", counts.outputTokens } });
+            { "outputTokens", counts.outputTokens },
+            { "service", serviceSeries(measurements.series()[at]) } });
     }
     report["organisations"] = std::move(organisations);
 }
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -129,6 +129,18 @@
         held_, [upstream](const auto& entry) { return entry.second.held.upstream == upstream; }));
 }
 
+/** Organisations take turns, interactive work first; the queue lists them by organisation. */
+auto EntryService::nextLocal() -> DemandEntry
+{
+    const auto waiting = queue_.all();
+    const auto rank = [this](const DemandEntry& entry) {
+        return std::pair(entry.requestClass, entry.organisation <= lastLocal_);
+    };
+    const auto next = *std::ranges::min_element(waiting, {}, rank);
+    lastLocal_ = next.organisation;
+    return next;
+}
+
 auto EntryService::admitLocally(Time now, std::vector<Assignment>& assignments) -> void
 {
     if (!document_ || queue_.empty())
@@ -143,8 +155,7 @@
 
         const auto fraction = std::max<std::size_t>(1, upstream.slots / std::max<std::size_t>(1, routers_));
         for (auto used = localInUse(upstream.id); used < fraction && !queue_.empty(); ++used) {
-            const auto waiting = queue_.all();
-            const auto& entry = *std::ranges::min_element(waiting, {}, &DemandEntry::requestClass);
+            const auto entry = nextLocal();
             const auto id
                 = GrantId { localGrantBit | ((incarnation_.value & 0x7fffffffU) << 32U) | ++localGrants_ };
             takeWaiting(assignments,
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -93,6 +93,7 @@
     auto flushShard(Time now, std::uint32_t shard, std::span<const DemandEntry> changes, Actions& actions)
         -> void;
     auto takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool;
+    auto nextLocal() -> DemandEntry;
     auto localInUse(UpstreamId upstream) const -> std::uint32_t;
 
     auto isReachable(RouterId router) const -> bool;
@@ -107,6 +108,8 @@
     absl::flat_hash_set<RouterId> peers_;
     std::size_t routers_ = 1;
     std::uint64_t localGrants_ {};
+    /** The organisation that this router let in last on its own. */
+    OrganisationId lastLocal_;
 };
 
 } // namespace camphorshunt
