Let a new dispatcher hear every live router before it grants

Cause: the new dispatcher knew neither the others' demand nor their slots in use, and handed all free slots to the first router that spoke.

A new dispatcher now waits until all live routers have told their demand, at most 300 ms.

--- a/src/libcamphorshunt/coreimpl.cpp
+++ b/src/libcamphorshunt/coreimpl.cpp
@@ -149,6 +149,7 @@
 auto CoreImpl::updateOwners(Time now) -> void
 {
     ownersStale_ = false;
+    duties_.setLive(membership_->live());
     for (auto& [id, entry] : flow_.entries()) {
         auto owners = std::vector<RouterId> {};
         for (auto shard = std::uint32_t {}; shard < entry.document()->dispatch.shards; ++shard)
--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -1,5 +1,7 @@
 #include "dutytable.h"
 
+#include <algorithm>
+
 namespace camphorshunt {
 
 namespace {
@@ -9,6 +11,12 @@
 /** A duty that another router owns is kept while entry routers still ask for it here. */
 constexpr auto strayDutyTime = Duration(3s);
 
+/**
+ * A new dispatcher waits no longer than this to hear from every live router. Until then it knows
+ * neither all that waits nor all slots in use, and would hand everything to the first that speaks.
+ */
+constexpr auto longestSettling = Duration(300ms);
+
 } // namespace
 
 DutyTable::DutyTable(RouterId self, Incarnation incarnation, std::uint64_t seed)
@@ -84,9 +92,17 @@
     auto& duty = duties_[shard];
     duty.dispatcher = std::move(dispatcher).value();
     duty.lastDemand = now;
+    duty.begunAt = now;
     return &duty;
 }
 
+auto DutyTable::isSettled(Time now, Duty& duty) const -> bool
+{
+    duty.settled = duty.settled || now - duty.begunAt >= longestSettling
+        || std::ranges::all_of(live_, [&](RouterId router) { return duty.known.contains(router); });
+    return duty.settled;
+}
+
 auto DutyTable::configure(Time now, const ShardId& shard, Duty& duty) -> void
 {
     auto& service = services_.at(shard.service);
@@ -233,6 +249,8 @@
     for (auto& [shard, duty] : duties_) {
         if (duty.dirty)
             configure(now, shard, duty);
+        if (!isSettled(now, duty))
+            continue;
         duty.dispatcher->grant(now, actions);
     }
 }
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -30,6 +30,8 @@
     DutyTable(RouterId self, Incarnation incarnation, std::uint64_t seed);
 
     auto setDocument(const std::shared_ptr<const Document>& document) -> void;
+    /** Routers from which a new dispatcher expects to hear. */
+    auto setLive(std::span<const RouterId> routers) -> void { live_.assign(routers.begin(), routers.end()); }
     /** Upstreams that the VM list marks as leaving, by name. */
     auto setLeaving(std::span<const std::string> names) -> void;
     /** Ends duties that belong to other routers and are no longer asked for. */
@@ -55,6 +57,9 @@
         Time lastDemand;
         /** Entry routers that have sent a full demand. */
         absl::flat_hash_set<RouterId> known;
+        Time begunAt;
+        /** False until every live router has told its demand, or has had time to. */
+        bool settled {};
         bool dirty = true;
     };
     auto duties() const -> const std::map<ShardId, Duty>& { return duties_; }
@@ -67,6 +72,7 @@
 
     auto takeDuty(Time now, const ShardId& shard, Actions& actions) -> Duty*;
     auto dropDuties(ServiceId service) -> void;
+    auto isSettled(Time now, Duty& duty) const -> bool;
     auto configure(Time now, const ShardId& shard, Duty& duty) -> void;
     auto pollLoads(Time now, Actions& actions) -> void;
     auto tellTotals(Time now, const std::function<RouterId(const ShardId&)>& owner, Actions& actions) -> void;
@@ -80,6 +86,7 @@
     /** Entry routers that are to send a full demand, since the dispatcher they knew is gone. */
     std::vector<std::pair<RouterId, ShardId>> asks_;
     std::vector<std::string> leaving_;
+    std::vector<RouterId> live_;
     Time nextPoll_ {};
 };
 
