Refuse at once what cannot start before its deadline; split admission off

A request whose organisation's queue moves too slowly waited until its deadline and was then refused. The pace at which the queue is served while backlogged gives an expected wait; beyond 1.5 times the time left it is refused at once as not run, with the time after which another try makes sense. Ruled out: an estimate from all slots and mean service time, which ignores shares.

Two unit tests of the estimator; the refusal itself has no process test yet.

--- a/src/libcamphorshunt/entryqueue.cpp
+++ b/src/libcamphorshunt/entryqueue.cpp
@@ -90,6 +90,12 @@
 
 auto EntryQueue::empty() const -> bool { return places_.empty(); }
 
+auto EntryQueue::waiting(OrganisationId organisation, RequestClass requestClass) const -> std::size_t
+{
+    const auto found = queues_.find(organisation);
+    return found == queues_.end() ? 0 : found->second.lines[static_cast<std::size_t>(requestClass)].size();
+}
+
 auto EntryQueue::takeChanges() -> std::vector<DemandEntry>
 {
     auto entries = std::vector<DemandEntry> {};
--- a/src/libcamphorshunt/entryqueue.h
+++ b/src/libcamphorshunt/entryqueue.h
@@ -51,6 +51,7 @@
     auto remove(RequestId request) -> bool;
     auto size() const -> std::size_t;
     auto empty() const -> bool;
+    auto waiting(OrganisationId organisation, RequestClass requestClass) const -> std::size_t;
 
     /** Entries that changed since the last call, absolute counts, in the order of first change. */
     auto takeChanges() -> std::vector<DemandEntry>;
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -85,12 +85,14 @@
     return shard < links_.size() ? &links_[shard] : nullptr;
 }
 
-auto EntryService::takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool
+auto EntryService::takeWaiting(Time now, std::vector<Assignment>& assignments, Slot slot) -> bool
 {
     const auto request = queue_.pop(slot.held.organisation, slot.held.requestClass);
     if (!request)
         return false;
     assignments.push_back({ *request, slot.held.grant, slot.held.upstream });
+    const auto& [grant, organisation, requestClass, upstream, units] = slot.held;
+    waits_.noteTaken(now, organisation, requestClass, queue_.waiting(organisation, requestClass));
     held_.insert_or_assign(slot.held.grant, slot);
     return true;
 }
@@ -118,11 +120,17 @@
     for (const auto& grant : grants.grants) {
         const auto held = HeldSlot { grant.id, grant.organisation, grant.requestClass, grant.upstream, 0.0 };
         if (!document_->upstream(grant.upstream)
-            || !takeWaiting(assignments, { grants.shard.index, held, 0.0, false }))
+            || !takeWaiting(now, assignments, { grants.shard.index, held, 0.0, false }))
             link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true, {} });
     }
 }
 
+auto EntryService::expectedWait(OrganisationId organisation, RequestClass requestClass) const
+    -> std::optional<Duration>
+{
+    return waits_.estimate(organisation, requestClass, queue_.waiting(organisation, requestClass));
+}
+
 auto EntryService::localInUse(UpstreamId upstream) const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(
@@ -158,7 +166,7 @@
             const auto entry = nextLocal();
             const auto id
                 = GrantId { localGrantBit | ((incarnation_.value & 0x7fffffffU) << 32U) | ++localGrants_ };
-            takeWaiting(assignments,
+            takeWaiting(now, assignments,
                 { shard, { id, entry.organisation, entry.requestClass, upstream.id, 0.0 }, 0.0, true });
         }
     }
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -17,6 +17,7 @@
 #include "camphorshunt/time.h"
 
 #include "entryqueue.h"
+#include "waitestimator.h"
 
 namespace camphorshunt {
 
@@ -48,6 +49,9 @@
 
     auto queue() -> EntryQueue& { return queue_; }
     auto queue() const -> const EntryQueue& { return queue_; }
+    /** How long a new request would wait; empty while the pace of its queue is not known. */
+    auto expectedWait(OrganisationId organisation, RequestClass requestClass) const
+        -> std::optional<Duration>;
     auto heldSlots() const -> std::size_t { return held_.size(); }
 
     /** Gives granted slots to waiting requests; the rest goes back unused. */
@@ -92,7 +96,7 @@
     auto returnStrays(std::uint32_t shard, Actions& actions) -> void;
     auto flushShard(Time now, std::uint32_t shard, std::span<const DemandEntry> changes, Actions& actions)
         -> void;
-    auto takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool;
+    auto takeWaiting(Time now, std::vector<Assignment>& assignments, Slot slot) -> bool;
     auto nextLocal() -> DemandEntry;
     auto localInUse(UpstreamId upstream) const -> std::uint32_t;
 
@@ -103,6 +107,7 @@
     Incarnation incarnation_;
     std::shared_ptr<const Document> document_;
     EntryQueue queue_;
+    WaitEstimator waits_;
     std::vector<Link> links_;
     absl::flat_hash_map<GrantId, Slot> held_;
     absl::flat_hash_set<RouterId> peers_;
--- /dev/null
+++ b/src/libcamphorshunt/requestadmission.cpp
@@ -0,0 +1,72 @@
+#include "requestadmission.h"
+
+#include <algorithm>
+
+namespace camphorshunt {
+
+namespace {
+
+/** Bytes of a body that make about one prompt token, when the caller gives no hint. */
+constexpr auto bytesPerToken = 4.0;
+
+/** Output tokens assumed when the caller gives no hint. */
+constexpr auto usualOutputTokens = 64.0;
+
+constexpr auto conflictStatus = std::uint16_t { 409 };
+constexpr auto unavailableStatus = std::uint16_t { 503 };
+
+auto estimateUnits(const Dispatch& dispatch, const RequestArrived& arrived) -> double
+{
+    const auto prompt = arrived.promptTokens != 0 ? arrived.promptTokens : arrived.bodyBytes / bytesPerToken;
+    const auto output = arrived.outputTokens != 0 ? arrived.outputTokens : usualOutputTokens;
+    return serviceUnits(dispatch, prompt, output);
+}
+
+} // namespace
+
+auto serviceUnits(const Dispatch& dispatch, double promptTokens, double outputTokens) -> double
+{
+    return dispatch.promptWeight * promptTokens + dispatch.outputWeight * outputTokens;
+}
+
+auto admitRequest(Time now, const RequestArrived& arrived, const std::shared_ptr<const Document>& document,
+    ActiveRequest& request) -> std::optional<Refusal>
+{
+    const auto* const organisation = document->organisationByKeyDigest(arrived.keyDigest);
+    if (!organisation)
+        return Refusal { 401, "unauthorised", {} };
+    const auto* const operation = document->operation(arrived.operation);
+    if (!operation)
+        return Refusal { 404, "unknown-operation", {} };
+
+    const auto& limits = document->limits;
+    const auto wished = arrived.deadline > Duration::zero() ? arrived.deadline : limits.defaultDeadline;
+    request.document = document;
+    request.organisation = organisation->id;
+    request.operation = *operation;
+    request.arrived = now;
+    request.deadline = now + std::min(wished, limits.longestDeadline);
+    request.estimatedUnits = estimateUnits(document->dispatch, arrived);
+    request.keyed = !operation->repeatable;
+    request.life = RequestLife(request.keyed);
+    return std::nullopt;
+}
+
+auto claimAnswer(RequestId request, ClaimRefusal refusal) -> AnswerCaller
+{
+    switch (refusal) {
+    case ClaimRefusal::Unavailable:
+        return { request, unavailableStatus, RequestOutcome::NotRun, "claims-unavailable", shortPause };
+    case ClaimRefusal::KeyFromFuture:
+        return { request, unavailableStatus, RequestOutcome::NotRun, "key-from-future", shortPause };
+    case ClaimRefusal::KeyTooOld:
+        return { request, conflictStatus, RequestOutcome::Unknown, "key-too-old", {} };
+    case ClaimRefusal::Running:
+        return { request, conflictStatus, RequestOutcome::Unknown, "key-running", {} };
+    case ClaimRefusal::Done:
+        return { request, conflictStatus, RequestOutcome::Done, "key-done", {} };
+    }
+    return { request, conflictStatus, RequestOutcome::Unknown, "key-unknown", {} };
+}
+
+} // namespace camphorshunt
--- a/src/libcamphorshunt/requestflow.cpp
+++ b/src/libcamphorshunt/requestflow.cpp
@@ -7,50 +7,14 @@
 
 namespace {
 
-constexpr auto shortPause = Duration(1s);
-constexpr auto longPause = Duration(5s);
-
-/** Bytes of a body that make about one prompt token, when the caller gives no hint. */
-constexpr auto bytesPerToken = 4.0;
-
-/** Output tokens assumed when the caller gives no hint. */
-constexpr auto usualOutputTokens = 64.0;
-
-auto estimateUnits(const Document& document, const RequestArrived& arrived) -> double
-{
-    const auto prompt = arrived.promptTokens != 0 ? arrived.promptTokens : arrived.bodyBytes / bytesPerToken;
-    const auto output = arrived.outputTokens != 0 ? arrived.outputTokens : usualOutputTokens;
-    return document.dispatch.promptWeight * prompt + document.dispatch.outputWeight * output;
-}
-
-auto servedUnits(const Document& document, std::uint32_t promptTokens, std::uint32_t outputTokens) -> double
-{
-    return document.dispatch.promptWeight * promptTokens + document.dispatch.outputWeight * outputTokens;
-}
+/** An estimated wait must exceed the time left by this factor before it speaks against a request. */
+constexpr auto waitMargin = 1.5;
 
 auto mayHaveRun(AttemptResult result) -> bool
 {
     return result != AttemptResult::NotSent && result != AttemptResult::Refused;
 }
 
-/** What a caller whose claim was not won is told. */
-auto claimAnswer(ClaimRefusal refusal) -> std::pair<RequestOutcome, std::string_view>
-{
-    switch (refusal) {
-    case ClaimRefusal::Unavailable:
-        return { RequestOutcome::NotRun, "claims-unavailable" };
-    case ClaimRefusal::KeyTooOld:
-        return { RequestOutcome::Unknown, "key-too-old" };
-    case ClaimRefusal::KeyFromFuture:
-        return { RequestOutcome::NotRun, "key-from-future" };
-    case ClaimRefusal::Running:
-        return { RequestOutcome::Unknown, "key-running" };
-    case ClaimRefusal::Done:
-        return { RequestOutcome::Done, "key-done" };
-    }
-    return { RequestOutcome::Unknown, "key-unknown" };
-}
-
 } // namespace
 
 RequestFlow::RequestFlow(RouterId self, Incarnation incarnation, ClaimsBook& claims, DutyTable& duties)
@@ -109,26 +73,20 @@
     if (found == entries_.end())
         return entries_.empty() ? Refusal { 503, "no-document", shortPause }
                                 : Refusal { 404, "unknown-service", {} };
+    if (const auto refusal = admitRequest(now, arrived, found->second.document(), request))
+        return refusal;
+    return checkWait(now, found->second, request);
+}
 
-    request.document = found->second.document();
-    const auto& document = *request.document;
-    const auto* const organisation = document.organisationByKeyDigest(arrived.keyDigest);
-    if (!organisation)
-        return Refusal { 401, "unauthorised", {} };
-    const auto* const operation = document.operation(arrived.operation);
-    if (!operation)
-        return Refusal { 404, "unknown-operation", {} };
-
-    const auto wished
-        = arrived.deadline > Duration::zero() ? arrived.deadline : document.limits.defaultDeadline;
-    request.organisation = organisation->id;
-    request.operation = *operation;
-    request.arrived = now;
-    request.deadline = now + std::min(wished, document.limits.longestDeadline);
-    request.estimatedUnits = estimateUnits(document, arrived);
-    request.keyed = !operation->repeatable;
-    request.life = RequestLife(request.keyed);
-    return std::nullopt;
+/** A request that cannot start before its deadline is better told at once. */
+auto RequestFlow::checkWait(Time now, const EntryService& entry, const ActiveRequest& request) const
+    -> std::optional<Refusal>
+{
+    const auto wait = entry.expectedWait(request.organisation, request.operation.requestClass);
+    const auto left = request.deadline - now;
+    if (!wait || std::chrono::duration<double>(*wait) < waitMargin * std::chrono::duration<double>(left))
+        return std::nullopt;
+    return Refusal { 503, "deadline-unreachable", std::max(shortPause, *wait - left) };
 }
 
 auto RequestFlow::startClaim(
@@ -180,12 +138,10 @@
     }
 
     // The claim is lost for good, so this request is not run, whatever became of its key.
-    const auto [outcome, reason] = claimAnswer(decision.refusal);
-    const auto status
-        = std::uint16_t { outcome == RequestOutcome::NotRun ? std::uint16_t { 503 } : std::uint16_t { 409 } };
-    const auto pause = outcome == RequestOutcome::NotRun ? shortPause : Duration::zero();
+    auto answer = claimAnswer(request->id, decision.refusal);
+    const auto outcome = answer.outcome;
     request->life.endNotRun();
-    actions.emplace_back(AnswerCaller { request->id, status, outcome, std::string(reason), pause });
+    actions.emplace_back(std::move(answer));
     note(*request, RequestStep::Ended, outcome, actions);
     requests_.erase(request->id);
 }
@@ -271,7 +227,7 @@
     if (!request || request->attempts != progress.attempt)
         return;
     entry(request->document->id)
-        ->charge(request->grant, servedUnits(*request->document, 0, progress.outputTokens));
+        ->charge(request->grant, serviceUnits(request->document->dispatch, 0, progress.outputTokens));
 }
 
 auto RequestFlow::handle(Time now, const AttemptEnded& ended, Actions& actions) -> void
@@ -282,7 +238,7 @@
 
     if (ended.leaving)
         duties_.noteLeaving(now, request->document->id, request->upstream);
-    const auto units = servedUnits(*request->document, ended.promptTokens, ended.outputTokens);
+    const auto units = serviceUnits(request->document->dispatch, ended.promptTokens, ended.outputTokens);
     entry(request->document->id)
         ->release(request->grant, units, ended.result == AttemptResult::NotSent, ended.result);
     request->eventsPassed = ended.eventsPassed;
--- a/src/libcamphorshunt/requestflow.h
+++ b/src/libcamphorshunt/requestflow.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,6 +21,7 @@
 #include "claimsbook.h"
 #include "dutytable.h"
 #include "entryservice.h"
+#include "requestadmission.h"
 #include "requestbook.h"
 #include "upstreamhealth.h"
 
@@ -52,14 +54,10 @@
     auto advance(Time now, Actions& actions) -> void;
 
 private:
-    struct Refusal {
-        std::uint16_t status {};
-        std::string_view reason;
-        Duration retryAfter {};
-    };
-
     auto admit(Time now, const RequestArrived& arrived, ActiveRequest& request) const
         -> std::optional<Refusal>;
+    auto checkWait(Time now, const EntryService& entry, const ActiveRequest& request) const
+        -> std::optional<Refusal>;
     auto startClaim(Time now, const RequestArrived& arrived, ActiveRequest& request, Actions& actions)
         -> bool;
     auto applyClaim(Time now, const ClaimDecision& decision, Actions& actions) -> void;
--- a/tests/unit/localadmissiontest.cpp
+++ b/tests/unit/localadmissiontest.cpp
@@ -35,7 +35,7 @@
         entry.admitLocally(now, assignments);
         for (const auto& assignment : assignments) {
             ++served[owners.at(assignment.request)];
-            entry.release(assignment.grant, 10.0, false);
+            entry.release(assignment.grant, 10.0, false, AttemptResult::Complete);
         }
     }
     CHECK(served[0] == 6);
--- /dev/null
+++ b/tests/unit/waitestimatortest.cpp
@@ -0,0 +1,36 @@
+#include "waitestimator.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+
+namespace {
+
+constexpr auto organisation = OrganisationId { 7 };
+constexpr auto interactive = RequestClass::Interactive;
+
+/** Takes requests each 100 ms, with `left` behind each. */
+auto servedEvery100Ms(int count, std::size_t left) -> WaitEstimator
+{
+    auto estimator = WaitEstimator {};
+    for (auto index = 0; index < count; ++index)
+        estimator.noteTaken(Time(Duration(100ms) * index), organisation, interactive, left);
+    return estimator;
+}
+
+} // namespace
+
+TEST_CASE("A wait is estimated from the pace of a backlogged queue")
+{
+    const auto estimator = servedEvery100Ms(20, 5);
+    const auto wait = estimator.estimate(organisation, interactive, 50);
+    REQUIRE(wait.has_value());
+    CHECK(*wait == Duration(5s));
+    CHECK_FALSE(estimator.estimate(organisation, RequestClass::Deferrable, 50).has_value());
+}
+
+TEST_CASE("A queue that ran empty between requests says nothing of a wait")
+{
+    CHECK_FALSE(servedEvery100Ms(20, 0).estimate(organisation, interactive, 50).has_value());
+    CHECK_FALSE(servedEvery100Ms(5, 5).estimate(organisation, interactive, 50).has_value());
+}
