Tell growth of a known backlog at most every 40 ms

An entry router told its dispatcher each arrival and each request taken, within 5 ms, though neither changes a decision while more of the same organisation and class waits. New backlog is still told at once, and the ends of slots are not held back.

--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -13,6 +13,9 @@
 /** A dispatcher that asks for all again, since it lacks the document so far, is told no sooner. */
 constexpr auto resyncPause = Duration(100ms);
 
+/** A change of demand that the dispatcher can do without, as more of the same waits, is told no sooner. */
+constexpr auto demandSpacing = Duration(40ms);
+
 /** Streamed units are reported once they exceed the last report by this much. */
 constexpr auto chargeStep = 64.0;
 
@@ -90,6 +93,9 @@
     const auto request = queue_.pop(slot.held.organisation, slot.held.requestClass);
     if (!request)
         return false;
+    if (const auto told = told_.find({ slot.held.organisation, slot.held.requestClass });
+        told != told_.end() && told->second > 0)
+        --told->second;
     assignments.push_back({ *request, slot.held.grant, slot.held.upstream });
     held_.insert_or_assign(slot.held.grant, slot);
     return true;
@@ -242,9 +248,34 @@
     link.charges.clear();
 }
 
+auto EntryService::takeDemand(Time now) -> std::vector<DemandEntry>
+{
+    for (const auto& entry : queue_.takeChanges())
+        untold_.insert_or_assign({ entry.organisation, entry.requestClass }, entry);
+    const auto unknown = [this](const auto& change) {
+        const auto found = told_.find(change.first);
+        return change.second.waiting > 0 && (found == told_.end() || found->second == 0);
+    };
+    const auto due = !demandToldAt_ || now - *demandToldAt_ >= demandSpacing || ownsEveryShard();
+    auto changes = std::vector<DemandEntry> {};
+    if (!due && std::ranges::none_of(untold_, unknown))
+        return changes;
+
+    for (const auto& [key, entry] : untold_) {
+        changes.push_back(entry);
+        told_[key] = entry.waiting;
+        if (entry.waiting == 0)
+            told_.erase(key);
+    }
+    untold_.clear();
+    if (!changes.empty())
+        demandToldAt_ = now;
+    return changes;
+}
+
 auto EntryService::flush(Time now, Actions& actions) -> void
 {
-    const auto changes = queue_.takeChanges();
+    const auto changes = takeDemand(now);
     for (auto shard = std::uint32_t {}; shard < links_.size(); ++shard)
         flushShard(now, shard, changes, actions);
 }
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
@@ -87,6 +88,8 @@
     };
 
     static auto resync(Time now, Link& link) -> void;
+    /** Changes of demand that are to be told now; none while they may wait for more. */
+    auto takeDemand(Time now) -> std::vector<DemandEntry>;
     auto linkOf(std::uint32_t shard) -> Link*;
     auto fullDemand(std::uint32_t shard) const -> Demand;
     auto returnStrays(std::uint32_t shard, Actions& actions) -> void;
@@ -103,6 +106,13 @@
     Incarnation incarnation_;
     std::shared_ptr<const Document> document_;
     EntryQueue queue_;
+    using DemandKey = std::pair<OrganisationId, RequestClass>;
+
+    /** Changes that the dispatchers have not been told. */
+    absl::btree_map<DemandKey, DemandEntry> untold_;
+    /** Counts that they were told, less the requests taken since. */
+    absl::flat_hash_map<DemandKey, std::uint32_t> told_;
+    std::optional<Time> demandToldAt_;
     std::vector<Link> links_;
     absl::flat_hash_map<GrantId, Slot> held_;
     absl::flat_hash_set<RouterId> peers_;
