--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -13,7 +13,7 @@
 engines=8
 slots=8
 token_ms=10
-quantum=200
+quantum=${QUANTUM:-200}
 
 cmake --preset release >/dev/null
 cmake --build --preset release -j3 --target camphorshuntd camphorshuntctl camphorshuntload standins >/dev/null
