--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -50,15 +50,20 @@
 auto DutyTable::dropDuties(ServiceId service) -> void
 {
     std::erase_if(duties_, [&](const auto& entry) {
-        const auto& [shard, duty] = entry;
-        if (shard.service != service)
+        if (entry.first.service != service)
             return false;
-        for (const auto router : duty.known)
-            asks_.emplace_back(router, shard);
+        askAnew(entry.first, entry.second);
         return true;
     });
 }
 
+/** Routers that spoke to a duty that ends would go on sending changes only. */
+auto DutyTable::askAnew(const ShardId& shard, const Duty& duty) -> void
+{
+    for (const auto router : duty.known)
+        asks_.emplace_back(router, shard);
+}
+
 auto DutyTable::setLeaving(std::span<const std::string> names) -> void
 {
     leaving_.assign(names.begin(), names.end());
@@ -235,6 +240,7 @@
             actions.emplace_back(WriteLog { LogLevel::Info, "duty-ended",
                 { { "service", services_.at(entry.first.service).document->service },
                     { "shard", std::to_string(entry.first.index) } } });
+            askAnew(entry.first, entry.second);
         }
         return stray;
     });
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -71,6 +71,7 @@
 
     auto takeDuty(Time now, const ShardId& shard, Actions& actions) -> Duty*;
     auto dropDuties(ServiceId service) -> void;
+    auto askAnew(const ShardId& shard, const Duty& duty) -> void;
     auto isSettled(Time now, Duty& duty) const -> bool;
     auto configure(Time now, const ShardId& shard, Duty& duty) -> void;
     auto pollLoads(Time now, Actions& actions) -> void;
--- a/tests/unit/dispatchsynctest.cpp
+++ b/tests/unit/dispatchsynctest.cpp
@@ -131,3 +131,25 @@
     pair.entry.setOwners(pair.now, std::vector<RouterId> { dispatcher });
     CHECK(pair.serve(20));
 }
+
+TEST_CASE("a router whose work waits at a dispatcher that ends a stray duty is asked for its demand")
+{
+    auto pair = Pair {};
+    pair.entry.peerConnected(pair.now, dispatcher, true);
+    pair.setDocuments(documentWith("fair", 1));
+    for (auto count = 0; count < 5; ++count)
+        pair.push();
+    auto assignments = std::vector<Assignment> {};
+    for (auto round = 0; round < 10; ++round)
+        pair.step(assignments);
+    REQUIRE(assignments.size() == 4);
+
+    pair.now += 10s;
+    auto actions = Actions {};
+    pair.duties.tick(
+        pair.now, [](const ShardId&) { return RouterId { 3 }; }, actions);
+    REQUIRE(pair.duties.duties().empty());
+    pair.step(assignments);
+    pair.step(assignments);
+    CHECK(pair.duties.duties().contains({ service, 0 }));
+}
