Send ends before a full demand; number each duty's run; check the properties

Ends that waited for a new connection went out after the full demand, which had released their slots without a charge, so that the last units of those requests were never counted; they now go first. A regained duty told other shards the same run as the former, whose totals they would have taken for its own.

rc::check only returns its verdict: three properties ignored it and could not fail.

--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -84,7 +84,8 @@
         return nullptr;
 
     const auto& document = *service->second.document;
-    const auto settings = ShardSettings { shard, incarnation_, self_, document.dispatch, seed_ };
+    const auto run = Incarnation { incarnation_.value + runs_++ };
+    const auto settings = ShardSettings { shard, run, self_, document.dispatch, seed_ };
     auto dispatcher = ShardDispatcher::create(document.dispatch.policy, settings);
     if (!dispatcher) {
         actions.emplace_back(WriteLog { LogLevel::Error, "policy-unknown",
@@ -96,6 +97,7 @@
         { { "service", document.service }, { "shard", std::to_string(shard.index) } } });
     auto& duty = duties_[shard];
     duty.dispatcher = std::move(dispatcher).value();
+    duty.run = run;
     duty.lastDemand = now;
     duty.begunAt = now;
     return &duty;
@@ -227,7 +229,7 @@
         for (auto other = std::uint32_t {}; other < shards; ++other) {
             if (other != shard.index)
                 actions.emplace_back(
-                    SendPeer { owner({ shard.service, other }), Totals { shard, incarnation_, totals } });
+                    SendPeer { owner({ shard.service, other }), Totals { shard, duty.run, totals } });
         }
     }
 }
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -53,6 +53,8 @@
 
     struct Duty {
         std::unique_ptr<ShardDispatcher> dispatcher;
+        /** Rises with each duty taken, so that other shards tell a regained duty from the former. */
+        Incarnation run;
         Time lastDemand;
         /** Entry routers that have sent a full demand. */
         absl::flat_hash_set<RouterId> known;
@@ -80,6 +82,7 @@
     RouterId self_;
     Incarnation incarnation_;
     std::uint64_t seed_;
+    std::uint64_t runs_ {};
     absl::flat_hash_map<ServiceId, Service> services_;
     absl::flat_hash_map<UpstreamId, ServiceId> serviceOfUpstream_;
     std::map<ShardId, Duty> duties_;
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -237,11 +237,17 @@
     if (!isReachable(link.owner))
         return;
 
+    // Before a full demand, which would release the ended slots without their charge.
+    if (!link.ends.empty() || !link.charges.empty()) {
+        auto ends
+            = Ends { { service_, shard }, std::exchange(link.ends, {}), std::exchange(link.charges, {}) };
+        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
+    }
+
     if (!link.synced) {
         if (link.syncedAt && now - *link.syncedAt < resyncPause)
             return;
         link.syncedAt = now;
-        // Ended slots are simply absent from a full demand; their service was charged by the old one.
         link.synced = true;
         actions.emplace_back(SendPeer { link.owner, fullDemand(shard) });
     } else if (!changes.empty()) {
@@ -249,13 +255,6 @@
         demand.entries.assign(changes.begin(), changes.end());
         actions.emplace_back(SendPeer { link.owner, std::move(demand) });
     }
-
-    if (!link.ends.empty() || !link.charges.empty()) {
-        auto ends = Ends { { service_, shard }, std::move(link.ends), std::move(link.charges) };
-        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
-    }
-    link.ends.clear();
-    link.charges.clear();
 }
 
 auto EntryService::takeDemand(Time now) -> std::vector<DemandEntry>
--- a/tests/unit/daemonupstreamtest.cpp
+++ b/tests/unit/daemonupstreamtest.cpp
@@ -36,7 +36,7 @@
 TEST_CASE("However an event stream is cut into reads, whole events pass and nothing else")
 {
     const auto engine = kindNamed("model-engine");
-    rc::check("each read passes whole events", [&] {
+    CHECK(rc::check("each read passes whole events", [&] {
         auto reader = engine->reader(0);
         auto passed = std::string {};
         for (auto begin = std::size_t {}; begin < stream.size();) {
@@ -52,7 +52,7 @@
         RC_ASSERT(reader->eventsPassed() == 2U);
         RC_ASSERT(reader->promptTokens() == 5U);
         RC_ASSERT(reader->outputTokens() == 2U);
-    });
+    }));
 }
 
 TEST_CASE("A stream that skips or repeats an event is malformed and passes no more")
--- a/tests/unit/loadtest.cpp
+++ b/tests/unit/loadtest.cpp
@@ -58,7 +58,7 @@
 
 TEST_CASE("the gap of one pass equals that over all windows")
 {
-    rc::check([](const std::vector<std::tuple<std::uint8_t, std::uint8_t, bool>>& steps) {
+    CHECK(rc::check([](const std::vector<std::tuple<std::uint8_t, std::uint8_t, bool>>& steps) {
         auto first = ServiceSeries { "a", 1.0, { {} } };
         auto second = ServiceSeries { "b", 1.0, { {} } };
         for (const auto& [one, two, both] : steps) {
@@ -75,7 +75,7 @@
         }
         const auto gaps = fairnessGaps(std::vector { first, second });
         RC_ASSERT((gaps.empty() ? 0.0 : gaps[0].units) == worst);
-    });
+    }));
 }
 
 TEST_CASE("a plan is read with comments and its errors name the field")
--- a/tests/unit/ringtest.cpp
+++ b/tests/unit/ringtest.cpp
@@ -56,7 +56,7 @@
 
 TEST_CASE("A ring loses and reorders nothing between two threads")
 {
-    rc::check("every pushed item comes in order", [] {
+    CHECK(rc::check("every pushed item comes in order", [] {
         const auto count = *rc::gen::inRange(0, 2000);
         const auto capacity = *rc::gen::inRange<std::size_t>(2, 16);
         auto producer = boost::asio::io_context {};
@@ -84,5 +84,5 @@
         auto wanted = std::vector<int>(static_cast<std::size_t>(count) + 1);
         std::iota(wanted.begin(), wanted.end(), 0);
         RC_ASSERT(taken == wanted);
-    });
+    }));
 }
