Tell the other shards of work when it is handed out

A shard's totals now hold the advance for each running request, corrected when it ends; they still only rise.

--- a/include/camphorshunt/peermessage.h
+++ b/include/camphorshunt/peermessage.h
@@ -84,7 +84,7 @@
 
 struct ServiceTotal {
     OrganisationId organisation;
-    /** Units served by the sending shard since its dispatcher took over, absolute. */
+    /** Units served or advanced by the sending shard since its dispatcher took over; only rises. */
     double units {};
 };
 
--- a/src/libcamphorshunt/fairshares.cpp
+++ b/src/libcamphorshunt/fairshares.cpp
@@ -83,16 +83,27 @@
     relist(server);
 
     server.servedUnits += units;
-    if (!sharded_ || server.reportDue || server.servedUnits - server.reportedUnits < quantum_)
+    noteTotal(server);
+}
+
+/**
+ * The other shards are told of work when it is handed out. Were they told of what is served alone, all
+ * shards would turn to the same organisation at once, until its work shows.
+ */
+auto FairShares::noteTotal(Account& account) -> void
+{
+    const auto total = account.servedUnits + account.advancedUnits;
+    if (!sharded_ || account.reportDue || total - account.reportedUnits < quantum_)
         return;
-    server.reportDue = true;
-    reportsDue_.push_back(server.id);
+    account.reportDue = true;
+    reportsDue_.push_back(account.id);
 }
 
 auto FairShares::ended(const DemandKey& key, double servedUnits) -> void
 {
     auto& server = account(key.organisation);
     assert(server.running > 0);
+    server.advancedUnits -= server.advancedUnits / server.running;
     --server.running;
     relist(server);
     if (servedUnits <= 0)
@@ -124,8 +135,10 @@
     for (const auto organisation : reportsDue_) {
         auto& reported = account(organisation);
         reported.reportDue = false;
-        reported.reportedUnits = reported.servedUnits;
-        totals.push_back(ServiceTotal { organisation, reported.servedUnits });
+        // A request that ended below its advance makes the sum fall; totals only rise.
+        const auto total = reported.servedUnits + reported.advancedUnits;
+        reported.reportedUnits = std::max(reported.reportedUnits, total);
+        totals.push_back(ServiceTotal { organisation, reported.reportedUnits });
     }
     reportsDue_.clear();
     return totals;
@@ -219,6 +232,8 @@
         queue.routers.erase(next);
 
     ++account.running;
+    account.advancedUnits += advance_;
+    noteTotal(account);
     relist(account);
     reline(account);
     const auto requestClass = line == kInteractive ? RequestClass::Interactive : RequestClass::Deferrable;
--- a/src/libcamphorshunt/fairshares.h
+++ b/src/libcamphorshunt/fairshares.h
@@ -58,8 +58,9 @@
         std::optional<std::size_t> line;
         double listed {};
         std::array<ClassQueue, 2> queues;
-        /** Units served by this shard, and how many of them the other shards know. */
+        /** Units served by this shard, advances for what runs, and how much of both the other shards know. */
         double servedUnits {};
+        double advancedUnits {};
         double reportedUnits {};
         bool reportDue {};
     };
@@ -75,6 +76,7 @@
     auto lift(std::size_t line) const -> double { return line == 0 ? 0.0 : deferrableLift_; }
     auto liftDeferrable(double level) -> void;
     auto take(Account& account, std::size_t line) -> DemandKey;
+    auto noteTotal(Account& account) -> void;
     auto learnCost(double units) -> void;
     auto setAdvance(double units) -> void;
     auto rebase() -> void;
