Measure and trace requests from the caller's connection on

The telemetry thread knew steps alone: no service, no reason, no times, and nothing of what the callers thread refuses. It now hears from the callers thread when a request opens, sends its first byte and closes, and from the scheduler when each step and attempt happened.

RequestMetrics: requests by service and outcome, refusals by reason, queue wait and time to first byte in seconds, attempts by result, retries, claims, grants, members alive, document versions; ring depths and dropped spans beside them. A service is a label only once the core has found it, and no organisation is one. GET /metrics now asks the scheduler for the status, as GET /status does.

RequestSpans: OpenTracing spans caller, claim, queue and upstream with W3C ids, written as JSON lines to the settings' trace.file by a thread of its own whose queue and file are bounded; what does not fit is counted. The caller's traceparent goes on with the upstream span as parent; a caller without one gets a new trace. Ids of zero are refused as the standard asks. Refusals are logged with request id, service and reason.

One settings test lists the allowed fields; trace is one more in that list, the test is as strict as before.

--- a/include/camphorshunt/ring.h
+++ b/include/camphorshunt/ring.h
@@ -57,6 +57,7 @@
     /** Control: always taken. Producer's thread. */
     auto push(T item) -> void
     {
+        depth_.fetch_add(1, std::memory_order_relaxed);
         overflow_.push_back(std::make_unique<T>(std::move(item)));
         moveOverflow();
     }
@@ -64,6 +65,9 @@
     /** True while messages wait beside the full ring. Producer's thread. */
     auto overflowing() const -> bool { return !overflow_.empty(); }
 
+    /** Items that wait, those beside the full ring too. Any thread. */
+    auto depth() const -> std::size_t { return depth_.load(std::memory_order_relaxed); }
+
 private:
     auto moveOverflow() -> void
     {
@@ -89,6 +93,7 @@
         auto* item = static_cast<T*>(nullptr);
         while (queue_.pop(item)) {
             const auto owned = std::unique_ptr<T>(item);
+            depth_.fetch_sub(1, std::memory_order_relaxed);
             handler_(std::move(*owned));
         }
         if (wantsFlush_.exchange(false))
@@ -109,6 +114,7 @@
     std::size_t reserve_;
     boost::lockfree::spsc_queue<T*> queue_;
     std::deque<std::unique_ptr<T>> overflow_;
+    std::atomic<std::size_t> depth_ = 0;
     std::atomic<bool> woken_ = false;
     std::atomic<bool> wantsFlush_ = false;
     std::function<void(T)> handler_;
--- a/src/camphorshuntd/callerrequest.cpp
+++ b/src/camphorshuntd/callerrequest.cpp
@@ -11,6 +11,8 @@
 #include <boost/json/serialize.hpp>
 #include <openssl/evp.h>
 
+#include "traceparent.h"
+
 namespace camphorshunt {
 
 namespace {
@@ -89,15 +91,6 @@
     return text;
 }
 
-/** Version 00 of W3C Trace Context; others are not passed on. */
-auto isTraceparent(std::string_view text) -> bool
-{
-    constexpr auto form = std::string_view("00-xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx-xxxxxxxxxxxxxxxx-xx");
-    return std::ranges::equal(text, form, [](char given, char wanted) {
-        return wanted == 'x' ? hexDigits.find(given) != std::string_view::npos : given == wanted;
-    });
-}
-
 } // namespace
 
 auto readCallerRequest(RequestId id, net::HttpRequest& request) -> std::variant<CallerRequest, CallerRefusal>
--- a/src/camphorshuntd/callers.cpp
+++ b/src/camphorshuntd/callers.cpp
@@ -1,13 +1,17 @@
 #include "callers.h"
 
 #include "callerrequest.h"
+#include "traceparent.h"
 
 namespace camphorshunt {
 
 namespace {
 
+constexpr auto callerGoneOutcome = std::string_view("caller-gone");
 constexpr auto jsonType = std::string_view("application/json");
 
+auto now() -> Time { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
+
 auto refuse(net::HttpExchange& exchange, RequestId id, std::uint16_t status, std::string_view outcome,
     std::string_view reason, Duration retryAfter) -> void
 {
@@ -55,12 +59,18 @@
     auto read = readCallerRequest(id, request);
     if (const auto* const refusal = std::get_if<CallerRefusal>(&read)) {
         refuse(*exchange, id, refusal->status, "not-run", refusal->reason, {});
+        noteClosed(id, "not-run", refusal->reason);
         return;
     }
 
     auto& accepted = std::get<CallerRequest>(read);
+    if (accepted.body.traceparent.empty())
+        accepted.body.traceparent = makeTraceparent(random_(), random_(), id);
+    rings_.toTelemetry.tryPush(
+        RequestOpened { id, accepted.arrived.service, accepted.body.traceparent, now() });
     if (!enqueue(id, std::move(accepted.body), std::move(accepted.arrived))) {
         refuse(*exchange, id, 503, "not-run", "overloaded", 1s);
+        noteClosed(id, "not-run", "overloaded");
         return;
     }
     entries_.emplace(id, Entry { exchange });
@@ -82,12 +92,18 @@
 {
     if (!entries_.contains(id))
         return;
-    forget(id);
+    forget(id, callerGoneOutcome, {});
     rings_.toScheduler.push(CallerGone { id });
 }
 
-auto Callers::forget(RequestId id) -> void
+auto Callers::noteClosed(RequestId id, std::string_view outcome, std::string_view reason) -> void
+{
+    rings_.toTelemetry.push(RequestClosed { id, std::string(outcome), std::string(reason), now() });
+}
+
+auto Callers::forget(RequestId id, std::string_view outcome, std::string_view reason) -> void
 {
+    noteClosed(id, outcome, reason);
     entries_.erase(id);
     rings_.toUpstreams.push(DropBody { id });
 }
@@ -98,7 +114,7 @@
     if (found == entries_.end())
         return;
     const auto entry = found->second;
-    forget(answer.request);
+    forget(answer.request, outcomeName(answer.outcome), answer.reason);
     if (entry.streaming)
         entry.exchange->abort();
     else if (!entry.answered)
@@ -112,7 +128,7 @@
     if (found == entries_.end())
         return;
     const auto entry = found->second;
-    forget(finish.request);
+    forget(finish.request, outcomeName(finish.outcome), finish.reason);
     if (entry.answered)
         return;
     if (!entry.streaming)
@@ -130,6 +146,7 @@
         return;
     auto& entry = found->second;
     entry.streaming = true;
+    rings_.toTelemetry.tryPush(FirstByteSent { head.request, now() });
     entry.exchange->beginStream(head.status, answerHeaders(head.request, "running", head.contentType));
     entry.exchange->onWritten([this, id = head.request](std::size_t bytes) {
         if (entries_.contains(id))
@@ -150,6 +167,7 @@
     if (found == entries_.end())
         return;
     found->second.answered = true;
+    rings_.toTelemetry.tryPush(FirstByteSent { whole.request, now() });
     found->second.exchange->respond(whole.status,
         answerHeaders(whole.request, outcomeName(whole.outcome), whole.contentType), std::move(whole.body));
 }
--- a/src/camphorshuntd/callers.h
+++ b/src/camphorshuntd/callers.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <random>
+#include <string_view>
 #include <unordered_map>
 
 #include "camphorshunt/result.h"
@@ -19,6 +21,7 @@
         Ring<CallersToUpstreams>& toUpstreams;
         Ring<SchedulerToCallers>& fromScheduler;
         Ring<UpstreamsToCallers>& fromUpstreams;
+        Ring<CallersToTelemetry>& toTelemetry;
     };
 
     struct Settings {
@@ -51,7 +54,8 @@
     auto take(net::HttpRequest request, const std::shared_ptr<net::HttpExchange>& exchange) -> void;
     auto enqueue(RequestId id, NewBody body, RequestArrived arrived) -> bool;
     auto callerGone(RequestId id) -> void;
-    auto forget(RequestId id) -> void;
+    auto forget(RequestId id, std::string_view outcome, std::string_view reason) -> void;
+    auto noteClosed(RequestId id, std::string_view outcome, std::string_view reason) -> void;
 
     auto handle(const AnswerCaller& answer) -> void;
     auto handle(const FinishCaller& finish) -> void;
@@ -61,6 +65,8 @@
 
     Rings rings_;
     std::uint64_t nextRequest_;
+    /** Source of trace ids for callers that bring none. */
+    std::mt19937_64 random_ { std::random_device {}() };
     std::unordered_map<RequestId, Entry> entries_;
     std::unique_ptr<net::HttpServer> server_;
 };
--- a/src/camphorshuntd/daemon.cpp
+++ b/src/camphorshuntd/daemon.cpp
@@ -62,6 +62,7 @@
     , schedulerToPeers_(schedulerThread_.context(), peersThread_.context(), ringPlaces, ringReserve)
     , schedulerToPlatform_(schedulerThread_.context(), platformThread_.context(), ringPlaces, ringReserve)
     , schedulerToTelemetry_(schedulerThread_.context(), telemetryThread_.context(), ringPlaces, ringReserve)
+    , callersToTelemetry_(callersThread_.context(), telemetryThread_.context(), ringPlaces, ringReserve)
     , finishTimer_(mainContext_)
 {
 }
@@ -86,10 +87,11 @@
     BOOST_OUTCOME_TRY(callers_,
         Callers::listen(callersThread_.context(),
             { settings.callersListen, settings.callersLimits, firstRequest },
-            { callersToScheduler_, callersToUpstreams_, schedulerToCallers_, upstreamsToCallers_ }));
+            { callersToScheduler_, callersToUpstreams_, schedulerToCallers_, upstreamsToCallers_,
+                callersToTelemetry_ }));
     BOOST_OUTCOME_TRY(telemetry_,
-        Telemetry::listen(
-            telemetryThread_.context(), settings.adminListen, telemetryToScheduler_, schedulerToTelemetry_));
+        Telemetry::listen(telemetryThread_.context(), settings.adminListen, telemetryToScheduler_,
+            schedulerToTelemetry_, callersToTelemetry_));
     BOOST_OUTCOME_TRY(peers_,
         Peers::listen(peersThread_.context(),
             { settings.name, own.incarnation, settings.peersListen, settings.sharedKey }, peersToScheduler_,
@@ -101,8 +103,7 @@
         Platform::Settings { settings.platformLog, settings.platformVms, own.seed }, platformToScheduler_,
         schedulerToPlatform_);
 
-    telemetry_->add(std::make_unique<ProcessMetrics>(ProcessMetrics::Sources {
-        [this] { return peers_->traffic(); }, [this] { return platform_->appends(); } }));
+    BOOST_OUTCOME_TRYV(openTelemetry(settings));
 
     auto recorder = std::unique_ptr<Recorder> {};
     if (!settings.recordFile.empty()) {
@@ -118,6 +119,36 @@
     return boost::outcome_v2::success();
 }
 
+auto Daemon::openTelemetry(const Settings& settings) -> Result<void>
+{
+    telemetry_->add(
+        std::make_unique<ProcessMetrics>(ProcessMetrics::Sources { [this] { return peers_->traffic(); },
+            [this] { return platform_->appends(); }, [this] { return ringDepths(); },
+            [this] { return spanFile_ ? spanFile_->dropped() : std::uint64_t {}; } }));
+    if (settings.traceFile.empty())
+        return boost::outcome_v2::success();
+    BOOST_OUTCOME_TRY(spanFile_, SpanFile::create(settings.traceFile, settings.traceLimitBytes));
+    telemetry_->trace(std::make_unique<RequestSpans>(
+        [file = spanFile_.get()](std::string line) { file->write(std::move(line)); }));
+    return boost::outcome_v2::success();
+}
+
+auto Daemon::ringDepths() const -> std::vector<std::pair<std::string, std::size_t>>
+{
+    return { { "callers-scheduler", callersToScheduler_.depth() },
+        { "upstreams-scheduler", upstreamsToScheduler_.depth() },
+        { "peers-scheduler", peersToScheduler_.depth() },
+        { "platform-scheduler", platformToScheduler_.depth() },
+        { "callers-upstreams", callersToUpstreams_.depth() },
+        { "upstreams-callers", upstreamsToCallers_.depth() },
+        { "scheduler-callers", schedulerToCallers_.depth() },
+        { "scheduler-upstreams", schedulerToUpstreams_.depth() },
+        { "scheduler-peers", schedulerToPeers_.depth() },
+        { "scheduler-platform", schedulerToPlatform_.depth() },
+        { "scheduler-telemetry", schedulerToTelemetry_.depth() },
+        { "callers-telemetry", callersToTelemetry_.depth() } };
+}
+
 auto Daemon::endpointsText() const -> std::string
 {
     return "callers=" + callers_->endpoint().text() + " admin=" + telemetry_->endpoint().text()
--- a/src/camphorshuntd/daemon.h
+++ b/src/camphorshuntd/daemon.h
@@ -14,6 +14,7 @@
 #include "platform.h"
 #include "scheduler.h"
 #include "settings.h"
+#include "spanfile.h"
 #include "telemetry.h"
 #include "upstreams.h"
 #include "worker.h"
@@ -40,6 +41,8 @@
     Daemon();
 
     auto open(const Settings& settings) -> Result<void>;
+    auto openTelemetry(const Settings& settings) -> Result<void>;
+    auto ringDepths() const -> std::vector<std::pair<std::string, std::size_t>>;
     auto startThreads() -> void;
     auto stopThreads() -> void;
     auto finishAnswers() -> void;
@@ -65,12 +68,14 @@
     Ring<SchedulerToPeers> schedulerToPeers_;
     Ring<SchedulerToPlatform> schedulerToPlatform_;
     Ring<SchedulerToTelemetry> schedulerToTelemetry_;
+    Ring<CallersToTelemetry> callersToTelemetry_;
 
     std::unique_ptr<Callers> callers_;
     std::unique_ptr<Scheduler> scheduler_;
     std::unique_ptr<Upstreams> upstreams_;
     std::unique_ptr<Peers> peers_;
     std::unique_ptr<Platform> platform_;
+    std::unique_ptr<SpanFile> spanFile_;
     std::unique_ptr<Telemetry> telemetry_;
 
     boost::asio::steady_timer finishTimer_;
--- a/src/camphorshuntd/messages.h
+++ b/src/camphorshuntd/messages.h
@@ -62,13 +62,51 @@
     std::string text;
 };
 
+/** A caller's request was taken. */
+struct RequestOpened {
+    RequestId request;
+    /** As the caller wrote it; not yet known to be a service. */
+    std::string service;
+    std::string traceparent;
+    Time at;
+};
+
+/** The first byte of an answer leaves for the caller. */
+struct FirstByteSent {
+    RequestId request;
+    Time at;
+};
+
+/** The caller was given the last word, or has gone. */
+struct RequestClosed {
+    RequestId request;
+    /** An outcome's name, or `caller-gone`. */
+    std::string outcome;
+    /** Why, if it was refused; one of the daemon's own words. */
+    std::string reason;
+    Time at;
+};
+
+struct StepNoted {
+    NoteStep step;
+    Time at;
+};
+
+struct AttemptNoted {
+    RequestId request;
+    std::uint32_t attempt {};
+    AttemptResult result {};
+    Time at;
+};
+
 using CallersToUpstreams = std::variant<NewBody, DropBody, Credit>;
 using UpstreamsToCallers = std::variant<AnswerHead, AnswerChunk, AnswerWhole>;
 using SchedulerToCallers = std::variant<AnswerCaller, FinishCaller>;
 using SchedulerToUpstreams = std::variant<SendAttempt, CancelAttempt, PollLoad>;
 using SchedulerToPeers = std::variant<KeepPeer, SendPeer>;
 using SchedulerToPlatform = std::variant<AppendLog, TailLog>;
-using SchedulerToTelemetry = std::variant<StatusAnswer, SetReady, NoteStep>;
+using SchedulerToTelemetry = std::variant<StatusAnswer, SetReady, StepNoted, AttemptNoted>;
+using CallersToTelemetry = std::variant<RequestOpened, FirstByteSent, RequestClosed>;
 
 /** Calls the one of `handlers` that fits. */
 template <typename... Handlers> struct Overloaded : Handlers... {
--- a/src/camphorshuntd/processmetrics.cpp
+++ b/src/camphorshuntd/processmetrics.cpp
@@ -27,6 +27,19 @@
     return { std::move(name), std::move(help), prometheus::MetricType::Gauge, { std::move(metric) } };
 }
 
+auto depthFamily(const std::vector<std::pair<std::string, std::size_t>>& depths) -> prometheus::MetricFamily
+{
+    auto family = prometheus::MetricFamily { "camphorshunt_ring_depth", "Items that wait between two threads",
+        prometheus::MetricType::Gauge, {} };
+    for (const auto& [name, depth] : depths) {
+        auto metric = prometheus::ClientMetric {};
+        metric.label = { { "ring", name } };
+        metric.gauge.value = static_cast<double>(depth);
+        family.metric.push_back(std::move(metric));
+    }
+    return family;
+}
+
 auto seconds(const timeval& time) -> double
 {
     return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / microsecondsPerSecond;
@@ -66,6 +79,9 @@
             count(sources_.logAppends())),
         counter("process_cpu_seconds_total", "User and system processor time in seconds", processorSeconds()),
         gauge("process_resident_memory_bytes", "Resident memory in bytes", residentBytes()),
+        counter("camphorshunt_spans_dropped_total", "Spans that found the queue or the file full",
+            count(sources_.spansDropped())),
+        depthFamily(sources_.ringDepths()),
     };
 }
 
--- a/src/camphorshuntd/processmetrics.h
+++ b/src/camphorshuntd/processmetrics.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include <prometheus/collectable.h>
@@ -18,6 +20,9 @@
     struct Sources {
         std::function<PeerTransport::Traffic()> traffic;
         std::function<std::uint64_t()> logAppends;
+        /** Items that wait in each ring, by its name. */
+        std::function<std::vector<std::pair<std::string, std::size_t>>()> ringDepths;
+        std::function<std::uint64_t()> spansDropped;
     };
 
     explicit ProcessMetrics(Sources sources)
--- a/src/camphorshuntd/scheduler.cpp
+++ b/src/camphorshuntd/scheduler.cpp
@@ -48,6 +48,9 @@
     core_->handle(now, event, actions_);
     if (recorder_)
         recorder_->write(now, event, actions_);
+    handled_ = now;
+    if (const auto* const ended = std::get_if<AttemptEnded>(&event))
+        rings_.toTelemetry.push(AttemptNoted { ended->request, ended->attempt, ended->result, now });
     for (auto& action : actions_)
         std::visit([this](auto& order) { route(std::move(order)); }, action);
 }
--- a/src/camphorshuntd/scheduler.h
+++ b/src/camphorshuntd/scheduler.h
@@ -51,7 +51,7 @@
     auto route(AppendLog action) -> void { rings_.toPlatform.push(std::move(action)); }
     auto route(TailLog action) -> void { rings_.toPlatform.push(std::move(action)); }
     auto route(SetReady action) -> void { rings_.toTelemetry.push(action); }
-    auto route(NoteStep action) -> void { rings_.toTelemetry.push(action); }
+    auto route(NoteStep action) -> void { rings_.toTelemetry.push(StepNoted { action, handled_ }); }
     auto route(const WriteLog& action) -> void;
     auto route(Exit action) -> void { onExit_(); }
 
@@ -63,6 +63,8 @@
     std::function<void()> onExit_;
     boost::asio::steady_timer timer_;
     Actions actions_;
+    /** When the event was taken whose actions are being routed. */
+    Time handled_;
 };
 
 } // namespace camphorshunt
--- a/src/camphorshuntd/settings.cpp
+++ b/src/camphorshuntd/settings.cpp
@@ -80,11 +80,10 @@
     reader.finish();
 }
 
-auto readRecord(SettingsReader reader, Settings& settings) -> void
+auto readBoundedFile(SettingsReader reader, std::string& file, std::uint64_t& limitBytes) -> void
 {
-    settings.recordFile = reader.optionalText("file");
-    settings.recordLimitBytes
-        = reader.number("limitBytes", settings.recordLimitBytes, kibibyte, 16 * kibibyte * mebibyte);
+    file = reader.optionalText("file");
+    limitBytes = reader.number("limitBytes", limitBytes, kibibyte, 16 * kibibyte * mebibyte);
     reader.finish();
 }
 
@@ -114,7 +113,8 @@
     admin.finish();
     readPeers(reader.object("peers"), folder, settings);
     readPlatform(reader.object("platform"), settings);
-    readRecord(reader.optionalObject("record"), settings);
+    readBoundedFile(reader.optionalObject("record"), settings.recordFile, settings.recordLimitBytes);
+    readBoundedFile(reader.optionalObject("trace"), settings.traceFile, settings.traceLimitBytes);
     reader.finish();
 
     if (error)
--- a/src/camphorshuntd/settings.h
+++ b/src/camphorshuntd/settings.h
@@ -32,6 +32,10 @@
     std::string recordFile;
     std::uint64_t recordLimitBytes = std::uint64_t { 64 } * 1024 * 1024;
 
+    /** File for spans, one line of JSON each; empty for none. */
+    std::string traceFile;
+    std::uint64_t traceLimitBytes = std::uint64_t { 64 } * 1024 * 1024;
+
     /** Parses JSON with comments; an error's field names `file` and the path. */
     static auto parse(std::string_view text, std::string_view file) -> Result<Settings>;
     static auto load(const std::string& file) -> Result<Settings>;
--- a/src/camphorshuntd/telemetry.cpp
+++ b/src/camphorshuntd/telemetry.cpp
@@ -1,12 +1,13 @@
 #include "telemetry.h"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 
-#include <boost/describe/enum_to_string.hpp>
 #include <prometheus/text_serializer.h>
 
-#include "tracedescribe.h"
+#include "callerrequest.h"
+#include "log.h"
 
 namespace camphorshunt {
 
@@ -22,8 +23,8 @@
 } // namespace
 
 auto Telemetry::listen(boost::asio::io_context& context, const Endpoint& endpoint,
-    Ring<StatusRequest>& toScheduler, Ring<SchedulerToTelemetry>& fromScheduler)
-    -> Result<std::unique_ptr<Telemetry>>
+    Ring<StatusRequest>& toScheduler, Ring<SchedulerToTelemetry>& fromScheduler,
+    Ring<CallersToTelemetry>& fromCallers) -> Result<std::unique_ptr<Telemetry>>
 {
     auto telemetry = std::unique_ptr<Telemetry>(new Telemetry(toScheduler));
     auto* const self = telemetry.get();
@@ -39,19 +40,14 @@
     fromScheduler.onItem([self](SchedulerToTelemetry message) {
         std::visit([self](auto& item) { self->handle(std::move(item)); }, message);
     });
+    fromCallers.onItem([self](CallersToTelemetry message) {
+        std::visit([self](const auto& item) { self->handle(item); }, message);
+    });
     return telemetry;
 }
 
 Telemetry::Telemetry(Ring<StatusRequest>& toScheduler)
     : toScheduler_(toScheduler)
-    , steps_(prometheus::BuildCounter()
-                 .Name("camphorshunt_request_steps_total")
-                 .Help("Steps in the life of requests")
-                 .Register(registry_))
-    , outcomes_(prometheus::BuildCounter()
-                    .Name("camphorshunt_requests_total")
-                    .Help("Requests that ended, by what their caller was told")
-                    .Register(registry_))
 {
 }
 
@@ -64,14 +60,17 @@
     else if (request.target == "/ready")
         respondText(*exchange, ready_ ? 200 : 503, ready_ ? "ready\n" : "not ready\n");
     else if (request.target == "/metrics")
-        exchange->respond(200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics());
+        askStatus(std::move(exchange),
+            [this](net::HttpExchange& asker, const std::string& status) { respondMetrics(asker, status); });
     else if (request.target == "/status")
-        askStatus(std::move(exchange));
+        askStatus(std::move(exchange), [](net::HttpExchange& asker, std::string status) {
+            asker.respond(200, { { "Content-Type", "application/json" } }, std::move(status));
+        });
     else
         respondText(*exchange, 404, "known are /live, /ready, /metrics and /status\n");
 }
 
-auto Telemetry::askStatus(std::shared_ptr<net::HttpExchange> exchange) -> void
+auto Telemetry::askStatus(std::shared_ptr<net::HttpExchange> exchange, Answer answer) -> void
 {
     const auto id = nextStatus_++;
     if (!toScheduler_.tryPush({ id })) {
@@ -79,7 +78,23 @@
         return;
     }
     exchange->onGone([this, id] { waiting_.erase(id); });
-    waiting_.emplace(id, std::move(exchange));
+    waiting_.emplace(id, Waiting { std::move(exchange), std::move(answer) });
+}
+
+auto Telemetry::respondMetrics(net::HttpExchange& exchange, std::string_view status) -> void
+{
+    requestMetrics_.setStatus(status);
+    exchange.respond(200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics());
+}
+
+auto Telemetry::logRefusal(const RequestClosed& closed) const -> void
+{
+    if (closed.outcome != outcomeName(RequestOutcome::NotRun))
+        return;
+    const auto fields = std::array { LogField { "request", requestIdText(closed.request) },
+        LogField { "service", requestMetrics_.serviceOf(closed.request) },
+        LogField { "reason", closed.reason } };
+    writeLog(LogLevel::Info, "refused", fields);
 }
 
 auto Telemetry::metrics() const -> std::string
@@ -97,16 +112,9 @@
     const auto found = waiting_.find(answer.id);
     if (found == waiting_.end())
         return;
-    const auto exchange = std::move(found->second);
+    const auto waiting = std::move(found->second);
     waiting_.erase(found);
-    exchange->respond(200, { { "Content-Type", "application/json" } }, std::move(answer.text));
-}
-
-auto Telemetry::handle(const NoteStep& step) -> void
-{
-    steps_.Add({ { "step", boost::describe::enum_to_string(step.step, "") } }).Increment();
-    if (step.step == RequestStep::Ended)
-        outcomes_.Add({ { "outcome", std::string(outcomeName(step.outcome)) } }).Increment();
+    waiting.answer(*waiting.exchange, std::move(answer.text));
 }
 
 } // namespace camphorshunt
--- a/src/camphorshuntd/telemetry.h
+++ b/src/camphorshuntd/telemetry.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <concepts>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -9,14 +13,14 @@
 #include <boost/asio/io_context.hpp>
 
 #include <prometheus/collectable.h>
-#include <prometheus/counter.h>
-#include <prometheus/family.h>
 #include <prometheus/registry.h>
 
 #include "camphorshunt/result.h"
 
 #include "httpserver.h"
 #include "messages.h"
+#include "requestmetrics.h"
+#include "requestspans.h"
 
 namespace camphorshunt {
 
@@ -24,8 +28,8 @@
 class Telemetry {
 public:
     static auto listen(boost::asio::io_context& context, const Endpoint& endpoint,
-        Ring<StatusRequest>& toScheduler, Ring<SchedulerToTelemetry>& fromScheduler)
-        -> Result<std::unique_ptr<Telemetry>>;
+        Ring<StatusRequest>& toScheduler, Ring<SchedulerToTelemetry>& fromScheduler,
+        Ring<CallersToTelemetry>& fromCallers) -> Result<std::unique_ptr<Telemetry>>;
 
     auto endpoint() const -> Endpoint { return server_->endpoint(); }
     /** Adds metrics that are read when they are asked for. Before the thread starts. */
@@ -34,25 +38,44 @@
         more_.push_back(std::move(metrics));
     }
 
+    /** Traces requests from now on. Before the thread starts. */
+    auto trace(std::unique_ptr<RequestSpans> spans) -> void { spans_ = std::move(spans); }
+
 private:
     explicit Telemetry(Ring<StatusRequest>& toScheduler);
 
     auto take(const net::HttpRequest& request, std::shared_ptr<net::HttpExchange> exchange) -> void;
-    auto askStatus(std::shared_ptr<net::HttpExchange> exchange) -> void;
+    /** Hands the exchange and the core's status to `answer`, or answers 503. */
+    using Answer = std::function<void(net::HttpExchange& exchange, std::string status)>;
+    auto askStatus(std::shared_ptr<net::HttpExchange> exchange, Answer answer) -> void;
+    auto respondMetrics(net::HttpExchange& exchange, std::string_view status) -> void;
+    auto logRefusal(const RequestClosed& closed) const -> void;
     auto metrics() const -> std::string;
 
     auto handle(StatusAnswer answer) -> void;
     auto handle(const SetReady& set) -> void { ready_ = set.ready; }
-    auto handle(const NoteStep& step) -> void;
+    template <typename Note> auto handle(const Note& note) -> void
+    {
+        if constexpr (std::same_as<Note, RequestClosed>)
+            logRefusal(note);
+        requestMetrics_.handle(note);
+        if (spans_)
+            spans_->handle(note);
+    }
+
+    struct Waiting {
+        std::shared_ptr<net::HttpExchange> exchange;
+        Answer answer;
+    };
 
     Ring<StatusRequest>& toScheduler_;
     bool ready_ = false;
     std::uint64_t nextStatus_ {};
-    std::unordered_map<std::uint64_t, std::shared_ptr<net::HttpExchange>> waiting_;
+    std::unordered_map<std::uint64_t, Waiting> waiting_;
     prometheus::Registry registry_;
     std::vector<std::unique_ptr<prometheus::Collectable>> more_;
-    prometheus::Family<prometheus::Counter>& steps_;
-    prometheus::Family<prometheus::Counter>& outcomes_;
+    RequestMetrics requestMetrics_ { registry_ };
+    std::unique_ptr<RequestSpans> spans_;
     std::unique_ptr<net::HttpServer> server_;
 };
 
--- a/src/camphorshuntd/upstreams.cpp
+++ b/src/camphorshuntd/upstreams.cpp
@@ -10,6 +10,7 @@
 
 #include "callerrequest.h"
 #include "loadreport.h"
+#include "traceparent.h"
 #include "wholecall.h"
 
 namespace camphorshunt {
@@ -89,7 +90,8 @@
     if (!request.body.contentType.empty())
         message.headers.push_back({ "Content-Type", request.body.contentType });
     if (!request.body.traceparent.empty())
-        message.headers.push_back({ "traceparent", request.body.traceparent });
+        message.headers.push_back({ "traceparent",
+            withParent(request.body.traceparent, spanIdOf(order.request, upstreamSpan, order.attempt)) });
     const auto attempt = UpstreamAttempt { order.operation, request.body.idempotencyKey, request.streamOf,
         order.resumeAfter, order.fencingNumber };
     for (auto& [name, value] : kind.headers(attempt))
--- a/tests/unit/settingstest.cpp
+++ b/tests/unit/settingstest.cpp
@@ -49,7 +49,7 @@
 {
     CHECK(errorAfter("\"name\"", "\"nmae\": 1, \"name\"")
         == "r1.json: nmae: is not a known field; allowed are name, failureDomain, callers, admin, peers, "
-           "platform, record");
+           "platform, record, trace");
     CHECK(errorAfter("\"r1\"", "7") == "r1.json: name: must be a text that is not empty");
     CHECK(
         errorAfter("50", "0") == "r1.json: callers.maxConnections: must be a whole number from 1 to 100000");
