Hold each event's log lines to ten a second

A fault that repeats could flood the log. Lines beyond ten a second are left out, and the next line of the event is preceded by their count.

--- a/src/liblogging/log.cpp
+++ b/src/liblogging/log.cpp
@@ -1,9 +1,12 @@
 #include "log.h"
 
+#include <mutex>
 #include <string>
 
 #include <easylogging++.h>
 
+#include "loglimiter.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace camphorshunt {
@@ -45,6 +48,20 @@
     line += '"';
 }
 
+auto writeLine(LogLevel level, std::string_view line) -> void
+{
+    el::base::Writer(easyLevel(level), __FILE__, __LINE__, ELPP_FUNC).construct(1, "default")
+        << std::string(line);
+}
+
+auto limit(std::string_view event) -> LogLimiter::Verdict
+{
+    static auto mutex = std::mutex {};
+    static auto limiter = LogLimiter {};
+    const auto lock = std::scoped_lock(mutex);
+    return limiter.take(std::chrono::steady_clock::now(), event);
+}
+
 auto disableBelow(el::Configurations& configuration, LogLevel level) -> void
 {
     for (const auto candidate : { LogLevel::Debug, LogLevel::Info, LogLevel::Warning, LogLevel::Error }) {
@@ -69,12 +86,18 @@
 
 auto writeLog(LogLevel level, std::string_view event, std::span<const LogField> fields) -> void
 {
+    const auto verdict = limit(event);
+    if (verdict.leftOut > 0)
+        writeLine(LogLevel::Warning,
+            "event=log-limited of=" + std::string(event) + " left-out=" + std::to_string(verdict.leftOut));
+    if (!verdict.write)
+        return;
     auto line = "event=" + std::string(event);
     for (const auto& field : fields) {
         line += ' ' + field.name + '=';
         appendValue(line, field.value);
     }
-    el::base::Writer(easyLevel(level), __FILE__, __LINE__, ELPP_FUNC).construct(1, "default") << line;
+    writeLine(level, line);
 }
 
 } // namespace camphorshunt
