--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -37,7 +37,7 @@
     address=${line#listening }
 }
 
-# Needs the addresses $log and $vms; fills routers, admins and the VM list's entries in $listed.
+# Needs the addresses $log and $vms; further arguments go to the daemon. Fills routers, admins and the VM list's entries in $listed.
 routers=()
 admins=()
 listed=""
@@ -52,7 +52,7 @@
     "platform": { "log": "$log", "vms": "$vms" }
 }
 SETTINGS
-    start "$name" "$bin/camphorshuntd" --settings="$work/$name.json"
+    start "$name" "$bin/camphorshuntd" --settings="$work/$name.json" "${@:3}"
     routers+=("$(sed 's/.*callers=\([^ ]*\).*/\1/' <<<"$line")")
     admins+=("$(sed 's/.*admin=\([^ ]*\).*/\1/' <<<"$line")")
     local peer
