Test the document under failure on real processes

The harness iterated over a temporary when a document was changed (a crash at the first use), and a test run that was killed left its programs behind: they now end with it.

--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,6 +14,8 @@
 
 [[noreturn]] auto runProgram(const std::string& path, std::vector<char*>& arguments, int output) -> void
 {
+    // A test that is killed leaves no program behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(output, STDOUT_FILENO);
     ::execv(path.c_str(), arguments.data());
     ::_exit(127);
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -197,7 +197,8 @@
             { "failureDomain", "a" }, { "slots", options_.slots } });
     auto dispatch = json::object { { "policy", options_.policy }, { "shards", options_.shards } };
     if (!dispatchExtra.empty()) {
-        for (const auto& entry : json::parse(dispatchExtra).as_object())
+        const auto extra = json::parse(dispatchExtra);
+        for (const auto& entry : extra.as_object())
             dispatch[entry.key()] = entry.value();
     }
     const auto operations = json::array {
