--- a/include/camphorshunt/peermessage.h
+++ b/include/camphorshunt/peermessage.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "camphorshunt/attemptresult.h"
 #include "camphorshunt/document.h"
 #include "camphorshunt/ids.h"
 
@@ -52,7 +53,10 @@
 /** Slots handed to one entry router. */
 struct Grants {
     ShardId shard;
-    /** Numbered from 1 per (dispatcher run, entry router). */
+    /**
+     * Numbered without gaps per entry router, from 1 or from what its full demand says it has seen. 0
+     * carries no grants and asks for a full demand: the sender has no duty that knows the entry router.
+     */
     std::uint64_t sequence {};
     std::vector<Grant> grants;
 };
@@ -65,6 +69,9 @@
     /** All units of service of the attempt. */
     double totalUnits {};
     bool unused {};
+    /** How the attempt ended, for the dispatcher's view of the upstream; meaningless when unused by choice.
+     */
+    AttemptResult result {};
 };
 
 /** Units streamed so far under a grant, absolute. */
@@ -81,7 +88,7 @@
 
 struct ServiceTotal {
     OrganisationId organisation;
-    /** Units served by the sending shard since its dispatcher took over, absolute. */
+    /** Units served or advanced by the sending shard since its dispatcher took over; only rises. */
     double units {};
 };
 
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <span>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "camphorshunt/action.h"
 #include "camphorshunt/document.h"
@@ -28,6 +30,8 @@
     DutyTable(RouterId self, Incarnation incarnation, std::uint64_t seed);
 
     auto setDocument(const std::shared_ptr<const Document>& document) -> void;
+    /** Routers from which a new dispatcher expects to hear. */
+    auto setLive(std::span<const RouterId> routers) -> void { live_.assign(routers.begin(), routers.end()); }
     /** Upstreams that the VM list marks as leaving, by name. */
     auto setLeaving(std::span<const std::string> names) -> void;
     /** Ends duties that belong to other routers and are no longer asked for. */
@@ -41,8 +45,7 @@
     auto connectionLost(Time now, RouterId router) -> void;
     /** The router is dead or runs anew: what it held is free. */
     auto routerLost(Time now, RouterId router) -> void;
-    auto noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
-        -> void;
+    auto noteLeaving(Time now, ServiceId service, UpstreamId upstream) -> void;
     auto accepts(ServiceId service, UpstreamId upstream) const -> bool;
 
     /** Hands out what is free; called once all that is known has been applied. */
@@ -50,7 +53,14 @@
 
     struct Duty {
         std::unique_ptr<ShardDispatcher> dispatcher;
+        /** Rises with each duty taken, so that other shards tell a regained duty from the former. */
+        Incarnation run;
         Time lastDemand;
+        /** Entry routers that have sent a full demand. */
+        absl::flat_hash_set<RouterId> known;
+        Time begunAt;
+        /** False until every live router has told its demand, or has had time to. */
+        bool settled {};
         bool dirty = true;
     };
     auto duties() const -> const std::map<ShardId, Duty>& { return duties_; }
@@ -62,6 +72,9 @@
     };
 
     auto takeDuty(Time now, const ShardId& shard, Actions& actions) -> Duty*;
+    auto dropDuties(ServiceId service) -> void;
+    auto askAnew(const ShardId& shard, const Duty& duty) -> void;
+    auto isSettled(Time now, Duty& duty) const -> bool;
     auto configure(Time now, const ShardId& shard, Duty& duty) -> void;
     auto pollLoads(Time now, Actions& actions) -> void;
     auto tellTotals(Time now, const std::function<RouterId(const ShardId&)>& owner, Actions& actions) -> void;
@@ -69,10 +82,14 @@
     RouterId self_;
     Incarnation incarnation_;
     std::uint64_t seed_;
+    std::uint64_t runs_ {};
     absl::flat_hash_map<ServiceId, Service> services_;
     absl::flat_hash_map<UpstreamId, ServiceId> serviceOfUpstream_;
     std::map<ShardId, Duty> duties_;
+    /** Entry routers that are to send a full demand, since the dispatcher they knew is gone. */
+    std::vector<std::pair<RouterId, ShardId>> asks_;
     std::vector<std::string> leaving_;
+    std::vector<RouterId> live_;
     Time nextPoll_ {};
 };
 
