Test the dispatcher's failure and a flood on real processes

The dispatcher killed and paused with work queued elsewhere, and one organisation flooding every daemon while another is served.

--- /dev/null
+++ b/tests/process/dispatchfailuretest.cpp
@@ -0,0 +1,80 @@
+#include "fleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt::test;
+
+namespace {
+
+/** Streams of several organisations at all daemons but one, more than there are slots. */
+auto flood(Fleet& fleet, std::size_t spared) -> std::vector<std::future<Answer>>
+{
+    auto calls = std::vector<std::future<Answer>> {};
+    for (auto index = std::size_t {}; index < 24; ++index) {
+        const auto router = (spared + 1 + index % 2) % fleet.size();
+        calls.push_back(callLater(fleet.router(router).callers, Fleet::chat(index % 4, 40)));
+    }
+    return calls;
+}
+
+auto allWhole(std::vector<std::future<Answer>>& calls) -> bool
+{
+    auto whole = true;
+    for (auto& each : calls) {
+        const auto answer = each.get();
+        whole = whole && answer.isWhole() && answer.body.find("event: done") != std::string::npos;
+    }
+    return whole;
+}
+
+auto smallAndSlow() -> FleetOptions
+{
+    auto options = FleetOptions {};
+    options.slots = 2;
+    options.tokenMs = 5;
+    return options;
+}
+
+} // namespace
+
+TEST_CASE("Work that waits at other daemons is served whole when the dispatcher is killed")
+{
+    auto fleet = Fleet(smallAndSlow());
+    REQUIRE(fleet.awaitMembers(3));
+    const auto dispatcher = fleet.dispatcher();
+    auto calls = flood(fleet, dispatcher);
+    REQUIRE(eventually([&] { return fleet.waiting((dispatcher + 1) % 3, "assistant") > 0; }));
+    fleet.killRouter(dispatcher);
+    CHECK(allWhole(calls));
+    fleet.startRouter(dispatcher);
+    CHECK(fleet.awaitMembers(3));
+    CHECK(call(fleet.router(dispatcher).callers, Fleet::chat(1, 3)).isWhole());
+}
+
+TEST_CASE("Work is served whole while the dispatcher stands still, and at every daemon after it goes on")
+{
+    auto fleet = Fleet(smallAndSlow());
+    REQUIRE(fleet.awaitMembers(3));
+    const auto dispatcher = fleet.dispatcher();
+    auto calls = flood(fleet, dispatcher);
+    REQUIRE(eventually([&] { return fleet.waiting((dispatcher + 1) % 3, "assistant") > 0; }));
+    fleet.pauseRouter(dispatcher);
+    CHECK(allWhole(calls));
+    fleet.continueRouter(dispatcher);
+    REQUIRE(fleet.awaitMembers(3));
+    for (auto index = std::size_t {}; index < fleet.size(); ++index)
+        CHECK(call(fleet.router(index).callers, Fleet::chat(index, 3)).isWhole());
+}
+
+TEST_CASE("An organisation is served while another floods every daemon")
+{
+    auto fleet = Fleet(smallAndSlow());
+    REQUIRE(fleet.awaitMembers(3));
+    auto flooding = std::vector<std::future<Answer>> {};
+    for (auto index = std::size_t {}; index < 120; ++index)
+        flooding.push_back(callLater(fleet.router(index % fleet.size()).callers, Fleet::chat(0, 40)));
+    REQUIRE(eventually([&] { return fleet.waiting(0, "assistant") > 20; }));
+    CHECK(call(fleet.router(0).callers, Fleet::chat(1, 40)).isWhole());
+    CHECK(fleet.waiting(0, "assistant") > 0);
+    CHECK(allWhole(flooding));
+}
