Refuse a document that ends where a comment begins

Boost.JSON 1.81 reports a number of characters far beyond the text when it ends with the slash of a comment, and the count of lines then read past the end: the daemon and the tool ended with SIGSEGV on such a document. The number is held to the text's length. Found by the parsers' fuzz program; the new test ended with SIGSEGV before the change and passes after it.

--- a/src/libcamphorshunt/documentjson.cpp
+++ b/src/libcamphorshunt/documentjson.cpp
@@ -18,7 +18,8 @@
     options.allow_comments = true;
     auto parser = json::parser({}, options);
     auto error = json::error_code();
-    const auto read = parser.write_some(text, error);
+    // A text that ends where a comment begins makes Boost.JSON 1.81 tell of more than it was given.
+    const auto read = std::min(parser.write_some(text, error), text.size());
     if (!error && read == text.size())
         return parser.release();
     const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(read), '\n');
--- a/tests/unit/documenttest.cpp
+++ b/tests/unit/documenttest.cpp
@@ -68,6 +68,29 @@
 
 } // namespace
 
+TEST_CASE("A document that ends where a comment begins is refused")
+{
+    for (const auto* const text : { "/", " /", "// a\n/" }) {
+        CAPTURE(text);
+        const auto parsed = Document::parse(text);
+        REQUIRE(parsed.has_error());
+        CHECK(parsed.error().text().find("is no JSON") != std::string::npos);
+    }
+}
+
+TEST_CASE("Every beginning of a document is refused with its line, in the middle of a comment too")
+{
+    const auto whole
+        = std::string("{\n  // first\n  /* second */ \"service\": \"a\", \"x\": [1, \"\\u00e9\"]\n} // end");
+    for (auto length = std::size_t {}; length < whole.find('}'); ++length) {
+        CAPTURE(length);
+        const auto parsed = Document::parse(std::string_view(whole).substr(0, length));
+        REQUIRE(parsed.has_error());
+        CHECK(parsed.error().text().find("is no JSON") != std::string::npos);
+        CHECK(parsed.error().text().find("line ") != std::string::npos);
+    }
+}
+
 TEST_CASE("A document is read whole, with defaults where it is silent")
 {
     const auto document = Document::parse("// comment\n" + json::serialize(base()) + "/* end */").value();
