--- a/src/libcamphorshunt/framecodec.cpp
+++ b/src/libcamphorshunt/framecodec.cpp
@@ -238,6 +238,9 @@
 {
     if (list == nullptr)
         return true;
+    // The verifier of FlatBuffers 2.0 looks at the length of a list, not at where its structs stand.
+    if (reinterpret_cast<std::uintptr_t>(list->Data()) % alignof(Wire) != 0)
+        return false;
     items.reserve(list->size());
     for (const auto* const packedItem : *list) {
         auto item = unpacked(*packedItem);
