--- a/scripts/experiment.sh
+++ b/scripts/experiment.sh
@@ -13,7 +13,7 @@
 engines=8
 slots=8
 token_ms=10
-quantum=200
+quantum=${QUANTUM:-200}
 
 cmake --preset release >/dev/null
 cmake --build --preset release -j3 --target camphorshuntd camphorshuntctl camphorshuntload standins >/dev/null
@@ -118,7 +118,7 @@
     for at in $(seq 5); do
         flood=""
         [ "$run-$at" != flood-1 ] || flood=',"fromMs":4000,"toMs":7000'
-        organisation "small$at" "\"rate\":$([ -n "$flood" ] && echo 400 || echo 3)$flood" interactive chat \
+        organisation "small$at" "\"rate\":$([ -n "$flood" ] && echo 400 || echo 3)$flood" small chat \
             "$usual" "$(entries "$at" 1 "$((at + 2))" 1)"
     done
     cat >"$out/$run.plan.json" <<PLAN
@@ -143,7 +143,7 @@
     "$bin/camphorshuntload" --plan="$out/$run.plan.json" --name="$run" --report="$out/$run.json" \
         >"$out/$run.txt" &
     load=$!
-    if [ "$run" = kill ]; then
+    if [ "$run" = kill ] && [ -n "$dispatcher" ]; then
         sleep "$((kill_at / 1000))"
         kill -9 "${pid_of[r$dispatcher]}"
     fi
--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -1,5 +1,7 @@
 #include "dutytable.h"
 
+#include <algorithm>
+
 namespace camphorshunt {
 
 namespace {
@@ -9,6 +11,12 @@
 /** A duty that another router owns is kept while entry routers still ask for it here. */
 constexpr auto strayDutyTime = Duration(3s);
 
+/**
+ * A new dispatcher waits no longer than this to hear from every live router. Until then it knows
+ * neither all that waits nor all slots in use, and would hand everything to the first that speaks.
+ */
+constexpr auto longestSettling = Duration(300ms);
+
 } // namespace
 
 DutyTable::DutyTable(RouterId self, Incarnation incarnation, std::uint64_t seed)
@@ -32,13 +40,30 @@
         serviceOfUpstream_[upstream.id] = id;
 
     if (rebuilt)
-        std::erase_if(duties_, [id](const auto& entry) { return entry.first.service == id; });
+        dropDuties(id);
     for (auto& [shard, duty] : duties_) {
         if (shard.service == id)
             duty.dirty = true;
     }
 }
 
+auto DutyTable::dropDuties(ServiceId service) -> void
+{
+    std::erase_if(duties_, [&](const auto& entry) {
+        if (entry.first.service != service)
+            return false;
+        askAnew(entry.first, entry.second);
+        return true;
+    });
+}
+
+/** Routers that spoke to a duty that ends would go on sending changes only. */
+auto DutyTable::askAnew(const ShardId& shard, const Duty& duty) -> void
+{
+    for (const auto router : duty.known)
+        asks_.emplace_back(router, shard);
+}
+
 auto DutyTable::setLeaving(std::span<const std::string> names) -> void
 {
     leaving_.assign(names.begin(), names.end());
@@ -59,7 +84,8 @@
         return nullptr;
 
     const auto& document = *service->second.document;
-    const auto settings = ShardSettings { shard, incarnation_, self_, document.dispatch, seed_ };
+    const auto run = Incarnation { incarnation_.value + runs_++ };
+    const auto settings = ShardSettings { shard, run, self_, document.dispatch, seed_ };
     auto dispatcher = ShardDispatcher::create(document.dispatch.policy, settings);
     if (!dispatcher) {
         actions.emplace_back(WriteLog { LogLevel::Error, "policy-unknown",
@@ -71,10 +97,19 @@
         { { "service", document.service }, { "shard", std::to_string(shard.index) } } });
     auto& duty = duties_[shard];
     duty.dispatcher = std::move(dispatcher).value();
+    duty.run = run;
     duty.lastDemand = now;
+    duty.begunAt = now;
     return &duty;
 }
 
+auto DutyTable::isSettled(Time now, Duty& duty) const -> bool
+{
+    duty.settled = duty.settled || now - duty.begunAt >= longestSettling
+        || std::ranges::all_of(live_, [&](RouterId router) { return duty.known.contains(router); });
+    return duty.settled;
+}
+
 auto DutyTable::configure(Time now, const ShardId& shard, Duty& duty) -> void
 {
     auto& service = services_.at(shard.service);
@@ -94,10 +129,14 @@
     auto* duty = static_cast<Duty*>(nullptr);
     if (demand.full)
         duty = takeDuty(now, demand.shard, actions);
-    else if (const auto found = duties_.find(demand.shard); found != duties_.end())
+    else if (const auto found = duties_.find(demand.shard);
+             found != duties_.end() && found->second.known.contains(from))
         duty = &found->second;
-    if (!duty)
+    if (!duty) {
+        actions.emplace_back(SendPeer { from, Grants { demand.shard, 0, {} } });
         return;
+    }
+    duty->known.insert(from);
 
     duty->lastDemand = now;
     duty->dispatcher->apply(now, from, demand);
@@ -108,6 +147,9 @@
     const auto found = duties_.find(ends.shard);
     if (found == duties_.end())
         return;
+    auto& health = services_.at(ends.shard.service).health;
+    for (const auto& end : ends.ends)
+        health.noteEnd(now, end.upstream, end.result, false);
     found->second.lastDemand = now;
     found->second.dispatcher->apply(now, from, ends);
 }
@@ -146,12 +188,11 @@
         duty.dispatcher->dropRouter(now, router);
 }
 
-auto DutyTable::noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
-    -> void
+auto DutyTable::noteLeaving(Time now, ServiceId service, UpstreamId upstream) -> void
 {
     const auto found = services_.find(service);
     if (found != services_.end())
-        found->second.health.noteEnd(now, upstream, result, leaving);
+        found->second.health.noteEnd(now, upstream, AttemptResult::Cancelled, true);
 }
 
 auto DutyTable::accepts(ServiceId service, UpstreamId upstream) const -> bool
@@ -188,7 +229,7 @@
         for (auto other = std::uint32_t {}; other < shards; ++other) {
             if (other != shard.index)
                 actions.emplace_back(
-                    SendPeer { owner({ shard.service, other }), Totals { shard, incarnation_, totals } });
+                    SendPeer { owner({ shard.service, other }), Totals { shard, duty.run, totals } });
         }
     }
 }
@@ -201,6 +242,7 @@
             actions.emplace_back(WriteLog { LogLevel::Info, "duty-ended",
                 { { "service", services_.at(entry.first.service).document->service },
                     { "shard", std::to_string(entry.first.index) } } });
+            askAnew(entry.first, entry.second);
         }
         return stray;
     });
@@ -212,9 +254,13 @@
 
 auto DutyTable::grant(Time now, Actions& actions) -> void
 {
+    for (const auto& [router, shard] : std::exchange(asks_, {}))
+        actions.emplace_back(SendPeer { router, Grants { shard, 0, {} } });
     for (auto& [shard, duty] : duties_) {
         if (duty.dirty)
             configure(now, shard, duty);
+        if (!isSettled(now, duty))
+            continue;
         duty.dispatcher->grant(now, actions);
     }
 }
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -10,6 +10,12 @@
 /** A dispatcher that is out of reach for longer no longer decides for this router. */
 constexpr auto dispatcherPatience = Duration(300ms);
 
+/** A dispatcher that asks for all again, since it lacks the document so far, is told no sooner. */
+constexpr auto resyncPause = Duration(100ms);
+
+/** A change of demand that the dispatcher can do without, as more of the same waits, is told no sooner. */
+constexpr auto demandSpacing = Duration(40ms);
+
 /** Streamed units are reported once they exceed the last report by this much. */
 constexpr auto chargeStep = 64.0;
 
@@ -39,10 +45,9 @@
         if (link.owner == owners[shard])
             continue;
         link.owner = owners[shard];
-        link.synced = false;
         link.ends.clear();
         link.charges.clear();
-        link.silentSince = now;
+        resync(now, link);
     }
 }
 
@@ -52,10 +57,8 @@
     for (auto& link : links_) {
         if (newRun)
             link.grantsSeen.erase(router);
-        if (link.owner != router)
-            continue;
-        link.synced = false;
-        link.silentSince = now;
+        if (link.owner == router)
+            resync(now, link);
     }
 }
 
@@ -63,10 +66,8 @@
 {
     peers_.erase(router);
     for (auto& link : links_) {
-        if (link.owner != router)
-            continue;
-        link.synced = false;
-        link.silentSince = now;
+        if (link.owner == router)
+            resync(now, link);
     }
 }
 
@@ -75,17 +76,29 @@
     return router == self_ || peers_.contains(router);
 }
 
+auto EntryService::resync(Time now, Link& link) -> void
+{
+    link.synced = false;
+    link.syncedAt.reset();
+    link.silentSince = now;
+}
+
 auto EntryService::linkOf(std::uint32_t shard) -> Link*
 {
     return shard < links_.size() ? &links_[shard] : nullptr;
 }
 
-auto EntryService::takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool
+auto EntryService::takeWaiting(Time now, std::vector<Assignment>& assignments, Slot slot) -> bool
 {
     const auto request = queue_.pop(slot.held.organisation, slot.held.requestClass);
     if (!request)
         return false;
+    if (const auto told = told_.find({ slot.held.organisation, slot.held.requestClass });
+        told != told_.end() && told->second > 0)
+        --told->second;
     assignments.push_back({ *request, slot.held.grant, slot.held.upstream });
+    const auto& [grant, organisation, requestClass, upstream, units] = slot.held;
+    waits_.noteTaken(now, organisation, requestClass, queue_.waiting(organisation, requestClass));
     held_.insert_or_assign(slot.held.grant, slot);
     return true;
 }
@@ -94,14 +107,18 @@
     Time now, RouterId from, const Grants& grants, std::vector<Assignment>& assignments) -> void
 {
     auto* const link = linkOf(grants.shard.index);
-    if (!link || grants.sequence <= link->grantsSeen[from])
+    if (!link)
+        return;
+    if (grants.sequence == 0 && link->owner == from)
+        link->synced = false;
+    if (grants.sequence <= link->grantsSeen[from])
         return;
 
     link->grantsSeen[from] = grants.sequence;
     if (link->owner != from) {
         for (const auto& grant : grants.grants)
             link->strays.emplace_back(
-                from, SlotEnd { grant.id, grant.organisation, grant.upstream, 0.0, true });
+                from, SlotEnd { grant.id, grant.organisation, grant.upstream, 0.0, true, {} });
         return;
     }
 
@@ -109,17 +126,35 @@
     for (const auto& grant : grants.grants) {
         const auto held = HeldSlot { grant.id, grant.organisation, grant.requestClass, grant.upstream, 0.0 };
         if (!document_->upstream(grant.upstream)
-            || !takeWaiting(assignments, { grants.shard.index, held, 0.0, false }))
-            link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true });
+            || !takeWaiting(now, assignments, { grants.shard.index, held, 0.0, false }))
+            link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true, {} });
     }
 }
 
+auto EntryService::expectedWait(OrganisationId organisation, RequestClass requestClass) const
+    -> std::optional<Duration>
+{
+    return waits_.estimate(organisation, requestClass, queue_.waiting(organisation, requestClass));
+}
+
 auto EntryService::localInUse(UpstreamId upstream) const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(
         held_, [upstream](const auto& entry) { return entry.second.held.upstream == upstream; }));
 }
 
+/** Organisations take turns, interactive work first; the queue lists them by organisation. */
+auto EntryService::nextLocal() -> DemandEntry
+{
+    const auto waiting = queue_.all();
+    const auto rank = [this](const DemandEntry& entry) {
+        return std::pair(entry.requestClass, entry.organisation <= lastLocal_);
+    };
+    const auto next = *std::ranges::min_element(waiting, {}, rank);
+    lastLocal_ = next.organisation;
+    return next;
+}
+
 auto EntryService::admitLocally(Time now, std::vector<Assignment>& assignments) -> void
 {
     if (!document_ || queue_.empty())
@@ -134,11 +169,10 @@
 
         const auto fraction = std::max<std::size_t>(1, upstream.slots / std::max<std::size_t>(1, routers_));
         for (auto used = localInUse(upstream.id); used < fraction && !queue_.empty(); ++used) {
-            const auto waiting = queue_.all();
-            const auto& entry = *std::ranges::min_element(waiting, {}, &DemandEntry::requestClass);
+            const auto entry = nextLocal();
             const auto id
                 = GrantId { localGrantBit | ((incarnation_.value & 0x7fffffffU) << 32U) | ++localGrants_ };
-            takeWaiting(assignments,
+            takeWaiting(now, assignments,
                 { shard, { id, entry.organisation, entry.requestClass, upstream.id, 0.0 }, 0.0, true });
         }
     }
@@ -159,7 +193,7 @@
         link->charges.push_back({ grant, units });
 }
 
-auto EntryService::release(GrantId grant, double units, bool unused) -> void
+auto EntryService::release(GrantId grant, double units, bool unused, AttemptResult result) -> void
 {
     const auto found = held_.find(grant);
     if (found == held_.end())
@@ -167,7 +201,7 @@
 
     const auto& slot = found->second;
     if (auto* const link = linkOf(slot.shard))
-        link->ends.push_back({ grant, slot.held.organisation, slot.held.upstream, units, unused });
+        link->ends.push_back({ grant, slot.held.organisation, slot.held.upstream, units, unused, result });
     held_.erase(found);
 }
 
@@ -203,8 +237,17 @@
     if (!isReachable(link.owner))
         return;
 
+    // Before a full demand, which would release the ended slots without their charge.
+    if (!link.ends.empty() || !link.charges.empty()) {
+        auto ends
+            = Ends { { service_, shard }, std::exchange(link.ends, {}), std::exchange(link.charges, {}) };
+        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
+    }
+
     if (!link.synced) {
-        // Ended slots are simply absent from a full demand; their service was charged by the old one.
+        if (link.syncedAt && now - *link.syncedAt < resyncPause)
+            return;
+        link.syncedAt = now;
         link.synced = true;
         actions.emplace_back(SendPeer { link.owner, fullDemand(shard) });
     } else if (!changes.empty()) {
@@ -212,18 +255,36 @@
         demand.entries.assign(changes.begin(), changes.end());
         actions.emplace_back(SendPeer { link.owner, std::move(demand) });
     }
+}
 
-    if (!link.ends.empty() || !link.charges.empty()) {
-        auto ends = Ends { { service_, shard }, std::move(link.ends), std::move(link.charges) };
-        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
+auto EntryService::takeDemand(Time now) -> std::vector<DemandEntry>
+{
+    for (const auto& entry : queue_.takeChanges())
+        untold_.insert_or_assign({ entry.organisation, entry.requestClass }, entry);
+    const auto unknown = [this](const auto& change) {
+        const auto found = told_.find(change.first);
+        return change.second.waiting > 0 && (found == told_.end() || found->second == 0);
+    };
+    const auto due = !demandToldAt_ || now - *demandToldAt_ >= demandSpacing || ownsEveryShard();
+    auto changes = std::vector<DemandEntry> {};
+    if (!due && std::ranges::none_of(untold_, unknown))
+        return changes;
+
+    for (const auto& [key, entry] : untold_) {
+        changes.push_back(entry);
+        told_[key] = entry.waiting;
+        if (entry.waiting == 0)
+            told_.erase(key);
     }
-    link.ends.clear();
-    link.charges.clear();
+    untold_.clear();
+    if (!changes.empty())
+        demandToldAt_ = now;
+    return changes;
 }
 
 auto EntryService::flush(Time now, Actions& actions) -> void
 {
-    const auto changes = queue_.takeChanges();
+    const auto changes = takeDemand(now);
     for (auto shard = std::uint32_t {}; shard < links_.size(); ++shard)
         flushShard(now, shard, changes, actions);
 }
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <utility>
 #include <vector>
 
+#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
@@ -16,6 +18,7 @@
 #include "camphorshunt/time.h"
 
 #include "entryqueue.h"
+#include "waitestimator.h"
 
 namespace camphorshunt {
 
@@ -47,6 +50,9 @@
 
     auto queue() -> EntryQueue& { return queue_; }
     auto queue() const -> const EntryQueue& { return queue_; }
+    /** How long a new request would wait; empty while the pace of its queue is not known. */
+    auto expectedWait(OrganisationId organisation, RequestClass requestClass) const
+        -> std::optional<Duration>;
     auto heldSlots() const -> std::size_t { return held_.size(); }
 
     /** Gives granted slots to waiting requests; the rest goes back unused. */
@@ -56,7 +62,7 @@
     auto admitLocally(Time now, std::vector<Assignment>& assignments) -> void;
     /** Units streamed so far under a grant, absolute. */
     auto charge(GrantId grant, double units) -> void;
-    auto release(GrantId grant, double units, bool unused) -> void;
+    auto release(GrantId grant, double units, bool unused, AttemptResult result) -> void;
 
     /** Sends what changed to the dispatchers. */
     auto flush(Time now, Actions& actions) -> void;
@@ -68,6 +74,8 @@
         RouterId owner;
         /** False until a full demand has gone to the present owner. */
         bool synced {};
+        /** When that was; nothing if the owner or its connection is new. */
+        std::optional<Time> syncedAt;
         /** Sequence of the last grants by each router, dispatcher now or before. */
         absl::flat_hash_map<RouterId, std::uint64_t> grantsSeen;
         Time silentSince {};
@@ -83,12 +91,16 @@
         bool local {};
     };
 
+    static auto resync(Time now, Link& link) -> void;
+    /** Changes of demand that are to be told now; none while they may wait for more. */
+    auto takeDemand(Time now) -> std::vector<DemandEntry>;
     auto linkOf(std::uint32_t shard) -> Link*;
     auto fullDemand(std::uint32_t shard) const -> Demand;
     auto returnStrays(std::uint32_t shard, Actions& actions) -> void;
     auto flushShard(Time now, std::uint32_t shard, std::span<const DemandEntry> changes, Actions& actions)
         -> void;
-    auto takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool;
+    auto takeWaiting(Time now, std::vector<Assignment>& assignments, Slot slot) -> bool;
+    auto nextLocal() -> DemandEntry;
     auto localInUse(UpstreamId upstream) const -> std::uint32_t;
 
     auto isReachable(RouterId router) const -> bool;
@@ -98,11 +110,21 @@
     Incarnation incarnation_;
     std::shared_ptr<const Document> document_;
     EntryQueue queue_;
+    WaitEstimator waits_;
+    using DemandKey = std::pair<OrganisationId, RequestClass>;
+
+    /** Changes that the dispatchers have not been told. */
+    absl::btree_map<DemandKey, DemandEntry> untold_;
+    /** Counts that they were told, less the requests taken since. */
+    absl::flat_hash_map<DemandKey, std::uint32_t> told_;
+    std::optional<Time> demandToldAt_;
     std::vector<Link> links_;
     absl::flat_hash_map<GrantId, Slot> held_;
     absl::flat_hash_set<RouterId> peers_;
     std::size_t routers_ = 1;
     std::uint64_t localGrants_ {};
+    /** The organisation that this router let in last on its own. */
+    OrganisationId lastLocal_;
 };
 
 } // namespace camphorshunt
--- a/tests/unit/sharddispatchertest.cpp
+++ b/tests/unit/sharddispatchertest.cpp
@@ -48,6 +48,18 @@
     CHECK(shard->status().ignoredEnds == 1);
 }
 
+TEST_CASE("A request whose grant may be on its way is not counted as waiting")
+{
+    auto shard = makeShard(shardSettings(), 4);
+    shard->apply(Time {}, kRouter, demandOf({ { kOrganisation, kInteractive, 1, 1 } }));
+    REQUIRE(grantsOf(*shard).at(kRouter).grants.size() == 1);
+    shard->apply(Time {}, kRouter, demandOf({ { kOrganisation, kInteractive, 2, 1 } }));
+    CHECK(grantsOf(*shard).at(kRouter).grants.size() == 1);
+    shard->apply(
+        Time {}, kRouter, Demand { kShard, false, 2, { { kOrganisation, kInteractive, 1, 1 } }, {} });
+    CHECK(grantsOf(*shard).at(kRouter).grants.size() == 1);
+}
+
 TEST_CASE("A full demand on a standing connection leaves grants on their way alone")
 {
     auto shard = makeShard(shardSettings(), 2);
@@ -85,19 +97,29 @@
     demand.entries.push_back({ kOrganisation, kInteractive, 9, 1 });
     newer->apply(Time {}, kRouter, demand);
     const auto sent = grantsOf(*newer).at(kRouter);
-    CHECK(sent.sequence == 1);
+    CHECK(sent.sequence == 8);
     REQUIRE(sent.grants.size() == 1);
     CHECK(std::ranges::find(held, sent.grants[0].id, &Grant::id) == held.end());
     CHECK(newer->status().used == 3);
 }
 
+TEST_CASE("A second run of a dispatcher on one daemon hands out other ids")
+{
+    const auto firstGrant = [](Time now) {
+        auto shard = makeShard(shardSettings(), 1);
+        shard->apply(now, kRouter, demandOf({ { kOrganisation, kInteractive, 1, 1 } }));
+        return grantsOf(*shard).at(kRouter).grants.at(0).id;
+    };
+    CHECK(firstGrant(Time {} + 1s) != firstGrant(Time {} + 2s));
+}
+
 TEST_CASE("A router that speaks without a full demand is asked for one by an empty Grants message")
 {
     auto shard = makeShard(shardSettings(), 1);
     shard->apply(Time {}, kRouter, Ends { kShard, {}, {} });
     const auto sent = grantsOf(*shard);
     REQUIRE(sent.size() == 1);
-    CHECK(sent.at(kRouter).sequence == 1);
+    CHECK(sent.at(kRouter).sequence == 0);
     CHECK(sent.at(kRouter).grants.empty());
     CHECK(grantsOf(*shard).empty());
 }
@@ -188,7 +210,8 @@
                 RC_ASSERT(entries[to.value - 1].connected);
                 for (const auto& grant : grants.grants)
                     RC_ASSERT(ids.insert(grant.id).second);
-                entries[to.value - 1].onTheWay.push_back(grants);
+                if (grants.sequence > 0)
+                    entries[to.value - 1].onTheWay.push_back(grants);
             }
             const auto status = shard->status();
             RC_ASSERT(status.used <= slots);
