Tell a shard's total only while its unreported part passes the quantum

A total that was due when work was handed out stayed due although the work ended below its advance, which cost a message and failed the test of the quantum. It is looked at again when it is told; the test passes unchanged.

--- a/src/libcamphorshunt/fairshares.cpp
+++ b/src/libcamphorshunt/fairshares.cpp
@@ -137,8 +137,10 @@
         reported.reportDue = false;
         // A request that ended below its advance makes the sum fall; totals only rise.
         const auto total = reported.servedUnits + reported.advancedUnits;
-        reported.reportedUnits = std::max(reported.reportedUnits, total);
-        totals.push_back(ServiceTotal { organisation, reported.reportedUnits });
+        if (total - reported.reportedUnits < quantum_)
+            continue;
+        reported.reportedUnits = total;
+        totals.push_back(ServiceTotal { organisation, total });
     }
     reportsDue_.clear();
     return totals;
