--- a/tests/fuzz/parsersfuzz.cpp
+++ b/tests/fuzz/parsersfuzz.cpp
@@ -68,7 +68,8 @@
     const auto news = MemberNews { RouterId { 1 }, Incarnation { 2 }, MemberState::Suspect, 3 };
     const auto version = DocumentVersion { ServiceId { 1 }, {}, {} };
     return { Demand { shard, true, 3, { {}, {} }, { {}, {} } }, Grants { shard, 9, { {}, {}, {} } },
-        Ends { shard, { {}, {} }, { {} } }, Totals { shard, 4, { ServiceTotal {}, ServiceTotal {} } },
+        Ends { shard, { {}, {} }, { {} } },
+        Totals { shard, Incarnation { 4 }, { ServiceTotal {}, ServiceTotal {} } },
         Probe { 1, RouterId { 2 }, {}, { news, news }, { version } },
         ProbeAck { 1, RouterId { 2 }, {}, { news }, { version } }, DocumentRequest { ServiceId { 1 }, {} },
         DocumentTransfer { ServiceId { 1 }, {}, {}, "snapshot" }, ClaimsRequest { "claims-0" },
