--- a/src/camphorshuntload/sampler.cpp
+++ b/src/camphorshuntload/sampler.cpp
@@ -87,11 +87,11 @@
     readCosts(before_, [] {});
 }
 
-auto Sampler::finish(std::function<void()> onDone) -> void
+auto Sampler::finish(const std::function<void()>& onDone) -> void
 {
     endedAt_ = Clock::now();
     timer_.cancel();
-    readCosts(after_, std::move(onDone));
+    readCosts(after_, onDone);
 }
 
 auto Sampler::costs() const -> std::map<std::string, DaemonCost>
@@ -195,7 +195,7 @@
     }
 }
 
-auto Sampler::readCosts(Costs& into, std::function<void()> onDone) -> void
+auto Sampler::readCosts(Costs& into, const std::function<void()>& onDone) -> void
 {
     const auto left = std::make_shared<std::size_t>(plan_.daemons.size());
     for (const auto& daemon : plan_.daemons) {
--- a/src/camphorshuntload/sampler.h
+++ b/src/camphorshuntload/sampler.h
@@ -53,7 +53,7 @@
     /** Begins the time that counts. */
     auto begin() -> void;
     /** Reads the metrics once more; the callback comes when all have answered or failed. */
-    auto finish(std::function<void()> onDone) -> void;
+    auto finish(const std::function<void()>& onDone) -> void;
 
     auto points() const -> const std::vector<Point>& { return points_; }
     auto dispatchers() const -> const DispatcherView& { return dispatchers_; }
@@ -69,7 +69,7 @@
     auto tick() -> void;
     auto readLoads() -> void;
     auto readStatus() -> void;
-    auto readCosts(Costs& into, std::function<void()> onDone) -> void;
+    auto readCosts(Costs& into, const std::function<void()>& onDone) -> void;
     auto takeStatus(const std::string& body) -> void;
 
     boost::asio::io_context& context_;
