--- a/src/libcamphorshunt/dutytable.cpp
+++ b/src/libcamphorshunt/dutytable.cpp
@@ -50,15 +50,20 @@
 auto DutyTable::dropDuties(ServiceId service) -> void
 {
     std::erase_if(duties_, [&](const auto& entry) {
-        const auto& [shard, duty] = entry;
-        if (shard.service != service)
+        if (entry.first.service != service)
             return false;
-        for (const auto router : duty.known)
-            asks_.emplace_back(router, shard);
+        askAnew(entry.first, entry.second);
         return true;
     });
 }
 
+/** Routers that spoke to a duty that ends would go on sending changes only. */
+auto DutyTable::askAnew(const ShardId& shard, const Duty& duty) -> void
+{
+    for (const auto router : duty.known)
+        asks_.emplace_back(router, shard);
+}
+
 auto DutyTable::setLeaving(std::span<const std::string> names) -> void
 {
     leaving_.assign(names.begin(), names.end());
@@ -79,7 +84,8 @@
         return nullptr;
 
     const auto& document = *service->second.document;
-    const auto settings = ShardSettings { shard, incarnation_, self_, document.dispatch, seed_ };
+    const auto run = Incarnation { incarnation_.value + runs_++ };
+    const auto settings = ShardSettings { shard, run, self_, document.dispatch, seed_ };
     auto dispatcher = ShardDispatcher::create(document.dispatch.policy, settings);
     if (!dispatcher) {
         actions.emplace_back(WriteLog { LogLevel::Error, "policy-unknown",
@@ -91,6 +97,7 @@
         { { "service", document.service }, { "shard", std::to_string(shard.index) } } });
     auto& duty = duties_[shard];
     duty.dispatcher = std::move(dispatcher).value();
+    duty.run = run;
     duty.lastDemand = now;
     duty.begunAt = now;
     return &duty;
@@ -140,6 +147,9 @@
     const auto found = duties_.find(ends.shard);
     if (found == duties_.end())
         return;
+    auto& health = services_.at(ends.shard.service).health;
+    for (const auto& end : ends.ends)
+        health.noteEnd(now, end.upstream, end.result, false);
     found->second.lastDemand = now;
     found->second.dispatcher->apply(now, from, ends);
 }
@@ -178,12 +188,11 @@
         duty.dispatcher->dropRouter(now, router);
 }
 
-auto DutyTable::noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
-    -> void
+auto DutyTable::noteLeaving(Time now, ServiceId service, UpstreamId upstream) -> void
 {
     const auto found = services_.find(service);
     if (found != services_.end())
-        found->second.health.noteEnd(now, upstream, result, leaving);
+        found->second.health.noteEnd(now, upstream, AttemptResult::Cancelled, true);
 }
 
 auto DutyTable::accepts(ServiceId service, UpstreamId upstream) const -> bool
@@ -220,7 +229,7 @@
         for (auto other = std::uint32_t {}; other < shards; ++other) {
             if (other != shard.index)
                 actions.emplace_back(
-                    SendPeer { owner({ shard.service, other }), Totals { shard, incarnation_, totals } });
+                    SendPeer { owner({ shard.service, other }), Totals { shard, duty.run, totals } });
         }
     }
 }
@@ -233,6 +242,7 @@
             actions.emplace_back(WriteLog { LogLevel::Info, "duty-ended",
                 { { "service", services_.at(entry.first.service).document->service },
                     { "shard", std::to_string(entry.first.index) } } });
+            askAnew(entry.first, entry.second);
         }
         return stray;
     });
--- a/src/libcamphorshunt/dutytable.h
+++ b/src/libcamphorshunt/dutytable.h
@@ -45,8 +45,7 @@
     auto connectionLost(Time now, RouterId router) -> void;
     /** The router is dead or runs anew: what it held is free. */
     auto routerLost(Time now, RouterId router) -> void;
-    auto noteEnd(Time now, ServiceId service, UpstreamId upstream, AttemptResult result, bool leaving)
-        -> void;
+    auto noteLeaving(Time now, ServiceId service, UpstreamId upstream) -> void;
     auto accepts(ServiceId service, UpstreamId upstream) const -> bool;
 
     /** Hands out what is free; called once all that is known has been applied. */
@@ -54,6 +53,8 @@
 
     struct Duty {
         std::unique_ptr<ShardDispatcher> dispatcher;
+        /** Rises with each duty taken, so that other shards tell a regained duty from the former. */
+        Incarnation run;
         Time lastDemand;
         /** Entry routers that have sent a full demand. */
         absl::flat_hash_set<RouterId> known;
@@ -72,6 +73,7 @@
 
     auto takeDuty(Time now, const ShardId& shard, Actions& actions) -> Duty*;
     auto dropDuties(ServiceId service) -> void;
+    auto askAnew(const ShardId& shard, const Duty& duty) -> void;
     auto isSettled(Time now, Duty& duty) const -> bool;
     auto configure(Time now, const ShardId& shard, Duty& duty) -> void;
     auto pollLoads(Time now, Actions& actions) -> void;
@@ -80,6 +82,7 @@
     RouterId self_;
     Incarnation incarnation_;
     std::uint64_t seed_;
+    std::uint64_t runs_ {};
     absl::flat_hash_map<ServiceId, Service> services_;
     absl::flat_hash_map<UpstreamId, ServiceId> serviceOfUpstream_;
     std::map<ShardId, Duty> duties_;
--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -88,7 +88,7 @@
     return shard < links_.size() ? &links_[shard] : nullptr;
 }
 
-auto EntryService::takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool
+auto EntryService::takeWaiting(Time now, std::vector<Assignment>& assignments, Slot slot) -> bool
 {
     const auto request = queue_.pop(slot.held.organisation, slot.held.requestClass);
     if (!request)
@@ -97,6 +97,8 @@
         told != told_.end() && told->second > 0)
         --told->second;
     assignments.push_back({ *request, slot.held.grant, slot.held.upstream });
+    const auto& [grant, organisation, requestClass, upstream, units] = slot.held;
+    waits_.noteTaken(now, organisation, requestClass, queue_.waiting(organisation, requestClass));
     held_.insert_or_assign(slot.held.grant, slot);
     return true;
 }
@@ -116,7 +118,7 @@
     if (link->owner != from) {
         for (const auto& grant : grants.grants)
             link->strays.emplace_back(
-                from, SlotEnd { grant.id, grant.organisation, grant.upstream, 0.0, true });
+                from, SlotEnd { grant.id, grant.organisation, grant.upstream, 0.0, true, {} });
         return;
     }
 
@@ -124,11 +126,17 @@
     for (const auto& grant : grants.grants) {
         const auto held = HeldSlot { grant.id, grant.organisation, grant.requestClass, grant.upstream, 0.0 };
         if (!document_->upstream(grant.upstream)
-            || !takeWaiting(assignments, { grants.shard.index, held, 0.0, false }))
-            link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true });
+            || !takeWaiting(now, assignments, { grants.shard.index, held, 0.0, false }))
+            link->ends.push_back({ grant.id, grant.organisation, grant.upstream, 0.0, true, {} });
     }
 }
 
+auto EntryService::expectedWait(OrganisationId organisation, RequestClass requestClass) const
+    -> std::optional<Duration>
+{
+    return waits_.estimate(organisation, requestClass, queue_.waiting(organisation, requestClass));
+}
+
 auto EntryService::localInUse(UpstreamId upstream) const -> std::uint32_t
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(
@@ -164,7 +172,7 @@
             const auto entry = nextLocal();
             const auto id
                 = GrantId { localGrantBit | ((incarnation_.value & 0x7fffffffU) << 32U) | ++localGrants_ };
-            takeWaiting(assignments,
+            takeWaiting(now, assignments,
                 { shard, { id, entry.organisation, entry.requestClass, upstream.id, 0.0 }, 0.0, true });
         }
     }
@@ -185,7 +193,7 @@
         link->charges.push_back({ grant, units });
 }
 
-auto EntryService::release(GrantId grant, double units, bool unused) -> void
+auto EntryService::release(GrantId grant, double units, bool unused, AttemptResult result) -> void
 {
     const auto found = held_.find(grant);
     if (found == held_.end())
@@ -193,7 +201,7 @@
 
     const auto& slot = found->second;
     if (auto* const link = linkOf(slot.shard))
-        link->ends.push_back({ grant, slot.held.organisation, slot.held.upstream, units, unused });
+        link->ends.push_back({ grant, slot.held.organisation, slot.held.upstream, units, unused, result });
     held_.erase(found);
 }
 
@@ -210,6 +218,8 @@
         if (slot.shard == shard)
             demand.held.push_back(slot.held);
     }
+    // The order of a hash map differs from run to run; a replay must send the same.
+    std::ranges::sort(demand.held, {}, &HeldSlot::grant);
     return demand;
 }
 
@@ -227,11 +237,17 @@
     if (!isReachable(link.owner))
         return;
 
+    // Before a full demand, which would release the ended slots without their charge.
+    if (!link.ends.empty() || !link.charges.empty()) {
+        auto ends
+            = Ends { { service_, shard }, std::exchange(link.ends, {}), std::exchange(link.charges, {}) };
+        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
+    }
+
     if (!link.synced) {
         if (link.syncedAt && now - *link.syncedAt < resyncPause)
             return;
         link.syncedAt = now;
-        // Ended slots are simply absent from a full demand; their service was charged by the old one.
         link.synced = true;
         actions.emplace_back(SendPeer { link.owner, fullDemand(shard) });
     } else if (!changes.empty()) {
@@ -239,13 +255,6 @@
         demand.entries.assign(changes.begin(), changes.end());
         actions.emplace_back(SendPeer { link.owner, std::move(demand) });
     }
-
-    if (!link.ends.empty() || !link.charges.empty()) {
-        auto ends = Ends { { service_, shard }, std::move(link.ends), std::move(link.charges) };
-        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
-    }
-    link.ends.clear();
-    link.charges.clear();
 }
 
 auto EntryService::takeDemand(Time now) -> std::vector<DemandEntry>
--- a/src/libcamphorshunt/entryservice.h
+++ b/src/libcamphorshunt/entryservice.h
@@ -18,6 +18,7 @@
 #include "camphorshunt/time.h"
 
 #include "entryqueue.h"
+#include "waitestimator.h"
 
 namespace camphorshunt {
 
@@ -49,6 +50,9 @@
 
     auto queue() -> EntryQueue& { return queue_; }
     auto queue() const -> const EntryQueue& { return queue_; }
+    /** How long a new request would wait; empty while the pace of its queue is not known. */
+    auto expectedWait(OrganisationId organisation, RequestClass requestClass) const
+        -> std::optional<Duration>;
     auto heldSlots() const -> std::size_t { return held_.size(); }
 
     /** Gives granted slots to waiting requests; the rest goes back unused. */
@@ -58,7 +62,7 @@
     auto admitLocally(Time now, std::vector<Assignment>& assignments) -> void;
     /** Units streamed so far under a grant, absolute. */
     auto charge(GrantId grant, double units) -> void;
-    auto release(GrantId grant, double units, bool unused) -> void;
+    auto release(GrantId grant, double units, bool unused, AttemptResult result) -> void;
 
     /** Sends what changed to the dispatchers. */
     auto flush(Time now, Actions& actions) -> void;
@@ -95,7 +99,7 @@
     auto returnStrays(std::uint32_t shard, Actions& actions) -> void;
     auto flushShard(Time now, std::uint32_t shard, std::span<const DemandEntry> changes, Actions& actions)
         -> void;
-    auto takeWaiting(std::vector<Assignment>& assignments, Slot slot) -> bool;
+    auto takeWaiting(Time now, std::vector<Assignment>& assignments, Slot slot) -> bool;
     auto nextLocal() -> DemandEntry;
     auto localInUse(UpstreamId upstream) const -> std::uint32_t;
 
@@ -106,6 +110,7 @@
     Incarnation incarnation_;
     std::shared_ptr<const Document> document_;
     EntryQueue queue_;
+    WaitEstimator waits_;
     using DemandKey = std::pair<OrganisationId, RequestClass>;
 
     /** Changes that the dispatchers have not been told. */
--- a/src/libcamphorshunt/policyshard.h
+++ b/src/libcamphorshunt/policyshard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <algorithm>
+#include <array>
 #include <memory>
 #include <utility>
 #include <vector>
@@ -16,7 +16,7 @@
 namespace camphorshunt {
 
 /** The first grant id of a dispatcher's run: its upper half tells runs apart. */
-auto firstGrantId(const ShardSettings& settings) -> GrantId;
+auto firstGrantId(const ShardSettings& settings, Time started) -> GrantId;
 
 /** Slots of one shard that deferrable work may use: all but the reserved ones, at least one. */
 auto deferrableLimit(std::uint32_t slots, std::uint32_t reserved) -> std::uint32_t;
@@ -28,7 +28,6 @@
     explicit PolicyShard(const ShardSettings& settings, PolicyArguments&&... arguments)
         : settings_(settings)
         , policy_(settings.dispatch, settings.dispatcher, std::forward<PolicyArguments>(arguments)...)
-        , nextGrant_(firstGrantId(settings))
     {
     }
 
@@ -45,7 +44,7 @@
 
     auto apply(Time now, RouterId from, const Demand& demand) -> void override
     {
-        auto& known = ledger(from);
+        auto& known = ledger(now, from);
         if (known.lost && !demand.full)
             return;
         // A number beyond the last one is of an earlier duty: none of this one's grants were heeded.
@@ -72,7 +71,7 @@
 
     auto apply(Time now, RouterId from, const Ends& ends) -> void override
     {
-        auto& known = ledger(from);
+        auto& known = ledger(now, from);
         for (const auto& [grant, totalUnits] : ends.charges) {
             const auto found = known.slots().find(grant);
             if (found != known.slots().end())
@@ -120,11 +119,11 @@
 
     auto grant(Time now, Actions& actions) -> void override
     {
-        auto batches = absl::btree_map<RouterId, std::vector<Grant>> {};
         for (auto& [router, known] : ledgers_) {
             if (!known.lost && !std::exchange(known.greeted, true))
-                batches[router];
+                actions.emplace_back(SendPeer { router, Grants { settings_.shard, 0, {} } });
         }
+        auto batches = absl::btree_map<RouterId, std::vector<Grant>> {};
         while (const auto upstream = slots_.freest()) {
             const auto choice = policy_.choose(deferrableUsed_ < deferrableCap());
             if (!choice)
@@ -142,18 +141,33 @@
 
     auto status() const -> ShardStatus override
     {
-        return ShardStatus { slots_.slots(), slots_.used(), waiting_,
-            static_cast<std::uint32_t>(policy_.backlogged()), granted_, ignoredEnds_ };
+        auto status = ShardStatus {};
+        status.slots = slots_.slots();
+        status.used = slots_.used();
+        status.waiting = waiting_[0] + waiting_[1];
+        status.usedDeferrable = deferrableUsed_;
+        status.waitingDeferrable = waiting_[1];
+        status.organisations = static_cast<std::uint32_t>(policy_.backlogged());
+        status.granted = granted_;
+        status.ignoredEnds = ignoredEnds_;
+        return status;
     }
 
 private:
     using Slots = RouterLedger::Slots;
 
-    auto ledger(RouterId router) -> RouterLedger&
+    auto ledger(Time now, RouterId router) -> RouterLedger&
     {
+        if (ledgers_.empty())
+            nextGrant_ = firstGrantId(settings_, now);
         return ledgers_.try_emplace(router, router).first->second;
     }
 
+    auto waitingOf(RequestClass requestClass) -> std::uint32_t&
+    {
+        return waiting_[requestClass == RequestClass::Deferrable ? 1 : 0];
+    }
+
     auto deferrableCap() const -> std::uint32_t
     {
         return deferrableLimit(slots_.slots(), settings_.dispatch.reservedSlots);
@@ -163,7 +177,7 @@
     {
         const auto waiting = known.waiting(key);
         auto& shown = shown_[key];
-        waiting_ += waiting - shown;
+        waitingOf(key.requestClass) += waiting - shown;
         shown = waiting;
         if (waiting == 0)
             shown_.erase(key);
@@ -199,8 +213,7 @@
                 ++position;
                 continue;
             }
-            if (slot.sequence > seen)
-                position = release(known, position);
+            position = release(known, position);
         }
         for (const auto& slot : heldSlots)
             takeHeld(known, from, slot);
@@ -228,7 +241,7 @@
         occupy(key.requestClass, upstream);
         if (--shown_[key] == 0)
             shown_.erase(key);
-        --waiting_;
+        --waitingOf(key.requestClass);
         ++granted_;
         return Grant { id, key.organisation, key.requestClass, upstream };
     }
@@ -266,7 +279,7 @@
     /** Waiting counts as the policy knows them. */
     absl::flat_hash_map<DemandKey, std::uint32_t> shown_;
     GrantId nextGrant_;
-    std::uint32_t waiting_ {};
+    std::array<std::uint32_t, 2> waiting_ {};
     std::uint32_t deferrableUsed_ {};
     std::uint64_t granted_ {};
     std::uint64_t ignoredEnds_ {};
--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -4,6 +4,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -13,6 +14,8 @@
 
 [[noreturn]] auto runProgram(const std::string& path, std::vector<char*>& arguments, int output) -> void
 {
+    // A test that is killed leaves no program behind.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(output, STDOUT_FILENO);
     ::execv(path.c_str(), arguments.data());
     ::_exit(127);
@@ -47,6 +50,8 @@
 ChildProcess::~ChildProcess()
 {
     kill();
+    if (reader_.joinable())
+        reader_.join();
     ::close(output_);
 }
 
@@ -69,6 +74,14 @@
     }
 }
 
+auto ChildProcess::discardOutput() -> void
+{
+    reader_ = std::thread([output = output_] {
+        char bytes[4096];
+        while (::read(output, bytes, sizeof bytes) > 0) { }
+    });
+}
+
 auto ChildProcess::readAll() -> std::string
 {
     char bytes[4096];
