--- a/src/libcamphorshunt/fairshares.cpp
+++ b/src/libcamphorshunt/fairshares.cpp
@@ -83,6 +83,7 @@
     relist(server);
 
     server.servedUnits += units;
+    server.advancedUnits -= std::min(server.advancedUnits, units);
     noteTotal(server);
 }
 
