--- a/tests/process/dispatchfailuretest.cpp
+++ b/tests/process/dispatchfailuretest.cpp
@@ -22,7 +22,11 @@
     auto whole = true;
     for (auto& each : calls) {
         const auto answer = each.get();
-        whole = whole && answer.isWhole() && answer.body.find("event: done") != std::string::npos;
+        const auto isWhole = answer.isWhole() && answer.body.find("event: done") != std::string::npos;
+        if (!isWhole)
+            UNSCOPED_INFO(
+                "end " << static_cast<int>(answer.end) << " status " << answer.status << ": " << answer.body);
+        whole = whole && isWhole;
     }
     return whole;
 }
