--- a/src/camphorshuntctl/documentcommands.cpp
+++ b/src/camphorshuntctl/documentcommands.cpp
@@ -54,6 +54,28 @@
     return fold;
 }
 
+/** The log named by --log and the documents on it. */
+struct OpenedLog {
+    LogClient log;
+    DocumentFold fold;
+};
+
+auto openLog() -> Result<OpenedLog>
+{
+    auto log = LogClient::create(absl::GetFlag(FLAGS_log));
+    if (!log)
+        return log.error();
+    auto fold = readFold(log.value());
+    if (!fold)
+        return fold.error();
+    return OpenedLog { std::move(log).value(), std::move(fold).value() };
+}
+
+auto exitCodeOf(const Error& error) -> ExitCode
+{
+    return error.code == Error::Code::Invalid ? ExitCode::Invalid : ExitCode::Failed;
+}
+
 auto makeEditId() -> std::string
 {
     auto device = std::random_device {};
@@ -179,36 +201,32 @@
 {
     if (arguments.size() != 1)
         return fail(ExitCode::Invalid, "name one file: camphorshuntctl publish FILE --log=IP:PORT");
-    const auto log = LogClient::create(absl::GetFlag(FLAGS_log));
-    if (!log)
-        return fail(ExitCode::Invalid, log.error().text());
-    const auto fold = readFold(log.value());
-    if (!fold)
-        return fail(ExitCode::Failed, fold.error().text());
+    const auto opened = openLog();
+    if (!opened)
+        return fail(exitCodeOf(opened.error()), opened.error().text());
+    const auto& [log, fold] = opened.value();
 
-    const auto edit = makeEdit(arguments.front(), fold.value());
+    const auto edit = makeEdit(arguments.front(), fold);
     if (!edit)
         return fail(ExitCode::Invalid, arguments.front() + ": " + edit.error().text());
-    if (const auto* const earlier = outcomeOf(fold.value(), edit.value().editId))
+    if (const auto* const earlier = outcomeOf(fold, edit.value().editId))
         return reportOutcome(*earlier);
 
-    const auto* const current = fold.value().find(edit.value().service);
+    const auto* const current = fold.find(edit.value().service);
     if (edit.value().kind == EditKind::Whole)
         std::cout << lineDiff(current ? current->body : std::string(), edit.value().body);
-    return settleEdit(log.value(), edit.value());
+    return settleEdit(log, edit.value());
 }
 
 auto runShow(std::span<const std::string> arguments) -> ExitCode
 {
     if (arguments.size() != 1)
         return fail(ExitCode::Invalid, "name one service: camphorshuntctl show SERVICE --log=IP:PORT");
-    const auto log = LogClient::create(absl::GetFlag(FLAGS_log));
-    if (!log)
-        return fail(ExitCode::Invalid, log.error().text());
-    const auto fold = readFold(log.value());
-    if (!fold)
-        return fail(ExitCode::Failed, fold.error().text());
-    const auto* const current = fold.value().find(arguments.front());
+    const auto opened = openLog();
+    if (!opened)
+        return fail(exitCodeOf(opened.error()), opened.error().text());
+    const auto& [log, fold] = opened.value();
+    const auto* const current = fold.find(arguments.front());
     if (!current)
         return fail(ExitCode::Failed, "the log has no document of service '" + arguments.front() + "'");
     std::cerr << "version " << current->version.value << '\n';
@@ -220,13 +238,11 @@
 {
     if (arguments.size() != 1)
         return fail(ExitCode::Invalid, "name one service: camphorshuntctl history SERVICE --log=IP:PORT");
-    const auto log = LogClient::create(absl::GetFlag(FLAGS_log));
-    if (!log)
-        return fail(ExitCode::Invalid, log.error().text());
-    const auto fold = readFold(log.value());
-    if (!fold)
-        return fail(ExitCode::Failed, fold.error().text());
-    for (const auto& outcome : fold.value().outcomes()) {
+    const auto opened = openLog();
+    if (!opened)
+        return fail(exitCodeOf(opened.error()), opened.error().text());
+    const auto& [log, fold] = opened.value();
+    for (const auto& outcome : fold.outcomes()) {
         if (outcome.service != arguments.front())
             continue;
         std::cout << "offset " << outcome.offset.value << " edit " << outcome.editId << " by "
--- a/src/camphorshuntd/settings.cpp
+++ b/src/camphorshuntd/settings.cpp
@@ -5,9 +5,6 @@
 #include <iterator>
 #include <optional>
 
-#include <boost/json/parse.hpp>
-#include <boost/json/value.hpp>
-
 #include "settingsreader.h"
 
 namespace camphorshunt {
@@ -91,20 +88,14 @@
 
 auto Settings::parse(std::string_view text, std::string_view file) -> Result<Settings>
 {
-    auto options = boost::json::parse_options {};
-    options.allow_comments = true;
-    options.allow_trailing_commas = true;
-    auto code = boost::system::error_code {};
-    const auto document = boost::json::parse(text, code, {}, options);
-    if (code)
-        return failure(Error::Code::Malformed, std::string(file), "is not JSON: " + code.message());
-    if (!document.is_object())
-        return failure(Error::Code::Invalid, std::string(file), "must hold one JSON object");
+    const auto document = parseSettingsObject(text, file);
+    if (!document)
+        return document.error();
 
     auto settings = Settings {};
     auto error = std::optional<Error> {};
     const auto folder = std::filesystem::path(file).parent_path();
-    auto reader = SettingsReader(document.get_object(), {}, error);
+    auto reader = SettingsReader(document.value(), {}, error);
     settings.name = reader.text("name");
     settings.failureDomain = reader.text("failureDomain");
     readCallers(reader.object("callers"), settings);
--- a/src/camphorshuntd/settingsreader.cpp
+++ b/src/camphorshuntd/settingsreader.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/json/value.hpp>
 
+#include "commentedjson.h"
+
 namespace camphorshunt {
 
 namespace {
@@ -26,6 +28,16 @@
 
 } // namespace
 
+auto parseSettingsObject(std::string_view text, std::string_view file) -> Result<boost::json::object>
+{
+    const auto value = parseCommentedJson(text);
+    if (!value)
+        return failure(Error::Code::Malformed, std::string(file), "is not JSON: " + value.error().text());
+    if (!value.value().is_object())
+        return failure(Error::Code::Invalid, std::string(file), "must hold one JSON object");
+    return value.value().get_object();
+}
+
 SettingsReader::SettingsReader(
     const boost::json::object& object, std::string path, std::optional<Error>& error)
     : object_(object)
--- a/src/camphorshuntd/settingsreader.h
+++ b/src/camphorshuntd/settingsreader.h
@@ -13,6 +13,9 @@
 
 namespace camphorshunt {
 
+/** The JSON object, with comments, that a file holds; an error's field is `file`. */
+auto parseSettingsObject(std::string_view text, std::string_view file) -> Result<boost::json::object>;
+
 /**
  * Reads the fields of one JSON object by name. The first fault found, in this object or one read
  * through it, is kept in the error that all of them share; `finish` adds fields nobody asked for.
--- a/src/camphorshuntload/plan.cpp
+++ b/src/camphorshuntload/plan.cpp
@@ -6,8 +6,6 @@
 #include <map>
 #include <optional>
 
-#include <boost/json/parse.hpp>
-
 #include "settingsreader.h"
 
 namespace camphorshunt::load {
@@ -131,18 +129,12 @@
 
 auto Plan::parse(std::string_view text, std::string_view file) -> Result<Plan>
 {
-    auto options = boost::json::parse_options {};
-    options.allow_comments = true;
-    options.allow_trailing_commas = true;
-    auto code = boost::system::error_code {};
-    const auto document = boost::json::parse(text, code, {}, options);
-    if (code)
-        return failure(Error::Code::Malformed, std::string(file), "is not JSON: " + code.message());
-    if (!document.is_object())
-        return failure(Error::Code::Invalid, std::string(file), "must hold one JSON object");
+    const auto document = parseSettingsObject(text, file);
+    if (!document)
+        return document.error();
 
     auto error = std::optional<Error> {};
-    auto reader = SettingsReader(document.get_object(), {}, error);
+    auto reader = SettingsReader(document.value(), {}, error);
     auto plan = readPlan(reader);
     if (error)
         return failure(error->code, std::string(file) + ": " + error->field, std::move(error->message));
--- a/src/libcamphorshunt/requestadmission.cpp
+++ b/src/libcamphorshunt/requestadmission.cpp
@@ -12,6 +12,9 @@
 /** Output tokens assumed when the caller gives no hint. */
 constexpr auto usualOutputTokens = 64.0;
 
+/** An estimated wait must exceed the time left by this factor before it speaks against a request. */
+constexpr auto waitMargin = 1.5;
+
 constexpr auto conflictStatus = std::uint16_t { 409 };
 constexpr auto unavailableStatus = std::uint16_t { 503 };
 
@@ -52,6 +55,15 @@
     return std::nullopt;
 }
 
+auto checkWait(Time now, const EntryService& entry, const ActiveRequest& request) -> std::optional<Refusal>
+{
+    const auto wait = entry.expectedWait(request.organisation, request.operation.requestClass);
+    const auto left = request.deadline - now;
+    if (!wait || std::chrono::duration<double>(*wait) < waitMargin * std::chrono::duration<double>(left))
+        return std::nullopt;
+    return Refusal { unavailableStatus, "deadline-unreachable", std::max(shortPause, *wait - left) };
+}
+
 auto claimAnswer(RequestId request, ClaimRefusal refusal) -> AnswerCaller
 {
     switch (refusal) {
--- a/src/libcamphorshunt/requestadmission.h
+++ b/src/libcamphorshunt/requestadmission.h
@@ -10,6 +10,7 @@
 #include "camphorshunt/time.h"
 
 #include "claimsbook.h"
+#include "entryservice.h"
 #include "requestbook.h"
 
 namespace camphorshunt {
@@ -33,6 +34,9 @@
 auto admitRequest(Time now, const RequestArrived& arrived, const std::shared_ptr<const Document>& document,
     ActiveRequest& request) -> std::optional<Refusal>;
 
+/** Refuses at once what could not start before its deadline, at the pace of its organisation's queue. */
+auto checkWait(Time now, const EntryService& entry, const ActiveRequest& request) -> std::optional<Refusal>;
+
 /** What a caller whose claim was not won is told. */
 auto claimAnswer(RequestId request, ClaimRefusal refusal) -> AnswerCaller;
 
--- a/src/libcamphorshunt/requestflow.cpp
+++ b/src/libcamphorshunt/requestflow.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** An estimated wait must exceed the time left by this factor before it speaks against a request. */
-constexpr auto waitMargin = 1.5;
-
 auto mayHaveRun(AttemptResult result) -> bool
 {
     return result != AttemptResult::NotSent && result != AttemptResult::Refused;
@@ -78,17 +75,6 @@
     return checkWait(now, found->second, request);
 }
 
-/** A request that cannot start before its deadline is better told at once. */
-auto RequestFlow::checkWait(Time now, const EntryService& entry, const ActiveRequest& request) const
-    -> std::optional<Refusal>
-{
-    const auto wait = entry.expectedWait(request.organisation, request.operation.requestClass);
-    const auto left = request.deadline - now;
-    if (!wait || std::chrono::duration<double>(*wait) < waitMargin * std::chrono::duration<double>(left))
-        return std::nullopt;
-    return Refusal { 503, "deadline-unreachable", std::max(shortPause, *wait - left) };
-}
-
 auto RequestFlow::startClaim(
     Time now, const RequestArrived& arrived, ActiveRequest& request, Actions& actions) -> bool
 {
@@ -327,15 +313,20 @@
         forget(now, *request);
         return;
     }
-    request->detached = true;
-    if (request->life.state() == RequestState::Queued) {
-        entry(request->document->id)->queue().remove(request->id);
-        request->life.endSent();
-        requests_.erase(request->id);
+    detach(*request, actions);
+}
+
+auto RequestFlow::detach(ActiveRequest& request, Actions& actions) -> void
+{
+    request.detached = true;
+    if (request.life.state() == RequestState::Queued) {
+        entry(request.document->id)->queue().remove(request.id);
+        request.life.endSent();
+        requests_.erase(request.id);
         return;
     }
-    if (!request->keyed)
-        actions.emplace_back(CancelAttempt { request->id, request->attempts });
+    if (!request.keyed)
+        actions.emplace_back(CancelAttempt { request.id, request.attempts });
 }
 
 auto RequestFlow::expire(Time now, ActiveRequest& request, Actions& actions) -> void
@@ -351,15 +342,7 @@
     }
 
     conclude(request, RequestOutcome::Unknown, 504, "deadline", actions);
-    request.detached = true;
-    if (request.life.state() == RequestState::Queued) {
-        entry(request.document->id)->queue().remove(request.id);
-        request.life.endSent();
-        requests_.erase(request.id);
-        return;
-    }
-    if (!request.keyed)
-        actions.emplace_back(CancelAttempt { request.id, request.attempts });
+    detach(request, actions);
 }
 
 auto RequestFlow::advance(Time now, Actions& actions) -> void
--- a/src/libcamphorshunt/requestflow.h
+++ b/src/libcamphorshunt/requestflow.h
@@ -56,8 +56,6 @@
 private:
     auto admit(Time now, const RequestArrived& arrived, ActiveRequest& request) const
         -> std::optional<Refusal>;
-    auto checkWait(Time now, const EntryService& entry, const ActiveRequest& request) const
-        -> std::optional<Refusal>;
     auto startClaim(Time now, const RequestArrived& arrived, ActiveRequest& request, Actions& actions)
         -> bool;
     auto applyClaim(Time now, const ClaimDecision& decision, Actions& actions) -> void;
@@ -65,6 +63,8 @@
     auto assign(Time now, EntryService& entry, std::span<const Assignment> assignments, Actions& actions)
         -> void;
     auto send(Time now, ActiveRequest& request, Actions& actions) -> void;
+    /** The caller is done with a sent request; what still runs of it is cancelled if it may be. */
+    auto detach(ActiveRequest& request, Actions& actions) -> void;
     auto expire(Time now, ActiveRequest& request, Actions& actions) -> void;
     auto finishAttempt(Time now, ActiveRequest& request, const AttemptEnded& ended, Actions& actions) -> void;
     auto handleNoAnswer(Time now, ActiveRequest& request, const AttemptEnded& ended, Actions& actions)
--- a/tests/unit/settingstest.cpp
+++ b/tests/unit/settingstest.cpp
@@ -60,6 +60,7 @@
     CHECK(errorAfter("\"admin\": { \"listen\": \"127.0.0.1:8002\" },", "")
         == "r1.json: admin: is missing; allowed is an object");
     CHECK(errorAfter("\"r1\",", "\"r1\",,").find("r1.json: is not JSON") == 0);
+    CHECK(Settings::parse("{} /", "r1.json").error().text().find("r1.json: is not JSON: line 1") == 0);
 }
 
 TEST_CASE("A shared key that is short, doubled or unreadable is refused without being shown")
--- a/tests/unit/standintest.cpp
+++ b/tests/unit/standintest.cpp
@@ -107,7 +107,7 @@
     CHECK(fixture.call("/cancel", R"({"attempt":"a3"})").head.status == 200);
     CHECK(fixture.finish(endless) == HttpCallEnd::Broken);
     CHECK(fixture.call("/generate/chat", "{}", resumption("a4", "a3", "1")).head.status == 404);
-    CHECK(fixture.call("/load").body == R"({"running":0,"waiting":0,"slots":4,"leaving":false})");
+    CHECK(fixture.call("/load").body == R"({"running":0,"waiting":0,"started":2,"slots":4,"leaving":false})");
 }
 
 TEST_CASE("An engine stream whose reader does not come back within its window ends and frees its slot")
@@ -135,7 +135,7 @@
     const auto second = fixture.begin("/generate/chat", "{}", generation("a2", 2));
     REQUIRE(runUntil(fixture.context, [&] { return second->seen.head.status == 200; }));
     fixture.fault(R"({"leaving":true})");
-    CHECK(fixture.call("/load").body == R"({"running":1,"waiting":1,"slots":1,"leaving":true})");
+    CHECK(fixture.call("/load").body == R"({"running":1,"waiting":1,"started":1,"slots":1,"leaving":true})");
     CHECK(second->seen.body.empty());
     fixture.call("/cancel", R"({"attempt":"a1"})");
     CHECK(fixture.finish(second) == HttpCallEnd::Complete);
