Wait until claims can be made in the demonstration

Its bookings came within a second of the start and were refused as not run, claims-unavailable; a reader of the README took that for a fault. The wait stands in fleet.sh, for the recorder of traces too.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -34,6 +34,7 @@
         -H 'Camphorshunt-Output-Tokens: 4' -d '{"prompt":"Is my boiler safe?","outputTokens":4}'
 done
 
+await_claims
 # A UUID of version 7: milliseconds since 1970, then random bits.
 hex=$(printf '%012x' "$(date +%s%3N)")
 key="${hex:0:8}-${hex:8:4}-7$(printf '%03x' $((RANDOM % 4096)))-8000-$(printf '%06x%06x' $RANDOM $RANDOM)"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -67,3 +67,13 @@
 publish() {
     "$bin/camphorshuntctl" publish "$1" --log="$log" --admin="$(IFS=,; echo "${admins[*]}")"
 }
+
+# Waits until every daemon can claim: a new one first reads the log's tail and asks its peers.
+await_claims() {
+    local admin
+    for admin in "${admins[@]}"; do
+        until curl -sS "http://$admin/status" | grep -q '"claims":{"ready":true'; do
+            sleep 0.05
+        done
+    done
+}
--- a/scripts/recordtraces.sh
+++ b/scripts/recordtraces.sh
@@ -23,9 +23,7 @@
     sed -e "s/127.0.0.1:7111/$b1/" samples/demo-booking.json >"$work/booking.json"
     publish "$work/assistant.json" >/dev/null
     publish "$work/booking.json" >/dev/null
-    until curl -sS "http://${admins[0]}/status" | grep -q '"claims":{"ready":true'; do
-        sleep 0.1
-    done
+    await_claims
 }
 
 # Stops the fleet; keeps the record up to the last end of a request, and states the outcomes in order of arrival.
