Send ends after the demand again

Ends had been put before the demand, so that a full demand would not release slots whose last charge was still to be sent. The dispatcher grants on an end before it knows what came in that request's place, so an organisation looks idle for a moment and returns at the floor; that explanation is not traced.

What the earlier order mended is open again: units of requests that end between a lost connection and the next full demand are not charged.

--- a/src/libcamphorshunt/entryservice.cpp
+++ b/src/libcamphorshunt/entryservice.cpp
@@ -237,13 +237,6 @@
     if (!isReachable(link.owner))
         return;
 
-    // Before a full demand, which would release the ended slots without their charge.
-    if (!link.ends.empty() || !link.charges.empty()) {
-        auto ends
-            = Ends { { service_, shard }, std::exchange(link.ends, {}), std::exchange(link.charges, {}) };
-        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
-    }
-
     if (!link.synced) {
         if (link.syncedAt && now - *link.syncedAt < resyncPause)
             return;
@@ -255,6 +248,13 @@
         demand.entries.assign(changes.begin(), changes.end());
         actions.emplace_back(SendPeer { link.owner, std::move(demand) });
     }
+    // After the demand: what came in the place of an ended request waits by then, and its organisation is
+    // not taken for idle.
+    if (!link.ends.empty() || !link.charges.empty()) {
+        auto ends
+            = Ends { { service_, shard }, std::exchange(link.ends, {}), std::exchange(link.charges, {}) };
+        actions.emplace_back(SendPeer { link.owner, std::move(ends) });
+    }
 }
 
 auto EntryService::takeDemand(Time now) -> std::vector<DemandEntry>
