--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,7 +14,7 @@
 ctest --preset release -j 6 2>&1 | tee "$log" || status=$?
 [ "$status" -eq 0 ] && exit 0
 
-failed=$(sed -n 's/^[[:space:]]*[0-9]* - \(.*\) (\(Failed\|Timeout\|SEGFAULT\|Subprocess aborted\|Not Run\))$/\1/p' "$log")
+failed=$(sed -n 's/^[[:space:]]*[0-9]* - \(.*\) (\(Failed\|Timeout\|SEGFAULT\|Subprocess aborted\|Not Run\)).*$/\1/p' "$log")
 [ -n "$failed" ] || exit "$status"
 unknown=$(grep -vxF -f <(printf '%s\n' "$known") <<<"$failed" || true)
 if [ -n "$unknown" ]; then
