Resume a stream that is cut again where it runs

The upstream that runs a stream was taken anew at each broken attempt from the slot's upstream. A resumed attempt runs elsewhere than its slot is for, so after a second cut the stream was asked of an upstream that does not know it, and the caller's answer was lost. It is now kept from the first attempt. Ruled out by a trial on processes: with free slots the same upstream is granted again, which hid the fault. The unit test makes the slots differ; it was seen failing.

Left: the attempt's failure still counts against the slot's upstream in the dispatcher's health and not the one that ran it.

--- a/src/libcamphorshunt/requestflow.cpp
+++ b/src/libcamphorshunt/requestflow.cpp
@@ -229,7 +229,8 @@
         ->release(request->grant, units, ended.result == AttemptResult::NotSent, ended.result);
     request->eventsPassed = ended.eventsPassed;
     request->headPassed = request->headPassed || ended.headPassed;
-    if (ended.eventsPassed > 0)
+    // Later attempts at a stream run where the first one did, whichever upstream their slots are for.
+    if (ended.eventsPassed > 0 && request->streamedFrom == UpstreamId {})
         request->streamedFrom = request->upstream;
     finishAttempt(now, *request, ended, actions);
 }
