--- /dev/null
+++ b/include/camphorshunt/prompt.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace camphorshunt {
+
+/** A piece of a prompt that engines may keep in memory between requests. */
+struct PromptPart {
+    std::uint64_t id = 0;
+    std::uint32_t tokens = 0;
+};
+
+/** What a request asks a model engine to read and to generate, in tokens. */
+struct Prompt {
+    std::uint32_t tokens = 0;
+    /** Most tokens of output. */
+    std::uint32_t outputLimit = 0;
+    /** The caller's estimate of the output; zero if it gave none. */
+    std::uint32_t outputHint = 0;
+    /** In order; a part is reused only where all parts before it are. */
+    std::vector<PromptPart> parts;
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/include/camphorshunt/retrybudget.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+
+#include "camphorshunt/time.h"
+
+namespace camphorshunt {
+
+/**
+ * Bounds the second tries of one service to a share of its requests over a sliding window, with some to
+ * spare at any time. Each router keeps its own: the shares add up to the fleet's, the spare ones are
+ * divided.
+ */
+class RetryBudget {
+public:
+    struct Settings {
+        /** Second tries for each request. */
+        double ratio = 0.2;
+        /** Second tries that are allowed besides, in the whole fleet. */
+        double spare = 0;
+        Duration window = std::chrono::seconds(10);
+    };
+
+    explicit RetryBudget(const Settings& settings)
+        : settings_(settings)
+    {
+    }
+
+    auto noteRequest(Time now) -> void;
+    /** Routers among which the spare tries are divided. */
+    auto setRouters(std::size_t routers) -> void { routers_ = routers; }
+    /** Takes one try, or refuses. */
+    auto take(Time now) -> bool;
+
+private:
+    static constexpr auto buckets = std::size_t { 20 };
+
+    struct Bucket {
+        std::int64_t slice = -1;
+        std::uint32_t requests = 0;
+        std::uint32_t tries = 0;
+    };
+
+    auto bucketAt(Time now) -> Bucket&;
+    auto slice(Time now) const -> std::int64_t;
+
+    Settings settings_;
+    std::size_t routers_ = 1;
+    std::array<Bucket, buckets> ring_ {};
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -0,0 +1,105 @@
+#include "answerrelay.h"
+
+#include <array>
+#include <charconv>
+
+#include "eventstream.h"
+
+#include "platform/callerwire.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+/** A plain answer longer than this is passed on as it comes. */
+constexpr auto mostKept = std::size_t { 256 } * 1024;
+constexpr auto lastChunk = std::string_view("0\r\n\r\n");
+
+auto lengthOf(const platform::ResponseHeader& header) -> std::optional<std::uint64_t>
+{
+    const auto text = platform::valueOf(header, "Content-Length");
+    auto length = std::uint64_t { 0 };
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), length);
+    if (text.empty() || result.ec != std::errc {})
+        return std::nullopt;
+    return length;
+}
+
+auto appendChunk(std::string& text, std::string_view body) -> void
+{
+    auto size = std::array<char, 16> {};
+    const auto end = std::to_chars(size.data(), size.data() + size.size(), body.size(), 16).ptr;
+    text.append(size.data(), end).append("\r\n").append(body).append("\r\n");
+}
+
+} // namespace
+
+AnswerRelay::AnswerRelay(
+    const platform::ResponseHeader& header, Mode mode, bool isHead, bool lastAnswer)
+    : mode_(mode)
+    , header_(header)
+    , isHead_(isHead)
+    , lastAnswer_(lastAnswer)
+    , status_(header.result_int())
+{
+    if (mode_ != Mode::ResumableStream)
+        length_ = lengthOf(header);
+}
+
+auto AnswerRelay::framed(std::string_view body) -> std::string
+{
+    auto text = std::string {};
+    if (!begun_) {
+        begun_ = true;
+        text = platform::writeRelayedHead(header_, { length_, lastAnswer_ });
+    }
+    bytes_ += body.size();
+    if (length_)
+        text += body;
+    else if (!body.empty())
+        appendChunk(text, body);
+    return text;
+}
+
+auto AnswerRelay::wholeEvents(std::string_view bytes) -> std::string
+{
+    pending_ += bytes;
+    auto begin = std::size_t { 0 };
+    for (auto end = eventEnd(pending_, 0); end != std::string::npos; end = eventEnd(pending_, begin)) {
+        const auto fields = eventFields(std::string_view(pending_).substr(begin, end - begin));
+        if (!fields.id.empty())
+            lastEvent_ = fields.id;
+        begin = end;
+    }
+    auto events = pending_.substr(0, begin);
+    pending_.erase(0, begin);
+    return events;
+}
+
+auto AnswerRelay::take(std::string_view bytes) -> std::string
+{
+    if (mode_ == Mode::Stream)
+        return framed(bytes);
+    if (mode_ == Mode::ResumableStream) {
+        const auto events = wholeEvents(bytes);
+        return events.empty() ? std::string {} : framed(events);
+    }
+    pending_ += bytes;
+    if (pending_.size() < mostKept)
+        return {};
+    mode_ = Mode::Stream;
+    return framed(std::exchange(pending_, {}));
+}
+
+auto AnswerRelay::finish() -> std::string
+{
+    if (mode_ == Mode::Whole && !isHead_)
+        length_ = pending_.size();
+    // What an engine sent after its last event is part of its answer as well.
+    auto text = framed(std::exchange(pending_, {}));
+    if (!length_)
+        text += lastChunk;
+    return text;
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -0,0 +1,259 @@
+#include "callerconnection.h"
+
+#include <utility>
+
+#include <boost/beast/http/error.hpp>
+
+#include "clock.h"
+#include "exchange.h"
+#include "relay.h"
+#include "socketoptions.h"
+
+#include "platform/callerwire.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+/** Bytes of later requests that are read while one is in progress. */
+constexpr auto mostReadAhead = std::size_t { 64 } * 1024;
+/** How long a caller may take to close a connection after its last answer. */
+constexpr auto lingerTime = Duration(std::chrono::milliseconds(1000));
+
+struct Refusal {
+    unsigned status;
+    std::string_view reason;
+};
+
+auto refusalOf(const boost::beast::error_code& error) -> Refusal
+{
+    if (error == http::error::header_limit)
+        return { 431, "the header is too long" };
+    if (error == http::error::body_limit)
+        return { 413, "the body is too long" };
+    return { 400, "the request is malformed" };
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(Socket socket, Relay& relay)
+    : socket_(std::move(socket))
+    , relay_(relay)
+{
+}
+
+CallerConnection::~CallerConnection() = default;
+
+auto CallerConnection::start() -> void
+{
+    setConnectionOptions(socket_);
+    auto ignored = boost::system::error_code {};
+    socket_.non_blocking(true, ignored);
+    since_ = steadyNow();
+    read();
+}
+
+auto CallerConnection::read() -> void
+{
+    socket_.async_read_some(boost::asio::buffer(buffer_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
+            if (self->open_)
+                self->readDone(error, size);
+        });
+}
+
+auto CallerConnection::readDone(const boost::system::error_code& error, std::size_t size) -> void
+{
+    const auto self = shared_from_this();
+    if (error) {
+        close();
+        return;
+    }
+    if (!closing_)
+        input_.append(buffer_.data(), size);
+    if (!exchange_ && !closing_)
+        parse();
+    if (open_ && (input_.size() < mostReadAhead || !exchange_))
+        read();
+}
+
+auto CallerConnection::beginRequest() -> void
+{
+    const auto& limits = relay_.limits();
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    parser_->body_limit(limits.bodyBytes);
+    parser_->eager(true);
+    continued_ = false;
+    since_ = steadyNow();
+}
+
+auto CallerConnection::parse() -> void
+{
+    while (open_ && !exchange_ && !closing_ && !input_.empty()) {
+        if (!parser_)
+            beginRequest();
+        auto error = boost::beast::error_code {};
+        const auto used = parser_->put(boost::asio::buffer(input_), error);
+        input_.erase(0, used);
+        if (error && error != http::error::need_more) {
+            const auto refusal = refusalOf(error);
+            refuse(refusal.status, refusal.reason);
+            return;
+        }
+        if (!parser_->is_done()) {
+            if (parser_->is_header_done() && !continued_
+                && parser_->get().find(http::field::expect) != parser_->get().end()) {
+                continued_ = true;
+                write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            if (used == 0 || input_.empty())
+                return;
+            continue;
+        }
+        keepAlive_ = parser_->keep_alive() && !relay_.isDraining();
+        auto request = parser_->release();
+        parser_.reset();
+        exchange_ = Exchange::create(relay_, *this, std::move(request), keepAlive_);
+        const auto exchange = exchange_;
+        exchange->begin();
+    }
+}
+
+auto CallerConnection::refuse(unsigned status, std::string_view reason) -> void
+{
+    relay_.log(LogLevel::Warning, "request-malformed",
+        { { "status", std::to_string(status) }, { "reason", std::string(reason) } });
+    write(platform::writeOwnAnswer({ status, {}, reason, {}, true }));
+    closeGracefully();
+}
+
+auto CallerConnection::write(std::string bytes) -> void
+{
+    if (!open_)
+        return;
+    if (output_.empty())
+        output_ = std::move(bytes);
+    else
+        output_ += bytes;
+    if (!waitsToWrite_)
+        flush();
+}
+
+auto CallerConnection::flush() -> void
+{
+    auto error = boost::system::error_code {};
+    auto written = std::size_t { 0 };
+    while (written < output_.size() && !error)
+        written += socket_.write_some(
+            boost::asio::buffer(output_.data() + written, output_.size() - written), error);
+    output_.erase(0, written);
+    if (error && error != boost::asio::error::would_block) {
+        // The pending read reports the loss to the exchange.
+        output_.clear();
+        auto ignored = boost::system::error_code {};
+        socket_.shutdown(Socket::shutdown_both, ignored);
+        return;
+    }
+    if (output_.empty()) {
+        if (closing_) {
+            auto ignored = boost::system::error_code {};
+            socket_.shutdown(Socket::shutdown_send, ignored);
+        }
+        return;
+    }
+    waitsToWrite_ = true;
+    socket_.async_wait(
+        Socket::wait_write, [self = shared_from_this()](const boost::system::error_code& waitError) {
+            self->waitsToWrite_ = false;
+            if (self->open_ && !waitError)
+                self->flush();
+        });
+}
+
+auto CallerConnection::finishAnswer(bool keep) -> void
+{
+    const auto self = shared_from_this();
+    exchange_.reset();
+    since_ = steadyNow();
+    if (!keep) {
+        closeGracefully();
+        return;
+    }
+    const auto wasFull = input_.size() >= mostReadAhead;
+    // Not from inside the exchange that ends.
+    if (!input_.empty()) {
+        boost::asio::post(socket_.get_executor(), [self, wasFull] {
+            if (!self->open_ || self->exchange_)
+                return;
+            self->parse();
+            if (wasFull && self->open_)
+                self->read();
+        });
+    }
+}
+
+auto CallerConnection::abort() -> void
+{
+    exchange_.reset();
+    // A reset, so that no answer that ends with its connection looks whole.
+    auto ignored = boost::system::error_code {};
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+auto CallerConnection::closeGracefully() -> void
+{
+    closing_ = true;
+    since_ = steadyNow();
+    input_.clear();
+    parser_.reset();
+    if (!output_.empty())
+        return;
+    auto ignored = boost::system::error_code {};
+    socket_.shutdown(Socket::shutdown_send, ignored);
+}
+
+auto CallerConnection::close() -> void
+{
+    if (!std::exchange(open_, false))
+        return;
+    auto ignored = boost::system::error_code {};
+    socket_.close(ignored);
+    if (const auto exchange = std::exchange(exchange_, nullptr))
+        exchange->callerGone();
+    relay_.forget(*this);
+}
+
+auto CallerConnection::closeIfIdle() -> void
+{
+    if (open_ && !exchange_ && !closing_ && !hasInput())
+        closeGracefully();
+}
+
+auto CallerConnection::checkTimes(Time now) -> void
+{
+    if (!open_ || exchange_)
+        return;
+    const auto self = shared_from_this();
+    const auto& limits = relay_.limits();
+    const auto waited = now - since_;
+    if (closing_) {
+        if (waited > lingerTime)
+            close();
+        return;
+    }
+    if (!hasInput()) {
+        if (waited > limits.idleTimeout)
+            closeGracefully();
+        return;
+    }
+    // A body may take as long as the idle limit, a header less.
+    const auto headerDone = parser_ && parser_->is_header_done();
+    if (waited > (headerDone ? limits.idleTimeout : limits.headerTimeout))
+        refuse(408, "the request took too long to arrive");
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/exchange.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "camphorshunt/placement.h"
+#include "camphorshunt/routetable.h"
+#include "camphorshunt/upstreamentry.h"
+
+#include "answerrelay.h"
+#include "callerconnection.h"
+#include "upstreamconnection.h"
+
+#include "platform/callerwire.h"
+#include "platform/enginewire.h"
+
+namespace camphorshunt::router {
+
+/**
+ * One request from its caller to the end of its answer: finds its route and upstream, sends it, relays the
+ * answer, and tries again or resumes where the route's kind allows that and proves it harmless.
+ */
+class Exchange : public AnswerListener, public std::enable_shared_from_this<Exchange> {
+public:
+    static auto create(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
+        -> std::shared_ptr<Exchange>;
+    Exchange(const Exchange&) = delete;
+    Exchange(Exchange&&) = delete;
+    auto operator=(const Exchange&) -> Exchange& = delete;
+    auto operator=(Exchange&&) -> Exchange& = delete;
+    ~Exchange() override;
+
+    auto begin() -> void;
+    auto number() const -> std::uint64_t { return number_; }
+    auto placed(const UpstreamEntry& upstream) -> void;
+    auto refused(RefusalReason reason, std::chrono::milliseconds retryAfter) -> void;
+    auto callerGone() -> void;
+    /** Acts on what has become due; gives the time of the next check, or none when it has ended. */
+    auto check(Time now) -> std::optional<Time>;
+
+    auto connectionFailed() -> void override;
+    auto headArrived(const platform::ResponseHeader& header) -> bool override;
+    auto bodyArrived(std::string_view bytes) -> void override;
+    auto answerEnded(bool whole) -> void override;
+
+private:
+    enum class State : std::uint8_t { Placing, Sent, Answering, Done };
+
+    /** How a request ended for its caller. */
+    enum class Outcome : std::uint8_t { Served, Passed, Refused, Failed, Cut, Gone };
+
+    Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive);
+
+    auto admit() -> bool;
+    auto findPlace() -> void;
+    auto askForEngine() -> void;
+    auto chooseUpstream() -> void;
+    auto send(const UpstreamEntry& upstream) -> void;
+    auto silenceLimit() const -> Duration;
+
+    auto attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void;
+    auto endAttempt(PlacementEnd end) -> void;
+    auto mayTryAgain() -> bool;
+    auto giveUp(std::string_view reason) -> void;
+
+    auto answerOwn(unsigned status, std::string_view reason,
+        std::optional<std::chrono::milliseconds> retryAfter = std::nullopt) -> void;
+    auto finish(Outcome outcome, unsigned status, std::string_view reason) -> void;
+    auto logEnd(Outcome outcome, unsigned status, std::string_view reason) -> void;
+    auto timeLeft() const -> Duration;
+    static auto outcomeName(Outcome outcome) -> std::string_view;
+
+    Relay& relay_;
+    CallerConnection* caller_;
+    CallerConnection::Request message_;
+    /** Views into `message_`. */
+    platform::CallerRequest request_;
+    bool keepAlive_;
+    std::uint64_t number_;
+    State state_ = State::Placing;
+
+    std::shared_ptr<const RouteTable> table_;
+    const Route* route_ = nullptr;
+    const KeyHolder* organisation_ = nullptr;
+    ServiceId service_;
+    bool onEngine_ = false;
+
+    Time arrived_;
+    Time deadline_ {};
+    Time askedAt_ {};
+    Time sentAt_ {};
+    Time lastByteAt_ {};
+    Time firstByteAt_ {};
+
+    std::optional<UpstreamEntry> upstream_;
+    std::shared_ptr<UpstreamConnection> connection_;
+    std::vector<UpstreamId> tried_;
+    std::uint32_t sends_ = 0;
+    bool mayHaveRun_ = false;
+    bool startedTold_ = false;
+
+    std::optional<platform::EngineAnswer> answer_;
+    std::optional<std::chrono::seconds> idleTimeout_;
+    std::optional<AnswerRelay> relayed_;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/fleetstate.cpp
@@ -0,0 +1,106 @@
+#include "fleetstate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/configuration.h"
+#include "platform/directoryentry.h"
+
+namespace camphorshunt::router {
+
+auto FleetState::takeConfiguration(std::string json, std::string_view source) -> bool
+{
+    if (json == configuration_)
+        return false;
+    auto decoded = platform::decodeConfiguration(json);
+    if (!decoded) {
+        log_.write(LogLevel::Error, "configuration-unreadable",
+            { { "error", decoded.error().text() }, { "source", std::string(source) },
+                { "in-force", std::to_string(version()) } });
+        return false;
+    }
+    const auto next = decoded.value().version;
+    if (table_ && next <= version())
+        return false;
+    log_.write(LogLevel::Info, "configuration",
+        { { "version", std::to_string(next) }, { "before", std::to_string(version()) },
+            { "source", std::string(source) }, { "routes", std::to_string(decoded.value().routes.size()) },
+            { "organisations", std::to_string(decoded.value().organisations.size()) } });
+    configuration_ = std::move(json);
+    table_ = RouteTable::build(std::move(decoded.value()));
+    return true;
+}
+
+auto FleetState::decode(const std::string& name, const std::optional<std::string>& value)
+    -> UpstreamDirectory::Named
+{
+    if (!value)
+        return { name, std::nullopt };
+    auto entry = platform::decodeDirectoryEntry(name, *value);
+    if (entry)
+        return { name, std::move(entry.value()) };
+    log_.write(LogLevel::Warning, "directory-entry-unreadable",
+        { { "upstream", name }, { "error", entry.error().text() } });
+    return { name, std::nullopt };
+}
+
+auto FleetState::takeWhole(Time now, const DirectoryPage& page) -> bool
+{
+    auto entries = std::vector<UpstreamDirectory::Named> {};
+    rawEntries_.clear();
+    for (const auto& record : page.records) {
+        entries.push_back(decode(record.name, record.value));
+        if (record.value)
+            rawEntries_[record.name] = *record.value;
+    }
+    return directory_.replaceAll(now, entries);
+}
+
+auto FleetState::takeDirectory(Time now, const DirectoryPage& page) -> PageResult
+{
+    const auto known = directoryEnd_.value_or(0);
+    if (!page.whole && (!directoryEnd_ || page.from > known))
+        return PageResult::Gap;
+    directory_.noteRead(now);
+    if (directoryEnd_ && page.end < known)
+        return PageResult::Unchanged;
+    auto changed = false;
+    if (page.whole) {
+        changed = takeWhole(now, page);
+    } else {
+        for (const auto& record : page.records) {
+            if (record.offset < known)
+                continue;
+            auto [name, entry] = decode(record.name, record.value);
+            if (record.value)
+                rawEntries_[record.name] = *record.value;
+            else
+                rawEntries_.erase(record.name);
+            if (directory_.apply(now, name, std::move(entry))) {
+                changed = true;
+                log_.write(LogLevel::Info, "upstream-changed",
+                    { { "upstream", name }, { "offset", std::to_string(record.offset) },
+                        { "entry", record.value.value_or("removed") } });
+            }
+        }
+    }
+    directoryEnd_ = page.end;
+    return changed ? PageResult::Changed : PageResult::Unchanged;
+}
+
+auto FleetState::settle(Time now) -> bool { return directory_.settle(now); }
+
+auto FleetState::wholeDirectory() const -> DirectoryPage
+{
+    auto page = DirectoryPage { true, 0, directoryEnd_.value_or(0), {} };
+    for (const auto& [name, value] : rawEntries_)
+        page.records.push_back({ name, value, 0 });
+    return page;
+}
+
+auto FleetState::upstreams() const -> std::shared_ptr<const UpstreamList>
+{
+    return std::make_shared<const UpstreamList>(directory_.entries());
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/main.cpp
@@ -0,0 +1,63 @@
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include "log.h"
+#include "router.h"
+#include "routersettings.h"
+
+ABSL_FLAG(std::string, settings, "", "file with this router's settings, JSON with comments");
+ABSL_FLAG(bool, check, false, "check the settings and end");
+
+namespace {
+
+/** Names the settings file where no flag does. */
+constexpr auto settingsVariable = "CAMPHORSHUNT_BOOT";
+constexpr auto wrongSettings = 2;
+
+auto refuse(const std::string& message) -> int
+{
+    std::cerr << "camphorshuntrouter: " << message << '\n';
+    return wrongSettings;
+}
+
+auto settingsFile() -> std::string
+{
+    auto file = absl::GetFlag(FLAGS_settings);
+    const auto* const named = std::getenv(settingsVariable);
+    return file.empty() && named != nullptr ? named : file;
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    absl::SetProgramUsageMessage("Routes callers' requests to model engines and plain services.\n"
+                                 "Example: camphorshuntrouter --settings=/etc/camphorshunt/router.json");
+    const auto rest = absl::ParseCommandLine(argc, argv);
+    if (rest.size() > 1)
+        return refuse(std::string("'") + rest[1] + "' is not a flag; see --help");
+    const auto file = settingsFile();
+    if (file.empty())
+        return refuse(std::string("--settings: name the settings file, here or in ") + settingsVariable);
+    const auto settings = camphorshunt::router::RouterSettings::load(file);
+    if (!settings)
+        return refuse(settings.error().text());
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << file << ": settings are valid\n";
+        return EXIT_SUCCESS;
+    }
+
+    std::signal(SIGPIPE, SIG_IGN);
+    camphorshunt::startLogging("camphorshuntrouter", camphorshunt::LogLevel::Info);
+    const auto router = camphorshunt::router::Router::create(settings.value(), file);
+    if (!router)
+        return refuse(router.error().text());
+    router.value()->run();
+    return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/src/camphorshuntrouter/meshlink.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "camphorshunt/ids.h"
+
+#include "framereader.h"
+#include "peerframe.h"
+
+namespace camphorshunt::router {
+
+/** One connection to another router: frames both ways, of which the first each way is a hello. */
+class MeshLink : public std::enable_shared_from_this<MeshLink> {
+public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    struct Handlers {
+        std::function<void(const std::shared_ptr<MeshLink>&, const PeerHello&)> onHello;
+        std::function<void(MeshLink&, PeerFrame)> onFrame;
+        /** Called once, unless `close` was called before. */
+        std::function<void(MeshLink&, std::string_view reason)> onClosed;
+    };
+
+    MeshLink(Socket socket, bool dialled, Handlers handlers);
+
+    auto dial(const boost::asio::ip::tcp::endpoint& endpoint, const PeerFrame& hello) -> void;
+    /** For a connected socket. */
+    auto start(const PeerFrame& hello) -> void;
+    auto send(const PeerFrame& frame) -> void;
+    /** Ends the connection; no handler is called any more. */
+    auto close() -> void;
+
+    auto isDialled() const -> bool { return dialled_; }
+    auto router() const -> RouterId { return router_; }
+
+private:
+    auto fail(std::string_view reason) -> void;
+    auto read() -> void;
+    auto take(std::size_t size) -> void;
+    auto write() -> void;
+
+    Socket socket_;
+    bool dialled_;
+    Handlers handlers_;
+    RouterId router_;
+    FrameReader reader_;
+    std::array<std::uint8_t, 8192> input_ {};
+    std::vector<std::uint8_t> queued_;
+    std::vector<std::uint8_t> writing_;
+    bool greeted_ = false;
+    bool closed_ = false;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -0,0 +1,208 @@
+#include "peerframe.h"
+
+#include "fleet_generated.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+constexpr auto deepestNesting = std::size_t { 6 };
+constexpr auto mostTables = std::size_t { 100000 };
+
+auto malformed(std::string message) -> Error
+{
+    return failure(Error::Code::Malformed, "frame", std::move(message));
+}
+
+auto packPlace(FlatBufferBuilder& builder, const PeerPlace& place) -> Offset<fleet::Place>
+{
+    const auto& request = place.request;
+    auto parts = std::vector<fleet::Part> {};
+    for (const auto& part : request.prompt.parts)
+        parts.emplace_back(part.id, part.tokens);
+    auto avoid = std::vector<std::uint64_t> {};
+    for (const auto upstream : request.avoid)
+        avoid.push_back(upstream.value);
+    const auto partsOffset = builder.CreateVectorOfStructs(parts);
+    const auto avoidOffset = builder.CreateVector(avoid);
+    return fleet::CreatePlace(builder, request.key.number, request.service.value, request.organisation.value,
+        request.failureDomain, request.priority, request.prompt.tokens, request.prompt.outputLimit,
+        request.prompt.outputHint, request.repeatable, place.goalLeft.count(), place.deadlineLeft.count(),
+        partsOffset, avoidOffset, place.runningAt.value_or(UpstreamId {}).value, place.started);
+}
+
+auto packDirectory(FlatBufferBuilder& builder, const DirectoryPage& page) -> Offset<fleet::DirectoryPage>
+{
+    auto records = std::vector<Offset<fleet::Record>> {};
+    for (const auto& record : page.records) {
+        const auto key = builder.CreateString(record.name);
+        const auto value = record.value ? builder.CreateString(*record.value) : 0;
+        records.push_back(fleet::CreateRecord(builder, key, value, record.offset));
+    }
+    const auto list = builder.CreateVector(records);
+    return fleet::CreateDirectoryPage(builder, page.whole, page.from, page.end, list);
+}
+
+auto packHello(FlatBufferBuilder& builder, const PeerHello& hello) -> Offset<fleet::Hello>
+{
+    return fleet::CreateHello(builder, builder.CreateString(hello.endpoint), hello.run,
+        static_cast<float>(hello.processorShare));
+}
+
+auto packVerdict(const PeerVerdict& verdict) -> fleet::Verdict
+{
+    return { verdict.number, verdict.service.value, verdict.upstream.value_or(UpstreamId {}).value,
+        static_cast<std::uint32_t>(verdict.retryAfter.count()), static_cast<std::uint8_t>(verdict.reason),
+        verdict.upstream.has_value() };
+}
+
+auto unpackPlace(const fleet::Place& packed) -> PeerPlace
+{
+    auto place = PeerPlace {};
+    auto& request = place.request;
+    request.key.number = packed.number();
+    request.service = { packed.service() };
+    request.organisation = { packed.organisation() };
+    request.failureDomain = packed.failure_domain();
+    request.priority = packed.priority();
+    request.prompt.tokens = packed.prompt_tokens();
+    request.prompt.outputLimit = packed.output_limit();
+    request.prompt.outputHint = packed.output_hint();
+    request.repeatable = packed.repeatable();
+    if (packed.parts() != nullptr) {
+        for (const auto* const part : *packed.parts())
+            request.prompt.parts.push_back({ part->id(), part->tokens() });
+    }
+    if (packed.avoid() != nullptr) {
+        for (const auto upstream : *packed.avoid())
+            request.avoid.push_back({ upstream });
+    }
+    place.goalLeft = Duration(packed.goal_us());
+    place.deadlineLeft = Duration(packed.deadline_us());
+    if (packed.upstream() != 0)
+        place.runningAt = UpstreamId { packed.upstream() };
+    place.started = packed.started();
+    return place;
+}
+
+auto unpackVerdict(const fleet::Verdict& packed) -> Result<PeerVerdict>
+{
+    if (packed.reason() > static_cast<std::uint8_t>(RefusalReason::NoUpstream))
+        return malformed("unknown reason of a refusal");
+    auto verdict = PeerVerdict {};
+    verdict.number = packed.number();
+    verdict.service = { packed.service() };
+    if (packed.placed())
+        verdict.upstream = UpstreamId { packed.upstream() };
+    verdict.reason = static_cast<RefusalReason>(packed.reason());
+    verdict.retryAfter = std::chrono::milliseconds(packed.retry_ms());
+    return verdict;
+}
+
+auto unpackReport(const fleet::Report& packed) -> Result<PeerReport>
+{
+    if (packed.kind() > static_cast<std::uint8_t>(PeerReportKind::Ended)
+        || packed.end() > static_cast<std::uint8_t>(PlacementEnd::Failed))
+        return malformed("unknown kind of report");
+    return PeerReport { packed.number(), { packed.service() }, static_cast<PeerReportKind>(packed.kind()),
+        static_cast<PlacementEnd>(packed.end()) };
+}
+
+auto unpackDirectory(const fleet::DirectoryPage& packed) -> DirectoryPage
+{
+    auto page = DirectoryPage { packed.whole(), packed.from(), packed.end(), {} };
+    if (packed.records() == nullptr)
+        return page;
+    for (const auto* const record : *packed.records()) {
+        page.records.push_back({ record->key()->str(), std::nullopt, record->offset() });
+        if (record->value() != nullptr)
+            page.records.back().value = record->value()->str();
+    }
+    return page;
+}
+
+template <typename Packed, typename Item, typename Unpack>
+auto unpackAll(const Packed* packed, std::vector<Item>& items, Unpack unpack) -> std::optional<Error>
+{
+    if (packed == nullptr)
+        return std::nullopt;
+    for (const auto* const entry : *packed) {
+        auto item = unpack(*entry);
+        if (!item)
+            return item.error();
+        items.push_back(std::move(item.value()));
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto encodePeerFrame(const PeerFrame& frame) -> std::vector<std::uint8_t>
+{
+    auto builder = FlatBufferBuilder {};
+    auto places = std::vector<Offset<fleet::Place>> {};
+    for (const auto& place : frame.places)
+        places.push_back(packPlace(builder, place));
+    auto verdicts = std::vector<fleet::Verdict> {};
+    for (const auto& verdict : frame.verdicts)
+        verdicts.push_back(packVerdict(verdict));
+    auto reports = std::vector<fleet::Report> {};
+    for (const auto& report : frame.reports) {
+        reports.emplace_back(report.number, report.service.value, static_cast<std::uint8_t>(report.kind),
+            static_cast<std::uint8_t>(report.end));
+    }
+
+    const auto hello = frame.hello ? packHello(builder, *frame.hello) : 0;
+    const auto members = frame.members.empty() ? 0 : builder.CreateVectorOfStrings(frame.members);
+    const auto placeList = places.empty() ? 0 : builder.CreateVector(places);
+    const auto verdictList = verdicts.empty() ? 0 : builder.CreateVectorOfStructs(verdicts);
+    const auto reportList = reports.empty() ? 0 : builder.CreateVectorOfStructs(reports);
+    const auto directory = frame.directory ? packDirectory(builder, *frame.directory) : 0;
+    const auto configuration = frame.configuration ? builder.CreateString(*frame.configuration) : 0;
+    const auto beat = frame.beat.value_or(PeerBeat {});
+    const auto packedBeat = fleet::Beat(
+        beat.configurationVersion, beat.directoryEnd, beat.storeReachable, beat.leaving);
+    builder.Finish(fleet::CreateFrame(builder, hello, members, frame.beat ? &packedBeat : nullptr, placeList,
+        verdictList, reportList, directory, frame.wantsDirectory, configuration, frame.wantsConfiguration));
+    return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
+}
+
+auto decodePeerFrame(std::span<const std::uint8_t> bytes) -> Result<PeerFrame>
+{
+    auto verifier = flatbuffers::Verifier(bytes.data(), bytes.size(), deepestNesting, mostTables);
+    if (!fleet::VerifyFrameBuffer(verifier))
+        return malformed("not a frame of this protocol");
+    const auto& packed = *fleet::GetFrame(bytes.data());
+
+    auto frame = PeerFrame {};
+    if (const auto* const hello = packed.hello())
+        frame.hello = { hello->endpoint()->str(), hello->run(), hello->processor_share() };
+    if (packed.members() != nullptr) {
+        for (const auto* const member : *packed.members())
+            frame.members.push_back(member->str());
+    }
+    if (const auto* const beat = packed.beat()) {
+        frame.beat
+            = { beat->configuration(), beat->directory_end(), beat->store_reachable(), beat->leaving() };
+    }
+    if (packed.places() != nullptr) {
+        for (const auto* const place : *packed.places())
+            frame.places.push_back(unpackPlace(*place));
+    }
+    if (const auto error = unpackAll(packed.verdicts(), frame.verdicts, unpackVerdict))
+        return *error;
+    if (const auto error = unpackAll(packed.reports(), frame.reports, unpackReport))
+        return *error;
+    if (packed.directory() != nullptr)
+        frame.directory = unpackDirectory(*packed.directory());
+    frame.wantsDirectory = packed.wants_directory();
+    if (packed.configuration() != nullptr)
+        frame.configuration = packed.configuration()->str();
+    frame.wantsConfiguration = packed.wants_configuration();
+    return frame;
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/peermesh.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "camphorshunt/endpoint.h"
+#include "camphorshunt/ids.h"
+#include "camphorshunt/result.h"
+#include "camphorshunt/time.h"
+
+#include "meshlink.h"
+#include "peerframe.h"
+
+namespace camphorshunt::router {
+
+/**
+ * Connections to all other routers. A router is known by the address it listens on; either end may dial,
+ * and of two connections between the same two the one dialled by the smaller address stays. Used on one
+ * thread.
+ */
+class PeerMesh {
+public:
+    struct Handlers {
+        std::function<void(RouterId, const PeerHello&)> onConnected;
+        std::function<void(RouterId, std::string_view reason)> onDisconnected;
+        std::function<void(RouterId, PeerFrame)> onFrame;
+    };
+
+    static auto listen(boost::asio::io_context& context, const Endpoint& endpoint, PeerHello self,
+        Handlers handlers) -> Result<std::unique_ptr<PeerMesh>>;
+    ~PeerMesh();
+    PeerMesh(const PeerMesh&) = delete;
+    PeerMesh(PeerMesh&&) = delete;
+    auto operator=(const PeerMesh&) -> PeerMesh& = delete;
+    auto operator=(PeerMesh&&) -> PeerMesh& = delete;
+
+    /** Connects to the router at this address, and again when the connection is lost. */
+    auto know(const std::string& endpoint) -> void;
+    /** Dropped when there is no connection. */
+    auto send(RouterId router, const PeerFrame& frame) -> void;
+    auto broadcast(const PeerFrame& frame) -> void;
+    /** Addresses of the routers that are connected. */
+    auto members() const -> std::vector<std::string>;
+    auto self() const -> RouterId { return self_; }
+    auto stop() -> void;
+
+private:
+    using Tcp = boost::asio::ip::tcp;
+
+    struct Peer {
+        std::string endpoint;
+        std::shared_ptr<MeshLink> link;
+        std::shared_ptr<MeshLink> dialling;
+        Time nextDial {};
+        Duration backoff {};
+        Time lostAt {};
+    };
+
+    PeerMesh(boost::asio::io_context& context, PeerHello hello, Handlers handlers);
+
+    auto open(const Endpoint& endpoint) -> Result<void>;
+    auto accept() -> void;
+    auto dial(Peer& peer) -> void;
+    auto dialDue() -> void;
+    auto makeLink(Tcp::socket socket, bool dialled) -> std::shared_ptr<MeshLink>;
+    auto greeted(const std::shared_ptr<MeshLink>& link, const PeerHello& hello) -> void;
+    auto closed(MeshLink& link, std::string_view reason) -> void;
+
+    boost::asio::io_context& context_;
+    PeerHello hello_;
+    RouterId self_;
+    Handlers handlers_;
+    Tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    std::map<RouterId, Peer> peers_;
+    std::vector<std::shared_ptr<MeshLink>> unnamed_;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/placementduty.cpp
@@ -0,0 +1,263 @@
+#include "placementduty.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+
+#include <xxhash.h>
+
+namespace camphorshunt::router {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Time in which the other routers tell a new placer what they have running. */
+constexpr auto settleTime = Duration(milliseconds(40));
+
+} // namespace
+
+auto placerOf(ServiceId service, std::span<const LiveRouter> routers) -> RouterId
+{
+    auto best = RouterId {};
+    auto bestScore = std::numeric_limits<double>::infinity();
+    for (const auto& candidate : routers) {
+        const auto key = std::array { service.value, candidate.router.value };
+        // Uniform in (0, 1]; the least exponential variate wins, at a rate that is the weight.
+        constexpr auto range = 1.0 / 18446744073709551616.0;
+        const auto draw = (double(XXH64(key.data(), sizeof(key), 0)) + 1.0) * range;
+        const auto score = -std::log(std::min(draw, 1.0)) / std::max(candidate.processorShare, 0.01);
+        if (score < bestScore || (score == bestScore && candidate.router > best)) {
+            bestScore = score;
+            best = candidate.router;
+        }
+    }
+    return best;
+}
+
+PlacementDuty::PlacementDuty(RouterId self, const Placer::Settings& settings)
+    : self_(self)
+    , settings_(settings)
+    , live_ { { self, 1 } }
+{
+}
+
+auto PlacementDuty::service(ServiceId id) -> Service&
+{
+    auto& service = services_[id];
+    if (!service.placer) {
+        service.placer = std::make_unique<Placer>(settings_);
+        service.placer->setFraction(fraction_);
+        service.owner = placerOf(id, live_);
+    }
+    return service;
+}
+
+auto PlacementDuty::setFleet(Time now, const RouteTable& table, const UpstreamList& upstreams) -> void
+{
+    for (const auto& declared : table.configuration().services) {
+        if (!declared.engine)
+            continue;
+        const auto id = declared.id();
+        auto engines = UpstreamList {};
+        std::ranges::copy_if(upstreams, std::back_inserter(engines),
+            [id](const UpstreamEntry& entry) { return entry.service == id; });
+        auto& placer = *service(id).placer;
+        placer.setTraits(*declared.engine, table.configuration().tokensPerSecond);
+        placer.setUpstreams(now, engines);
+    }
+}
+
+auto PlacementDuty::setRouters(Time now, std::vector<LiveRouter> live, std::size_t known) -> void
+{
+    live_ = std::move(live);
+    fraction_ = double(live_.size()) / double(std::max(known, live_.size()));
+    for (auto& [id, service] : services_) {
+        service.placer->setFraction(fraction_);
+        const auto owner = placerOf(id, live_);
+        if (owner == service.owner)
+            continue;
+        service.owner = owner;
+        if (owner == self_ && live_.size() > 1)
+            service.settledAt = now + settleTime;
+    }
+    for (auto& [number, own] : own_) {
+        if (own.placer == service(own.request.service).owner)
+            continue;
+        withdraw(now, own);
+        tellPlacer(now, own);
+    }
+}
+
+auto PlacementDuty::forgetRouter(Time now, RouterId router) -> void
+{
+    for (auto& [id, service] : services_)
+        service.placer->forgetRouter(now, router);
+}
+
+auto PlacementDuty::ask(Time now, PeerPlace place) -> void
+{
+    const auto number = place.request.key.number;
+    auto& request = place.request;
+    request.key.router = self_;
+    request.goal = now + place.goalLeft;
+    request.deadline = now + place.deadlineLeft;
+    auto own = Own {};
+    own.goal = request.goal;
+    own.request = std::move(request);
+    tellPlacer(now, own_.insert_or_assign(number, std::move(own)).first->second);
+}
+
+auto PlacementDuty::tellPlacer(Time now, Own& own) -> void
+{
+    auto& target = service(own.request.service);
+    own.placer = target.owner;
+    if (own.placer == self_) {
+        if (own.upstream)
+            target.placer->adopt(now, { own.request, *own.upstream, own.started });
+        else
+            target.placer->submit(now, own.request);
+        return;
+    }
+    auto place = PeerPlace {};
+    place.request = own.request;
+    place.goalLeft = own.request.goal - now;
+    place.deadlineLeft = own.request.deadline - now;
+    place.runningAt = own.upstream;
+    place.started = own.started;
+    outputs_.frames[own.placer].places.push_back(std::move(place));
+    outputs_.urgent = true;
+}
+
+auto PlacementDuty::withdraw(Time now, const Own& own) -> void
+{
+    const auto report = PeerReport { own.request.key.number, own.request.service, PeerReportKind::Withdrawn,
+        PlacementEnd::Cancelled };
+    if (own.placer == self_)
+        applyReport(now, own.request.key, report);
+    else
+        outputs_.frames[own.placer].reports.push_back(report);
+}
+
+auto PlacementDuty::report(Time now, const PeerReport& report) -> void
+{
+    const auto found = own_.find(report.number);
+    if (found == own_.end())
+        return;
+    auto& own = found->second;
+    if (own.placer == self_)
+        applyReport(now, own.request.key, report);
+    else
+        outputs_.frames[own.placer].reports.push_back(report);
+    if (report.kind == PeerReportKind::Started)
+        own.started = true;
+    else
+        own_.erase(found);
+}
+
+auto PlacementDuty::applyReport(Time now, const PlacementKey& key, const PeerReport& report) -> void
+{
+    auto& placer = *service(report.service).placer;
+    switch (report.kind) {
+    case PeerReportKind::Withdrawn:
+        placer.withdraw(key);
+        placer.ended(now, key, PlacementEnd::Cancelled);
+        break;
+    case PeerReportKind::Started:
+        placer.started(now, key);
+        break;
+    case PeerReportKind::Ended:
+        placer.ended(now, key, report.end);
+        break;
+    }
+}
+
+auto PlacementDuty::fromPeer(Time now, RouterId peer, const PeerFrame& frame) -> void
+{
+    for (const auto& report : frame.reports)
+        applyReport(now, { peer, report.number }, report);
+    for (const auto& place : frame.places) {
+        auto request = place.request;
+        request.key.router = peer;
+        request.goal = now + place.goalLeft;
+        request.deadline = now + place.deadlineLeft;
+        auto& placer = *service(request.service).placer;
+        if (place.runningAt)
+            placer.adopt(now, { std::move(request), *place.runningAt, place.started });
+        else
+            placer.submit(now, std::move(request));
+    }
+    for (const auto& verdict : frame.verdicts)
+        takeVerdict(peer, verdict);
+}
+
+auto PlacementDuty::takeVerdict(RouterId peer, const PeerVerdict& verdict) -> void
+{
+    const auto found = own_.find(verdict.number);
+    const auto isCurrent
+        = found != own_.end() && found->second.placer == peer && !found->second.upstream;
+    if (!isCurrent) {
+        // Another router has been asked since, or the request has ended: the place is free.
+        if (verdict.upstream) {
+            outputs_.frames[peer].reports.push_back(
+                { verdict.number, verdict.service, PeerReportKind::Ended, PlacementEnd::Cancelled });
+        }
+        return;
+    }
+    if (verdict.upstream)
+        found->second.upstream = verdict.upstream;
+    else
+        own_.erase(found);
+    outputs_.verdicts.push_back(verdict);
+}
+
+auto PlacementDuty::deliver(ServiceId service, const PlacementVerdict& verdict) -> void
+{
+    auto key = PlacementKey {};
+    auto packed = PeerVerdict {};
+    packed.service = service;
+    if (const auto* const placed = std::get_if<Placed>(&verdict)) {
+        key = placed->key;
+        packed.upstream = placed->upstream;
+    } else {
+        const auto& refused = std::get<PlacementRefused>(verdict);
+        key = refused.key;
+        packed.reason = refused.reason;
+        packed.retryAfter = refused.retryAfter;
+    }
+    packed.number = key.number;
+    if (key.router != self_) {
+        outputs_.frames[key.router].verdicts.push_back(packed);
+        outputs_.urgent = true;
+        return;
+    }
+    const auto found = own_.find(key.number);
+    if (found == own_.end())
+        return;
+    if (packed.upstream)
+        found->second.upstream = packed.upstream;
+    else
+        own_.erase(found);
+    outputs_.verdicts.push_back(packed);
+}
+
+auto PlacementDuty::pump(Time now) -> void
+{
+    for (auto& [id, service] : services_) {
+        if (now < service.settledAt)
+            continue;
+        for (const auto& verdict : service.placer->pump(now))
+            deliver(id, verdict);
+    }
+}
+
+auto PlacementDuty::waiting() const -> std::size_t
+{
+    auto count = std::size_t { 0 };
+    for (const auto& [id, service] : services_)
+        count += service.placer->waiting();
+    return count;
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/placementduty.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "camphorshunt/placement.h"
+#include "camphorshunt/routetable.h"
+#include "camphorshunt/time.h"
+
+#include "peerframe.h"
+#include "placer.h"
+#include "relaymessages.h"
+
+namespace camphorshunt::router {
+
+/** A router that may place requests, with its part of the processor. */
+struct LiveRouter {
+    RouterId router;
+    double processorShare = 1;
+};
+
+/** The router that places a service's requests: weighted rendezvous hashing over the live ones. */
+auto placerOf(ServiceId service, std::span<const LiveRouter> routers) -> RouterId;
+
+/**
+ * Where requests for engines are placed. One router places all requests of a service; which one follows from
+ * who is live, so that two may place for a moment, which costs some order but breaks no promise. This router's
+ * own requests go to the one that places, and go to another when that changes. No sockets, no clock.
+ */
+class PlacementDuty {
+public:
+    struct Outputs {
+        /** For this router's relay. */
+        std::vector<PeerVerdict> verdicts;
+        std::map<RouterId, PeerFrame> frames;
+        /** A frame holds something that a request waits for. */
+        bool urgent = false;
+    };
+
+    PlacementDuty(RouterId self, const Placer::Settings& settings);
+
+    auto setFleet(Time now, const RouteTable& table, const UpstreamList& upstreams) -> void;
+    /** Routers in touch, this one among them; `known`: how many there were of late. */
+    auto setRouters(Time now, std::vector<LiveRouter> live, std::size_t known) -> void;
+    /** What that router had running or waiting has ended. */
+    auto forgetRouter(Time now, RouterId router) -> void;
+
+    /** A request of this router. */
+    auto ask(Time now, PeerPlace place) -> void;
+    /** What became of a request of this router. */
+    auto report(Time now, const PeerReport& report) -> void;
+    auto fromPeer(Time now, RouterId peer, const PeerFrame& frame) -> void;
+
+    /** Places what can be placed. */
+    auto pump(Time now) -> void;
+    auto takeOutputs() -> Outputs { return std::exchange(outputs_, {}); }
+    /** Requests that wait at placers here. */
+    auto waiting() const -> std::size_t;
+
+private:
+    /** A request of this router, from its asking to its end. */
+    struct Own {
+        PlacementRequest request;
+        Time goal;
+        /** The router that was asked, or told of it. */
+        RouterId placer;
+        std::optional<UpstreamId> upstream;
+        bool started = false;
+    };
+    struct Service {
+        std::unique_ptr<Placer> placer;
+        RouterId owner;
+        /** Before this the placer does not know yet what runs. */
+        Time settledAt {};
+    };
+
+    auto service(ServiceId id) -> Service&;
+    auto tellPlacer(Time now, Own& own) -> void;
+    auto withdraw(Time now, const Own& own) -> void;
+    auto applyReport(Time now, const PlacementKey& key, const PeerReport& report) -> void;
+    auto takeVerdict(RouterId peer, const PeerVerdict& verdict) -> void;
+    auto deliver(ServiceId service, const PlacementVerdict& verdict) -> void;
+
+    RouterId self_;
+    Placer::Settings settings_;
+    std::vector<LiveRouter> live_;
+    double fraction_ = 1;
+    std::map<ServiceId, Service> services_;
+    std::map<std::uint64_t, Own> own_;
+    Outputs outputs_;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/relay.cpp
@@ -0,0 +1,250 @@
+#include "relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "clock.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** How precisely deadlines and silence are kept. */
+constexpr auto tickInterval = 15ms;
+constexpr auto sweepInterval = Duration(250ms);
+/** New connections are taken for this long after a drain began, until callers have gone elsewhere. */
+constexpr auto acceptInDrain = Duration(3500ms);
+constexpr auto acceptPause = 50ms;
+
+} // namespace
+
+Relay::Relay(boost::asio::io_context& context, const Settings& settings, Ring<RelayToScheduler>& toScheduler,
+    RouterLog& log, RouterMetrics& metrics)
+    : context_(context)
+    , settings_(settings)
+    , failureDomain_(hashName(settings.failureDomain))
+    , toScheduler_(toScheduler)
+    , log_(log)
+    , metrics_(metrics)
+    , acceptor_(context)
+    , timer_(context)
+    , pool_(context)
+    , random_(settings.seed)
+{
+}
+
+auto Relay::listen(boost::asio::io_context& context, const Settings& settings,
+    Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics)
+    -> Result<std::unique_ptr<Relay>>
+{
+    auto relay = std::unique_ptr<Relay>(new Relay(context, settings, toScheduler, log, metrics));
+    const auto opened = relay->open(settings.listen);
+    if (!opened)
+        return opened.error();
+    relay->accept();
+    relay->tick();
+    return Result<std::unique_ptr<Relay>>(std::move(relay));
+}
+
+auto Relay::open(const Endpoint& endpoint) -> Result<void>
+{
+    auto code = boost::system::error_code {};
+    const auto address = boost::asio::ip::make_address(endpoint.address, code);
+    const auto local = Tcp::endpoint(address, endpoint.port);
+    if (!code)
+        acceptor_.open(local.protocol(), code);
+    if (!code)
+        acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        acceptor_.bind(local, code);
+    if (!code)
+        acceptor_.listen(Tcp::acceptor::max_listen_connections, code);
+    if (code)
+        return failure(Error::Code::Io, "listen.callers", endpoint.text() + ": " + code.message());
+    return boost::outcome_v2::success();
+}
+
+auto Relay::accept() -> void
+{
+    acceptor_.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
+        if (!acceptor_.is_open())
+            return;
+        if (error) {
+            // Out of descriptors, for one; trying again at once would spin.
+            log(LogLevel::Warning, "accept-failed", { { "error", error.message() } });
+            const auto pause = std::make_shared<boost::asio::steady_timer>(context_, acceptPause);
+            pause->async_wait([this, pause](const boost::system::error_code&) { accept(); });
+            return;
+        }
+        if (callers_.size() < settings_.mostCallers) {
+            const auto caller = std::make_shared<CallerConnection>(std::move(socket), *this);
+            callers_.emplace(caller.get(), caller);
+            caller->start();
+        }
+        accept();
+    });
+}
+
+auto Relay::limits() const -> const CallerLimits&
+{
+    static const auto unset = CallerLimits {};
+    return table_ ? table_->limits() : unset;
+}
+
+auto Relay::balancer(ServiceId service) -> ServiceBalancer&
+{
+    return balancers_.try_emplace(service, random_()).first->second;
+}
+
+auto Relay::budget(ServiceId service) -> RetryBudget&
+{
+    auto& budget = budgets_.try_emplace(service, settings_.retries).first->second;
+    budget.setRouters(routers_);
+    return budget;
+}
+
+auto Relay::enter(Exchange& exchange) -> std::uint64_t
+{
+    const auto number = nextNumber_++;
+    exchanges_.emplace(number, &exchange);
+    return number;
+}
+
+auto Relay::watch(const std::shared_ptr<Exchange>& exchange, Time time) -> void
+{
+    checks_.emplace(time, exchange);
+}
+
+auto Relay::askPlace(PeerPlace place) -> void
+{
+    const auto number = place.request.key.number;
+    const auto service = place.request.service;
+    if (toScheduler_.tryPush(AskPlace { std::move(place) }))
+        return;
+    // The scheduler is behind: nothing has been sent, so the caller may come again.
+    boost::asio::post(context_, [this, number, service] {
+        handle(PlaceAnswered { { number, service, std::nullopt, RefusalReason::OverShare, 500ms } });
+    });
+}
+
+auto Relay::withdraw(std::uint64_t number, ServiceId service) -> void
+{
+    toScheduler_.push(PeerReport { number, service, PeerReportKind::Withdrawn, PlacementEnd::Cancelled });
+}
+
+auto Relay::reportStart(std::uint64_t number, ServiceId service) -> void
+{
+    toScheduler_.push(PeerReport { number, service, PeerReportKind::Started, PlacementEnd::Finished });
+}
+
+auto Relay::reportEnd(std::uint64_t number, ServiceId service, PlacementEnd end) -> void
+{
+    toScheduler_.push(PeerReport { number, service, PeerReportKind::Ended, end });
+}
+
+auto Relay::take(SchedulerToRelay message) -> void
+{
+    std::visit([this](const auto& item) { handle(item); }, message);
+}
+
+auto Relay::handle(const PlaceAnswered& answered) -> void
+{
+    const auto& verdict = answered.verdict;
+    const auto found = exchanges_.find(verdict.number);
+    if (found == exchanges_.end()) {
+        if (verdict.upstream)
+            reportEnd(verdict.number, verdict.service, PlacementEnd::Cancelled);
+        return;
+    }
+    const auto exchange = found->second->shared_from_this();
+    if (!verdict.upstream) {
+        exchange->refused(verdict.reason, verdict.retryAfter);
+        return;
+    }
+    const auto upstream = byId_.find(*verdict.upstream);
+    if (upstream != byId_.end()) {
+        exchange->placed(*upstream->second);
+        return;
+    }
+    // It has left since it was chosen.
+    reportEnd(verdict.number, verdict.service, PlacementEnd::Cancelled);
+    exchange->refused(RefusalReason::NoUpstream, 200ms);
+}
+
+auto Relay::handle(const FleetChanged& changed) -> void
+{
+    table_ = changed.table;
+    upstreams_ = changed.upstreams;
+    routers_ = std::max<std::size_t>(1, changed.routers);
+    byId_.clear();
+    auto byService = std::map<ServiceId, std::vector<UpstreamEntry>> {};
+    for (const auto& entry : *upstreams_) {
+        byId_.emplace(entry.id(), &entry);
+        byService[entry.service].push_back(entry);
+    }
+    if (!table_)
+        return;
+    for (const auto& service : table_->configuration().services) {
+        if (!service.engine)
+            balancer(service.id()).setUpstreams(byService[service.id()]);
+    }
+}
+
+auto Relay::handle(const StartDrain& /*drain*/) -> void
+{
+    draining_ = true;
+    drainBegan_ = steadyNow();
+}
+
+auto Relay::tick() -> void
+{
+    timer_.expires_after(tickInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        const auto now = steadyNow();
+        checkExchanges(now);
+        if (now >= nextSweep_)
+            sweep(now);
+        tick();
+    });
+}
+
+auto Relay::checkExchanges(Time now) -> void
+{
+    while (!checks_.empty() && checks_.begin()->first <= now) {
+        const auto exchange = checks_.begin()->second.lock();
+        checks_.erase(checks_.begin());
+        if (!exchange)
+            continue;
+        if (const auto next = exchange->check(now))
+            watch(exchange, std::max(*next, now + tickInterval));
+    }
+}
+
+auto Relay::sweep(Time now) -> void
+{
+    nextSweep_ = now + sweepInterval;
+    pool_.sweep(now);
+    metrics_.setConnectionsOpened(pool_.opened());
+    auto callers = std::vector<std::shared_ptr<CallerConnection>> {};
+    callers.reserve(callers_.size());
+    for (const auto& [key, weak] : callers_) {
+        if (auto caller = weak.lock())
+            callers.push_back(std::move(caller));
+    }
+    const auto stopAccepting = draining_ && now - drainBegan_ > acceptInDrain;
+    if (stopAccepting && acceptor_.is_open()) {
+        auto ignored = boost::system::error_code {};
+        acceptor_.close(ignored);
+    }
+    for (const auto& caller : callers) {
+        caller->checkTimes(now);
+        if (stopAccepting)
+            caller->closeIfIdle();
+    }
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/relay.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "camphorshunt/result.h"
+#include "camphorshunt/retrybudget.h"
+#include "camphorshunt/ring.h"
+#include "camphorshunt/routetable.h"
+
+#include "callerconnection.h"
+#include "exchange.h"
+#include "relaymessages.h"
+#include "routerlog.h"
+#include "routermetrics.h"
+#include "servicebalancer.h"
+#include "upstreampool.h"
+
+namespace camphorshunt::router {
+
+/**
+ * The duty between callers and upstreams: both ends of every request are on this one thread, so that an
+ * event of a stream changes none on its way.
+ */
+class Relay {
+public:
+    struct Settings {
+        Endpoint listen;
+        std::string failureDomain;
+        RetryBudget::Settings retries;
+        std::size_t mostCallers = 2000;
+        std::uint64_t seed = 1;
+    };
+
+    static auto listen(boost::asio::io_context& context, const Settings& settings,
+        Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics)
+        -> Result<std::unique_ptr<Relay>>;
+
+    /** A message of the scheduler. */
+    auto take(SchedulerToRelay message) -> void;
+
+    // For connections and exchanges.
+    auto enter(Exchange& exchange) -> std::uint64_t;
+    auto leave(std::uint64_t number) -> void { exchanges_.erase(number); }
+    auto forget(CallerConnection& caller) -> void { callers_.erase(&caller); }
+    /** Has the exchange check itself at this time. */
+    auto watch(const std::shared_ptr<Exchange>& exchange, Time time) -> void;
+    auto askPlace(PeerPlace place) -> void;
+    auto withdraw(std::uint64_t number, ServiceId service) -> void;
+    auto reportStart(std::uint64_t number, ServiceId service) -> void;
+    auto reportEnd(std::uint64_t number, ServiceId service, PlacementEnd end) -> void;
+    auto log(LogLevel level, std::string_view event, std::vector<LogField> fields) -> void
+    {
+        log_.write(level, event, std::move(fields));
+    }
+
+    auto table() const -> const std::shared_ptr<const RouteTable>& { return table_; }
+    auto limits() const -> const CallerLimits&;
+    auto balancer(ServiceId service) -> ServiceBalancer&;
+    auto budget(ServiceId service) -> RetryBudget&;
+    auto pool() -> UpstreamPool& { return pool_; }
+    auto metrics() -> RouterMetrics& { return metrics_; }
+    auto failureDomain() const -> std::uint64_t { return failureDomain_; }
+    auto isDraining() const -> bool { return draining_; }
+    auto draw() -> std::uint64_t { return random_(); }
+    /** Requests in progress. */
+    auto busy() const -> std::size_t { return exchanges_.size(); }
+
+private:
+    using Tcp = boost::asio::ip::tcp;
+
+    Relay(boost::asio::io_context& context, const Settings& settings, Ring<RelayToScheduler>& toScheduler,
+        RouterLog& log, RouterMetrics& metrics);
+
+    auto open(const Endpoint& endpoint) -> Result<void>;
+    auto accept() -> void;
+    auto tick() -> void;
+    auto checkExchanges(Time now) -> void;
+    auto sweep(Time now) -> void;
+    auto handle(const PlaceAnswered& answered) -> void;
+    auto handle(const FleetChanged& changed) -> void;
+    auto handle(const StartDrain& drain) -> void;
+
+    boost::asio::io_context& context_;
+    Settings settings_;
+    std::uint64_t failureDomain_;
+    Ring<RelayToScheduler>& toScheduler_;
+    RouterLog& log_;
+    RouterMetrics& metrics_;
+    Tcp::acceptor acceptor_;
+    boost::asio::steady_timer timer_;
+    std::shared_ptr<const RouteTable> table_;
+    std::shared_ptr<const UpstreamList> upstreams_;
+    absl::flat_hash_map<UpstreamId, const UpstreamEntry*> byId_;
+    std::size_t routers_ = 1;
+    UpstreamPool pool_;
+    std::map<ServiceId, ServiceBalancer> balancers_;
+    std::map<ServiceId, RetryBudget> budgets_;
+    absl::flat_hash_map<std::uint64_t, Exchange*> exchanges_;
+    std::multimap<Time, std::weak_ptr<Exchange>> checks_;
+    std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> callers_;
+    std::uint64_t nextNumber_ = 1;
+    Time nextSweep_ {};
+    bool draining_ = false;
+    Time drainBegan_ {};
+    std::mt19937_64 random_;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/routerlog.cpp
@@ -0,0 +1,48 @@
+#include "routerlog.h"
+
+#include "log.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+/** Lines that may wait to be written, some seconds' worth on a heavy day. */
+constexpr auto mostWaiting = std::size_t { 2048 };
+/** Lines of one event in a second; a router takes about a hundred requests a second on a heavy day. */
+constexpr auto linesPerSecond = std::uint64_t { 250 };
+
+} // namespace
+
+RouterLog::RouterLog()
+    : lines_(mostWaiting)
+{
+}
+
+RouterLog::~RouterLog()
+{
+    lines_.consume_all([](WriteLog* line) { delete line; });
+}
+
+auto RouterLog::write(LogLevel level, std::string_view event, std::vector<LogField> fields) -> void
+{
+    auto line = std::make_unique<WriteLog>(WriteLog { level, std::string(event), std::move(fields) });
+    // The queue has owned the line since it took it.
+    if (lines_.bounded_push(line.get()))
+        static_cast<void>(line.release());
+    else
+        leftOut_.fetch_add(1, std::memory_order_relaxed);
+}
+
+auto RouterLog::drain() -> void
+{
+    lines_.consume_all([](WriteLog* waiting) {
+        const auto line = std::unique_ptr<WriteLog>(waiting);
+        writeLog(line->level, line->event, line->fields, linesPerSecond);
+    });
+    if (const auto count = leftOut_.exchange(0); count > 0) {
+        const auto fields = std::vector<LogField> { { "lines", std::to_string(count) } };
+        writeLog(LogLevel::Warning, "log-full", fields, linesPerSecond);
+    }
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/routerlog.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/lockfree/queue.hpp>
+
+#include "camphorshunt/action.h"
+
+namespace camphorshunt::router {
+
+/**
+ * Log lines on their way to the thread that writes them. Writing never blocks: lines that find the queue
+ * full are counted and left out.
+ */
+class RouterLog {
+public:
+    RouterLog();
+    ~RouterLog();
+    RouterLog(const RouterLog&) = delete;
+    RouterLog(RouterLog&&) = delete;
+    auto operator=(const RouterLog&) -> RouterLog& = delete;
+    auto operator=(RouterLog&&) -> RouterLog& = delete;
+
+    /** From any thread. */
+    auto write(LogLevel level, std::string_view event, std::vector<LogField> fields) -> void;
+    /** Writes all that waits to standard output; on one thread at a time. */
+    auto drain() -> void;
+
+private:
+    boost::lockfree::queue<WriteLog*> lines_;
+    std::atomic<std::uint64_t> leftOut_ = 0;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -0,0 +1,78 @@
+#include "routermetrics.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+using prometheus::Registry;
+
+/** Upper bounds in seconds, from a quick plain call to the longest stream. */
+auto timeBuckets() -> prometheus::Histogram::BucketBoundaries
+{
+    return { 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 3, 5, 8, 15 };
+}
+
+auto counters(Registry& registry, const char* name, const char* help)
+    -> prometheus::Family<prometheus::Counter>*
+{
+    return &prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+auto gauge(Registry& registry, const char* name, const char* help) -> prometheus::Gauge*
+{
+    return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+auto histogram(Registry& registry, const char* name, const char* help) -> prometheus::Histogram*
+{
+    return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, timeBuckets());
+}
+
+auto seconds(Duration time) -> double { return std::chrono::duration<double>(time).count(); }
+
+auto label(const char* name, std::string_view value) -> std::map<std::string, std::string>
+{
+    return { { name, std::string(value) } };
+}
+
+} // namespace
+
+RouterMetrics::RouterMetrics(Registry& registry)
+    : requests_(counters(registry, "router_requests_total", "Requests by how they ended for the caller"))
+    , refusals_(counters(registry, "router_refusals_total", "Requests refused by the placer, by reason"))
+    , attempts_(counters(registry, "router_attempts_total", "Requests sent to upstreams, by how they ended"))
+    , storeCalls_(counters(registry, "router_store_calls_total", "Calls to the platform's store, by result"))
+    , requestTime_(histogram(registry, "router_request_seconds", "From a request to the end of its answer"))
+    , firstByteTime_(
+          histogram(registry, "router_first_byte_seconds", "From a request to the first byte of its answer"))
+    , connectionsOpened_(gauge(registry, "router_upstream_connections_opened", "Connections made to upstreams"))
+    , routers_(gauge(registry, "router_routers_in_touch", "Routers in touch, this one among them"))
+    , configuration_(gauge(registry, "router_configuration_version", "Version of the configuration in force"))
+    , waiting_(gauge(registry, "router_requests_waiting", "Requests that wait at this router's placers"))
+{
+}
+
+auto RouterMetrics::requestEnded(std::string_view outcome, Duration time) -> void
+{
+    requests_->Add(label("outcome", outcome)).Increment();
+    requestTime_->Observe(seconds(time));
+}
+
+auto RouterMetrics::firstByte(Duration time) -> void { firstByteTime_->Observe(seconds(time)); }
+
+auto RouterMetrics::refused(RefusalReason reason) -> void
+{
+    refusals_->Add(label("reason", refusalName(reason))).Increment();
+}
+
+auto RouterMetrics::attemptEnded(PlacementEnd end) -> void
+{
+    attempts_->Add(label("end", placementEndName(end))).Increment();
+}
+
+auto RouterMetrics::storeCall(bool succeeded) -> void
+{
+    storeCalls_->Add(label("result", succeeded ? "ok" : "failed")).Increment();
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <map>
+#include <string_view>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "camphorshunt/placement.h"
+#include "camphorshunt/time.h"
+
+namespace camphorshunt::router {
+
+/** Counters and histograms of one router; may be used from any thread. */
+class RouterMetrics {
+public:
+    explicit RouterMetrics(prometheus::Registry& registry);
+
+    auto requestEnded(std::string_view outcome, Duration time) -> void;
+    auto firstByte(Duration time) -> void;
+    auto refused(RefusalReason reason) -> void;
+    auto attemptEnded(PlacementEnd end) -> void;
+    auto storeCall(bool succeeded) -> void;
+
+    auto setConnectionsOpened(std::uint64_t count) -> void { connectionsOpened_->Set(double(count)); }
+    auto setRouters(std::size_t count) -> void { routers_->Set(double(count)); }
+    auto setConfiguration(std::uint64_t version) -> void { configuration_->Set(double(version)); }
+    auto setWaiting(std::size_t count) -> void { waiting_->Set(double(count)); }
+
+private:
+    prometheus::Family<prometheus::Counter>* requests_;
+    prometheus::Family<prometheus::Counter>* refusals_;
+    prometheus::Family<prometheus::Counter>* attempts_;
+    prometheus::Family<prometheus::Counter>* storeCalls_;
+    prometheus::Histogram* requestTime_;
+    prometheus::Histogram* firstByteTime_;
+    prometheus::Gauge* connectionsOpened_;
+    prometheus::Gauge* routers_;
+    prometheus::Gauge* configuration_;
+    prometheus::Gauge* waiting_;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/socketoptions.cpp
@@ -0,0 +1,30 @@
+#include "socketoptions.h"
+
+#include <netinet/tcp.h>
+
+namespace camphorshunt::router {
+
+namespace {
+
+/** Unacknowledged bytes end a connection after this, in milliseconds. */
+constexpr auto userTimeout = 2500;
+/** Seconds of idleness before the first probe, and between probes. */
+constexpr auto probeInterval = 1;
+constexpr auto probes = 2;
+
+template <int Name> using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+
+} // namespace
+
+auto setConnectionOptions(boost::asio::ip::tcp::socket& socket) -> void
+{
+    auto ignored = boost::system::error_code {};
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(TcpOption<TCP_KEEPIDLE>(probeInterval), ignored);
+    socket.set_option(TcpOption<TCP_KEEPINTVL>(probeInterval), ignored);
+    socket.set_option(TcpOption<TCP_KEEPCNT>(probes), ignored);
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(userTimeout), ignored);
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/storeduty.cpp
@@ -0,0 +1,123 @@
+#include "storeduty.h"
+
+#include <iterator>
+#include <utility>
+
+namespace camphorshunt::router {
+
+namespace {
+
+namespace topic = platform::topic;
+
+auto directoryPage(platform::KeyedPage page, std::optional<std::uint64_t> from) -> DirectoryPage
+{
+    auto result = DirectoryPage { !from.has_value(), from.value_or(0), page.end, {} };
+    for (auto& record : page.records)
+        result.records.push_back({ std::move(record.key), std::move(record.value), record.offset });
+    // The store may have more records than one read gives.
+    if (from)
+        result.end = *from + result.records.size();
+    return result;
+}
+
+auto configurationOf(const platform::KeyedPage& page, std::optional<std::uint64_t> from)
+    -> ConfigurationRead::Content
+{
+    auto content = ConfigurationRead::Content { std::nullopt, page.end };
+    for (const auto& record : page.records) {
+        if (record.key == topic::configurationKey && record.value)
+            content.configuration = record.value;
+    }
+    if (from)
+        content.end = *from + page.records.size();
+    return content;
+}
+
+} // namespace
+
+StoreDuty::StoreDuty(
+    boost::asio::io_context& context, const Endpoint& store, Ring<StoreToScheduler>& toScheduler)
+    : client_(context, store)
+    , toScheduler_(toScheduler)
+{
+}
+
+auto StoreDuty::take(const SchedulerToStore& message) -> void
+{
+    std::visit([this](const auto& item) { handle(item); }, message);
+}
+
+auto StoreDuty::readAll(std::string topic, platform::KeyedPage sofar, Pages handler) -> void
+{
+    const auto after = sofar.records.empty() ? std::string {} : sofar.records.back().key;
+    client_.newest(topic, after,
+        [this, topic, sofar = std::move(sofar), handler = std::move(handler), after](
+            Result<platform::KeyedPage> page) mutable {
+            if (!page) {
+                handler(page.error());
+                return;
+            }
+            // Pages are no snapshot: what changed since the first one is read again from its end.
+            if (after.empty())
+                sofar.end = page.value().end;
+            std::ranges::move(page.value().records, std::back_inserter(sofar.records));
+            if (page.value().more && !page.value().records.empty())
+                readAll(std::move(topic), std::move(sofar), std::move(handler));
+            else
+                handler(std::move(sofar));
+        });
+}
+
+auto StoreDuty::handle(const ReadDirectory& read) -> void
+{
+    auto handler = [this, from = read.from](Result<platform::KeyedPage> page) {
+        if (!page)
+            toScheduler_.push(DirectoryRead { page.error() });
+        else
+            toScheduler_.push(DirectoryRead { directoryPage(std::move(page.value()), from) });
+    };
+    if (read.from)
+        client_.read(topic::upstreams, *read.from, {}, std::move(handler));
+    else
+        readAll(std::string(topic::upstreams), {}, std::move(handler));
+}
+
+auto StoreDuty::handle(const ReadConfiguration& read) -> void
+{
+    auto handler = [this, from = read.from](Result<platform::KeyedPage> page) {
+        if (!page)
+            toScheduler_.push(ConfigurationRead { page.error() });
+        else
+            toScheduler_.push(ConfigurationRead { configurationOf(page.value(), from) });
+    };
+    if (read.from)
+        client_.read(topic::operators, *read.from, read.wait, std::move(handler));
+    else
+        readAll(std::string(topic::operators), {}, std::move(handler));
+}
+
+auto StoreDuty::handle(const JoinFleet& join) -> void
+{
+    client_.put(topic::routers, join.endpoint, join.endpoint, [this](const Result<void>& done) {
+        if (!done)
+            toScheduler_.push(FleetJoined { done.error() });
+        else
+            readRouters();
+    });
+}
+
+auto StoreDuty::readRouters() -> void
+{
+    readAll(std::string(topic::routers), {}, [this](Result<platform::KeyedPage> page) {
+        if (!page) {
+            toScheduler_.push(FleetJoined { page.error() });
+            return;
+        }
+        auto endpoints = std::vector<std::string> {};
+        for (const auto& record : page.value().records)
+            endpoints.push_back(record.key);
+        toScheduler_.push(FleetJoined { std::move(endpoints) });
+    });
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/storepacer.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "camphorshunt/time.h"
+
+#include "storeduty.h"
+
+namespace camphorshunt::router {
+
+/**
+ * Says when to call the store. One router, the reader, reads for all; the others call it themselves only
+ * when they have had no news from the reader for a while.
+ */
+class StorePacer {
+public:
+    explicit StorePacer(std::string endpoint)
+        : endpoint_(std::move(endpoint))
+    {
+    }
+
+    struct Known {
+        std::optional<std::uint64_t> directoryEnd;
+        bool hasConfiguration = false;
+        bool isReader = false;
+        bool hasPeers = false;
+    };
+
+    auto due(Time now, const Known& known) -> std::vector<SchedulerToStore>;
+
+    auto directoryRead(Time now, const Result<DirectoryPage>& page) -> void;
+    auto configurationRead(Time now, const Result<ConfigurationRead::Content>& content) -> void;
+    auto fleetJoined(Time now, bool succeeded) -> void;
+    /** The reader has told what it read. */
+    auto directoryNews(Time now) -> void { directoryNews_ = now; }
+    auto configurationNews(Time now) -> void { configurationNews_ = now; }
+
+    /** The last call was answered. */
+    auto isReachable() const -> bool { return reachable_; }
+    auto directoryNewsAt() const -> Time { return directoryNews_; }
+
+private:
+    auto directoryDue(Time now, const Known& known) const -> bool;
+    auto configurationDue(Time now, const Known& known) const -> bool;
+
+    std::string endpoint_;
+    bool reachable_ = true;
+    bool directoryAsked_ = false;
+    bool configurationAsked_ = false;
+    bool joinAsked_ = false;
+    /** The store has dropped the records that follow what is known. */
+    bool directoryLost_ = false;
+    std::optional<std::uint64_t> configurationEnd_;
+    Time nextDirectory_ {};
+    Time nextConfiguration_ {};
+    Time nextJoin_ {};
+    Time directoryNews_ {};
+    Time configurationNews_ {};
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/telemetryduty.cpp
@@ -0,0 +1,59 @@
+#include "telemetryduty.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace camphorshunt::router {
+
+namespace {
+
+/** Period in which log lines are written. */
+constexpr auto logInterval = std::chrono::milliseconds(100);
+constexpr auto mostConnections = std::size_t { 32 };
+constexpr auto ok = std::uint16_t { 200 };
+constexpr auto unavailable = std::uint16_t { 503 };
+
+} // namespace
+
+TelemetryDuty::TelemetryDuty(boost::asio::io_context& context, RouterLog& log)
+    : timer_(context)
+    , log_(log)
+{
+}
+
+auto TelemetryDuty::listen(boost::asio::io_context& context, const Endpoints& endpoints,
+    const std::atomic<bool>& ready, prometheus::Registry& registry, RouterLog& log)
+    -> Result<std::unique_ptr<TelemetryDuty>>
+{
+    auto duty = std::unique_ptr<TelemetryDuty>(new TelemetryDuty(context, log));
+    auto limits = net::HttpServerLimits {};
+    limits.connections = mostConnections;
+    auto readiness = net::HttpServer::listen(context, endpoints.readiness, limits,
+        [&ready](const net::HttpRequest&, const std::shared_ptr<net::HttpExchange>& exchange) {
+            exchange->respond(ready ? ok : unavailable, {}, ready ? "ready\n" : "not ready\n");
+        });
+    if (!readiness)
+        return readiness.error();
+    duty->readiness_ = std::move(readiness.value());
+    auto metrics = net::HttpServer::listen(context, endpoints.metrics, limits,
+        [&registry](const net::HttpRequest&, const std::shared_ptr<net::HttpExchange>& exchange) {
+            exchange->respond(ok, { { "Content-Type", "text/plain; version=0.0.4" } },
+                prometheus::TextSerializer().Serialize(registry.Collect()));
+        });
+    if (!metrics)
+        return metrics.error();
+    duty->metrics_ = std::move(metrics.value());
+    duty->writeLog();
+    return Result<std::unique_ptr<TelemetryDuty>>(std::move(duty));
+}
+
+auto TelemetryDuty::writeLog() -> void
+{
+    log_.drain();
+    timer_.expires_after(logInterval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            writeLog();
+    });
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/telemetryduty.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <prometheus/registry.h>
+
+#include "camphorshunt/endpoint.h"
+#include "camphorshunt/result.h"
+
+#include "httpserver.h"
+#include "routerlog.h"
+
+namespace camphorshunt::router {
+
+/** The duty that writes the log and answers for readiness and metrics. */
+class TelemetryDuty {
+public:
+    struct Endpoints {
+        Endpoint readiness;
+        Endpoint metrics;
+    };
+
+    static auto listen(boost::asio::io_context& context, const Endpoints& endpoints,
+        const std::atomic<bool>& ready, prometheus::Registry& registry, RouterLog& log)
+        -> Result<std::unique_ptr<TelemetryDuty>>;
+
+private:
+    TelemetryDuty(boost::asio::io_context& context, RouterLog& log);
+
+    auto writeLog() -> void;
+
+    boost::asio::steady_timer timer_;
+    RouterLog& log_;
+    std::unique_ptr<net::HttpServer> readiness_;
+    std::unique_ptr<net::HttpServer> metrics_;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -0,0 +1,225 @@
+#include "upstreamconnection.h"
+
+#include <utility>
+
+#include "socketoptions.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr auto headerLimit = std::uint32_t { 64 } * 1024;
+/** Statuses below this announce an answer and are none. */
+constexpr auto firstFinalStatus = 200U;
+
+} // namespace
+
+UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, const UpstreamEntry& entry)
+    : socket_(context)
+    , upstream_(entry.id())
+{
+    auto code = boost::system::error_code {};
+    remote_ = { boost::asio::ip::make_address(entry.endpoint.address, code), entry.endpoint.port };
+}
+
+auto UpstreamConnection::dial(std::string request, bool isHead, AnswerListener& listener) -> void
+{
+    listener_ = &listener;
+    output_ = std::move(request);
+    isHead_ = isHead;
+    socket_.async_connect(remote_,
+        [self = shared_from_this()](const boost::system::error_code& error) { self->connected(error); });
+}
+
+auto UpstreamConnection::connected(const boost::system::error_code& error) -> void
+{
+    if (!open_)
+        return;
+    if (error) {
+        auto* const listener = listener_;
+        close();
+        listener->connectionFailed();
+        return;
+    }
+    connected_ = true;
+    setConnectionOptions(socket_);
+    auto ignored = boost::system::error_code {};
+    socket_.non_blocking(true, ignored);
+    beginAnswer();
+    read();
+}
+
+auto UpstreamConnection::send(std::string request, bool isHead, AnswerListener& listener) -> void
+{
+    listener_ = &listener;
+    output_ = std::move(request);
+    isHead_ = isHead;
+    beginAnswer();
+}
+
+auto UpstreamConnection::beginAnswer() -> void
+{
+    written_ = 0;
+    reusable_ = false;
+    beginParser();
+    write();
+}
+
+auto UpstreamConnection::beginParser() -> void
+{
+    headTold_ = false;
+    passedOver_ = false;
+    parser_.emplace();
+    parser_->header_limit(headerLimit);
+    parser_->body_limit(boost::none);
+    parser_->eager(true);
+    if (isHead_)
+        parser_->skip(true);
+}
+
+auto UpstreamConnection::close() -> void
+{
+    listener_ = nullptr;
+    if (!std::exchange(open_, false))
+        return;
+    auto ignored = boost::system::error_code {};
+    socket_.close(ignored);
+}
+
+auto UpstreamConnection::write() -> void
+{
+    auto error = boost::system::error_code {};
+    while (written_ < output_.size()) {
+        const auto rest = boost::asio::buffer(output_.data() + written_, output_.size() - written_);
+        const auto size = socket_.write_some(rest, error);
+        if (error)
+            break;
+        written_ += size;
+    }
+    if (written_ == output_.size()) {
+        output_.clear();
+        output_.shrink_to_fit();
+        written_ = 0;
+        return;
+    }
+    // Any other error shows on the read as well, after an answer that may have come first.
+    if (error != boost::asio::error::would_block)
+        return;
+    socket_.async_wait(
+        Tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code& waitError) {
+            if (self->open_ && !waitError)
+                self->write();
+        });
+}
+
+auto UpstreamConnection::read() -> void
+{
+    socket_.async_read_some(boost::asio::buffer(input_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
+            if (self->open_)
+                self->readDone(error, size);
+        });
+}
+
+auto UpstreamConnection::readDone(const boost::system::error_code& error, std::size_t size) -> void
+{
+    const auto self = shared_from_this();
+    if (listener_ == nullptr) {
+        close();
+        return;
+    }
+    if (!error) {
+        take({ input_.data(), size });
+        if (open_)
+            read();
+        return;
+    }
+    auto ended = boost::beast::error_code {};
+    if (error == boost::asio::error::eof && parser_->is_header_done())
+        parser_->put_eof(ended);
+    else
+        ended = error;
+    if (open_ && deliver())
+        end(!ended && parser_->is_done() && !passedOver_);
+}
+
+auto UpstreamConnection::take(std::string_view bytes) -> void
+{
+    if (!pending_.empty()) {
+        pending_ += bytes;
+        bytes = pending_;
+    }
+    auto answered = false;
+    do {
+        bytes.remove_prefix(parse(bytes));
+        if (!deliver())
+            return;
+        answered = parser_->is_done() && !malformed_;
+    } while (answered && passOver());
+    pending_ = std::string(bytes);
+    if (malformed_)
+        end(false);
+    else if (answered)
+        end(true);
+}
+
+/** After an answer to another request, waits for the next one; false if this one was meant. */
+auto UpstreamConnection::passOver() -> bool
+{
+    if (!passedOver_)
+        return false;
+    beginParser();
+    return true;
+}
+
+auto UpstreamConnection::parse(std::string_view bytes) -> std::size_t
+{
+    auto used = std::size_t { 0 };
+    while (used < bytes.size() && !parser_->is_done()) {
+        auto error = boost::beast::error_code {};
+        const auto size
+            = parser_->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+        used += size;
+        if (error && error != http::error::need_more) {
+            malformed_ = true;
+            break;
+        }
+        const auto announces
+            = parser_->is_header_done() && parser_->get().result_int() < firstFinalStatus;
+        if (parser_->is_done() && announces) {
+            beginParser();
+            continue;
+        }
+        if (size == 0)
+            break;
+    }
+    return used;
+}
+
+/** Tells the listener what was parsed; false if it has closed the connection. */
+auto UpstreamConnection::deliver() -> bool
+{
+    if (listener_ != nullptr && !headTold_ && parser_->is_header_done()) {
+        headTold_ = true;
+        passedOver_ = !listener_->headArrived(parser_->get().base());
+    }
+    if (listener_ != nullptr && headTold_ && !parser_->get().body().empty()) {
+        const auto body = std::exchange(parser_->get().body(), {});
+        if (!passedOver_)
+            listener_->bodyArrived(body);
+    }
+    return listener_ != nullptr;
+}
+
+auto UpstreamConnection::end(bool whole) -> void
+{
+    reusable_ = whole && output_.empty() && pending_.empty() && parser_->keep_alive() && !parser_->need_eof();
+    auto* const listener = std::exchange(listener_, nullptr);
+    if (!reusable_)
+        close();
+    listener->answerEnded(whole);
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/upstreampool.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <boost/asio/io_context.hpp>
+
+#include "camphorshunt/upstreamentry.h"
+
+#include "upstreamconnection.h"
+
+namespace camphorshunt::router {
+
+/** Idle connections to upstreams, kept for the next request to the same run of the same upstream. */
+class UpstreamPool {
+public:
+    explicit UpstreamPool(boost::asio::io_context& context)
+        : context_(context)
+    {
+    }
+
+    /** Sends on an idle connection, or on a new one if there is none or `fresh` asks for it. */
+    auto send(const UpstreamEntry& entry, std::string request, bool isHead, bool fresh, AnswerListener& listener)
+        -> std::shared_ptr<UpstreamConnection>;
+    /** Takes back a connection whose answer has ended; `idleTimeout` is what the upstream said of it. */
+    auto release(std::shared_ptr<UpstreamConnection> connection, std::optional<std::chrono::seconds> idleTimeout)
+        -> void;
+    /** Closes what has been idle too long. */
+    auto sweep(Time now) -> void;
+    auto setMostIdle(std::size_t perUpstream) -> void { mostIdle_ = perUpstream; }
+
+    auto opened() const -> std::uint64_t { return opened_; }
+
+private:
+    using Connections = std::vector<std::shared_ptr<UpstreamConnection>>;
+
+    auto takeIdle(UpstreamId upstream, Time now) -> std::shared_ptr<UpstreamConnection>;
+
+    boost::asio::io_context& context_;
+    absl::flat_hash_map<UpstreamId, Connections> idle_;
+    std::size_t mostIdle_ = 8;
+    std::uint64_t opened_ = 0;
+};
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -0,0 +1,120 @@
+#include "organisationqueues.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace camphorshunt {
+
+namespace {
+
+/** A generated token takes an engine about as long as two that are read. */
+constexpr auto generatedTokenCost = 2.0;
+
+auto urgency(const WaitingRequest& waiting) -> std::tuple<std::uint32_t, Time>
+{
+    return { waiting.request.priority, waiting.request.goal };
+}
+
+} // namespace
+
+auto costOf(const Prompt& prompt) -> double
+{
+    auto output = prompt.outputLimit;
+    if (prompt.outputHint != 0)
+        output = output == 0 ? prompt.outputHint : std::min(output, prompt.outputHint);
+    return prompt.tokens + generatedTokenCost * output;
+}
+
+auto OrganisationQueues::serviceOf(Time now, const Account& account) const -> double
+{
+    const auto age = std::chrono::duration<double>(now - account.at);
+    return account.service * std::exp(-age / std::chrono::duration<double>(window_));
+}
+
+auto OrganisationQueues::add(Time now, WaitingRequest waiting) -> void
+{
+    waiting.since = now;
+    auto& account = accounts_[waiting.request.organisation];
+    account.waitingCost += waiting.cost;
+    const auto place = std::ranges::upper_bound(account.waiting, urgency(waiting), {}, urgency);
+    account.waiting.insert(place, std::move(waiting));
+    ++size_;
+}
+
+auto OrganisationQueues::remove(const PlacementKey& key) -> std::optional<WaitingRequest>
+{
+    auto removed
+        = removeIf([&key](const WaitingRequest& waiting) { return waiting.request.key == key; });
+    if (removed.empty())
+        return std::nullopt;
+    return std::move(removed.front());
+}
+
+auto OrganisationQueues::charge(Time now, OrganisationId organisation, double cost) -> void
+{
+    auto& account = accounts_[organisation];
+    account.service = serviceOf(now, account) + cost;
+    account.at = now;
+}
+
+auto OrganisationQueues::byService(Time now) -> std::vector<OrganisationId>
+{
+    auto backlogged = std::vector<std::pair<double, OrganisationId>> {};
+    for (const auto& [id, account] : accounts_) {
+        if (!account.waiting.empty())
+            backlogged.emplace_back(serviceOf(now, account), id);
+    }
+    std::ranges::sort(backlogged);
+    auto order = std::vector<OrganisationId> {};
+    order.reserve(backlogged.size());
+    for (const auto& [service, id] : backlogged)
+        order.push_back(id);
+    return order;
+}
+
+auto OrganisationQueues::waitingOf(OrganisationId organisation) -> WaitingList&
+{
+    return accounts_[organisation].waiting;
+}
+
+auto OrganisationQueues::costAhead(Time now, OrganisationId organisation, double cost) const -> double
+{
+    const auto found = accounts_.find(organisation);
+    auto ahead = cost;
+    auto level = cost;
+    if (found != accounts_.end()) {
+        ahead += found->second.waitingCost;
+        level = serviceOf(now, found->second) + ahead;
+    }
+    for (const auto& [id, account] : accounts_) {
+        if (id != organisation && !account.waiting.empty())
+            ahead += std::clamp(level - serviceOf(now, account), 0.0, account.waitingCost);
+    }
+    return ahead;
+}
+
+auto OrganisationQueues::removeIf(const std::function<bool(const WaitingRequest&)>& matches) -> WaitingList
+{
+    auto removed = WaitingList {};
+    for (auto& [id, account] : accounts_) {
+        auto kept = account.waiting.begin();
+        for (auto next = account.waiting.begin(); next != account.waiting.end(); ++next) {
+            if (matches(*next)) {
+                account.waitingCost -= next->cost;
+                removed.push_back(std::move(*next));
+                continue;
+            }
+            if (kept != next)
+                *kept = std::move(*next);
+            ++kept;
+        }
+        account.waiting.erase(kept, account.waiting.end());
+        if (account.waiting.empty())
+            account.waitingCost = 0;
+    }
+    size_ -= removed.size();
+    return removed;
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/placer.cpp
@@ -0,0 +1,278 @@
+#include "placer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorshunt {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto throughputWindow = std::chrono::duration<double>(1.0);
+/** Waiting requests looked at in one pump, so that its time is bounded. */
+constexpr auto mostLooks = std::size_t { 48 };
+/** Waiting requests of one organisation looked at in a row. */
+constexpr auto mostLooksEach = std::size_t { 8 };
+/** Reading a part anew costs others' time as well as the request's own. */
+constexpr auto rereadWeight = 1.5;
+/** What a full batch adds to the time of a token's step, as seen by a new request. */
+constexpr auto fullBatchCost = Duration(milliseconds(20));
+/** What another failure domain costs in traffic, as time. */
+constexpr auto otherDomainCost = Duration(milliseconds(2));
+/** A request waits for an engine that is better than the best free one by this much. */
+constexpr auto worthWaitingFor = Duration(milliseconds(40));
+/** From placing to the first token at the caller, besides reading. */
+constexpr auto fixedFirstToken = Duration(milliseconds(25));
+/** Bounds of the time after which a refused caller is asked to come again. */
+constexpr auto shortestRetry = milliseconds(200);
+constexpr auto longestRetry = milliseconds(4000);
+/** Reading rate of an engine against the tokens that it makes and reads in all, before one is learnt. */
+constexpr auto readRateFactor = 1.5;
+constexpr auto fallbackReadRate = 50.0;
+
+} // namespace
+
+Placer::Placer(const Settings& settings)
+    : settings_(settings)
+    , queues_(settings.shareWindow)
+    , random_(settings.seed)
+{
+}
+
+auto Placer::setTraits(const EngineTraits& traits, double serviceTokensPerSecond) -> void
+{
+    traits_ = traits;
+    serviceTokensPerSecond_ = serviceTokensPerSecond;
+    for (auto& [id, engine] : engines_)
+        engine.setTraits(traits);
+}
+
+auto Placer::firstReadRate() const -> double
+{
+    if (serviceTokensPerSecond_ <= 0 || engines_.empty())
+        return fallbackReadRate;
+    return readRateFactor * serviceTokensPerSecond_ / 1000.0 / double(engines_.size());
+}
+
+auto Placer::setUpstreams(Time now, std::span<const UpstreamEntry> entries) -> void
+{
+    auto listed = absl::flat_hash_map<UpstreamId, const UpstreamEntry*> {};
+    for (const auto& entry : entries)
+        listed[entry.id()] = &entry;
+    absl::erase_if(engines_, [&listed](const auto& engine) { return !listed.contains(engine.first); });
+    absl::erase_if(
+        upstreamOf_, [this](const auto& placed) { return !engines_.contains(placed.second); });
+
+    auto added = std::vector<UpstreamId> {};
+    for (const auto& entry : entries) {
+        const auto [found, isNew] = engines_.try_emplace(entry.id(), entry, traits_, fallbackReadRate);
+        found->second.setEntry(now, entry);
+        found->second.setFraction(fraction_);
+        if (isNew)
+            added.push_back(entry.id());
+    }
+    for (const auto id : added) {
+        engines_.erase(id);
+        engines_.try_emplace(id, *listed[id], traits_, firstReadRate()).first->second.setFraction(fraction_);
+    }
+}
+
+auto Placer::setFraction(double fraction) -> void
+{
+    fraction_ = fraction;
+    for (auto& [id, engine] : engines_)
+        engine.setFraction(fraction);
+}
+
+auto Placer::readingTimeOf(const PlacementRequest& request) const -> Duration
+{
+    auto rates = 0.0;
+    for (const auto& [id, engine] : engines_)
+        rates += engine.tokensReadPerMs();
+    const auto rate = engines_.empty() ? fallbackReadRate : rates / double(engines_.size());
+    // The last part is the request's own; those before it are mostly kept.
+    const auto own = request.prompt.parts.empty() ? request.prompt.tokens : request.prompt.parts.back().tokens;
+    return fixedFirstToken + Duration(static_cast<Duration::rep>(own / rate * 1000.0));
+}
+
+auto Placer::expectedWait(Time now, const WaitingRequest& waiting) const -> Duration
+{
+    if (queues_.size() == 0)
+        return {};
+    const auto fading = std::chrono::duration<double>(now - placedAt_) / throughputWindow;
+    const auto rate = placedCost_ * std::exp(-fading) / throughputWindow.count();
+    if (rate <= 0)
+        return {};
+    const auto ahead = queues_.costAhead(now, waiting.request.organisation, waiting.cost) - waiting.cost;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
+}
+
+auto Placer::submit(Time now, PlacementRequest request) -> void
+{
+    auto waiting = WaitingRequest {};
+    waiting.cost = costOf(request.prompt);
+    waiting.chains = PromptCache::chainsOf(request.prompt.parts);
+    waiting.request = std::move(request);
+
+    const auto holds = [&waiting](const auto& engine) {
+        return !engine.second.entry().draining && !engine.second.isTooSmallFor(waiting.request.prompt);
+    };
+    if (std::ranges::none_of(engines_, holds)) {
+        refuse(now, waiting, RefusalReason::NoUpstream);
+        return;
+    }
+    const auto latest = std::max(waiting.request.goal + settings_.lateness, now + Duration(1));
+    const auto slack = latest - now - readingTimeOf(waiting.request);
+    const auto wait = expectedWait(now, waiting);
+    if (wait > Duration {} && wait > slack) {
+        refuse(now, waiting, RefusalReason::OverShare);
+        return;
+    }
+    queues_.add(now, std::move(waiting));
+}
+
+auto Placer::withdraw(const PlacementKey& key) -> void { queues_.remove(key); }
+
+auto Placer::adopt(Time now, const RunningRequest& running) -> void
+{
+    const auto engine = engines_.find(running.upstream);
+    const auto& request = running.request;
+    if (engine == engines_.end() || upstreamOf_.contains(request.key))
+        return;
+    engine->second.begin(
+        now, request.key, request.prompt, PromptCache::chainsOf(request.prompt.parts), running.started);
+    upstreamOf_[request.key] = running.upstream;
+    queues_.charge(now, request.organisation, costOf(request.prompt));
+}
+
+auto Placer::started(Time now, const PlacementKey& key) -> void
+{
+    const auto placed = upstreamOf_.find(key);
+    if (placed != upstreamOf_.end())
+        engines_.at(placed->second).started(now, key);
+}
+
+auto Placer::ended(Time now, const PlacementKey& key, PlacementEnd end) -> void
+{
+    const auto placed = upstreamOf_.find(key);
+    if (placed == upstreamOf_.end())
+        return;
+    engines_.at(placed->second).ended(now, key, end);
+    upstreamOf_.erase(placed);
+}
+
+auto Placer::forgetRouter(Time now, RouterId router) -> void
+{
+    for (auto& [id, engine] : engines_)
+        engine.forgetRouter(now, router);
+    absl::erase_if(upstreamOf_, [router](const auto& placed) { return placed.first.router == router; });
+    queues_.removeIf([router](const WaitingRequest& waiting) { return waiting.request.key.router == router; });
+}
+
+auto Placer::choose(Time now, const WaitingRequest& waiting) -> Choice
+{
+    const auto& request = waiting.request;
+    auto bestFree = Choice {};
+    auto bestFreeCost = Duration::max();
+    auto bestCost = Duration::max();
+    for (auto& [id, engine] : engines_) {
+        if (engine.entry().draining || engine.isSuspended(now) || engine.isOnProbation())
+            continue;
+        if (std::ranges::find(request.avoid, id) != request.avoid.end() || engine.isTooSmallFor(request.prompt))
+            continue;
+        const auto estimate = engine.estimate(now, request.prompt, waiting.chains);
+        const auto fill = double(engine.running()) / double(engine.slots());
+        auto cost = estimate.backlog + Duration(Duration::rep(double(estimate.reading.count()) * rereadWeight))
+            + Duration(Duration::rep(double(fullBatchCost.count()) * fill));
+        if (hashName(engine.entry().failureDomain) != request.failureDomain)
+            cost += otherDomainCost;
+        bestCost = std::min(bestCost, cost);
+        if (cost < bestFreeCost
+            && engine.admits(now, request.prompt, waiting.chains, settings_.backlogLimit)) {
+            bestFreeCost = cost;
+            bestFree.engine = &engine;
+        }
+    }
+    if (bestFree.engine != nullptr && bestFreeCost - bestCost > worthWaitingFor) {
+        const auto latest = request.goal - readingTimeOf(request) - worthWaitingFor;
+        bestFree.waits = now < latest;
+    }
+    return bestFree;
+}
+
+auto Placer::place(Time now, WaitingRequest waiting, EngineModel& engine) -> void
+{
+    const auto& key = waiting.request.key;
+    engine.begin(now, key, waiting.request.prompt, std::move(waiting.chains), false);
+    upstreamOf_[key] = engine.entry().id();
+    queues_.charge(now, waiting.request.organisation, waiting.cost);
+    noteThroughput(now, waiting.cost);
+    verdicts_.emplace_back(Placed { key, engine.entry().id() });
+}
+
+auto Placer::noteThroughput(Time now, double cost) -> void
+{
+    const auto fading = std::chrono::duration<double>(now - placedAt_) / throughputWindow;
+    placedCost_ = placedCost_ * std::exp(-fading) + cost;
+    placedAt_ = now;
+}
+
+auto Placer::placeFor(Time now, OrganisationId organisation, std::size_t& looks) -> bool
+{
+    auto& waiting = queues_.waitingOf(organisation);
+    for (auto index = std::size_t { 0 }; index < std::min(waiting.size(), mostLooksEach); ++index) {
+        if (looks == 0)
+            return false;
+        --looks;
+        const auto choice = choose(now, waiting[index]);
+        if (choice.engine == nullptr || choice.waits)
+            continue;
+        place(now, *queues_.remove(waiting[index].request.key), *choice.engine);
+        return true;
+    }
+    return false;
+}
+
+auto Placer::retryAfter(Time now, const WaitingRequest& waiting) -> milliseconds
+{
+    auto spread = std::uniform_real_distribution<double>(0.8, 1.6);
+    const auto wait = std::chrono::duration<double, std::milli>(expectedWait(now, waiting)).count();
+    const auto clearing = std::max(wait, double(shortestRetry.count())) * spread(random_);
+    return std::clamp(milliseconds(static_cast<milliseconds::rep>(clearing)), shortestRetry, longestRetry);
+}
+
+auto Placer::refuse(Time now, const WaitingRequest& waiting, RefusalReason reason) -> void
+{
+    verdicts_.emplace_back(PlacementRefused { waiting.request.key, reason, retryAfter(now, waiting) });
+}
+
+auto Placer::refuseLate(Time now) -> void
+{
+    const auto late = queues_.removeIf([this, now](const WaitingRequest& waiting) {
+        return now + fixedFirstToken >= waiting.request.goal + settings_.lateness;
+    });
+    for (const auto& waiting : late)
+        refuse(now, waiting, RefusalReason::Waited);
+}
+
+auto Placer::pump(Time now) -> std::vector<PlacementVerdict>
+{
+    for (auto& [id, engine] : engines_)
+        engine.checkOverdue(now);
+    auto looks = mostLooks;
+    auto progress = true;
+    while (progress && looks > 0 && queues_.size() > 0) {
+        progress = false;
+        for (const auto organisation : queues_.byService(now)) {
+            if (placeFor(now, organisation, looks)) {
+                progress = true;
+                break;
+            }
+        }
+    }
+    refuseLate(now);
+    return std::exchange(verdicts_, {});
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/placer.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <span>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "camphorshunt/fleetconfiguration.h"
+#include "camphorshunt/placement.h"
+#include "camphorshunt/upstreamentry.h"
+
+#include "enginemodel.h"
+#include "organisationqueues.h"
+
+namespace camphorshunt {
+
+/**
+ * Places the requests of one model service on its engines. It answers overload: requests wait here,
+ * by organisation, and an engine gets the next one only when it has nearly read the prompts it has, since
+ * engines admit in order of arrival. What can't be on time is refused, at once where that is known.
+ */
+class Placer {
+public:
+    struct Settings {
+        /** Unread prompts that an engine may hold when a request is placed on it. */
+        Duration backlogLimit = std::chrono::milliseconds(50);
+        /** Time after which service that an organisation had is forgotten. */
+        Duration shareWindow = std::chrono::seconds(4);
+        /** How long after its goal a request may still begin, if there is room for it. */
+        Duration lateness {};
+        std::uint64_t seed = 1;
+    };
+
+    explicit Placer(const Settings& settings);
+
+    auto setTraits(const EngineTraits& traits, double serviceTokensPerSecond) -> void;
+    /** All engines of the service; those not listed are gone. */
+    auto setUpstreams(Time now, std::span<const UpstreamEntry> entries) -> void;
+    /** The part of each engine that is this placer's, when several place at once. */
+    auto setFraction(double fraction) -> void;
+
+    auto submit(Time now, PlacementRequest request) -> void;
+    auto withdraw(const PlacementKey& key) -> void;
+    auto adopt(Time now, const RunningRequest& running) -> void;
+    auto started(Time now, const PlacementKey& key) -> void;
+    auto ended(Time now, const PlacementKey& key, PlacementEnd end) -> void;
+    /** Its requests have ended with it. */
+    auto forgetRouter(Time now, RouterId router) -> void;
+
+    /** Places and refuses what can be; call it after events, and every few milliseconds while some wait. */
+    auto pump(Time now) -> std::vector<PlacementVerdict>;
+
+    auto waiting() const -> std::size_t { return queues_.size(); }
+    auto running() const -> std::size_t { return upstreamOf_.size(); }
+    auto engines() const -> const absl::flat_hash_map<UpstreamId, EngineModel>& { return engines_; }
+
+private:
+    struct Choice {
+        EngineModel* engine = nullptr;
+        /** A better engine will take the request soon. */
+        bool waits = false;
+    };
+
+    auto choose(Time now, const WaitingRequest& waiting) -> Choice;
+    auto place(Time now, WaitingRequest waiting, EngineModel& engine) -> void;
+    auto placeFor(Time now, OrganisationId organisation, std::size_t& looks) -> bool;
+    auto refuse(Time now, const WaitingRequest& waiting, RefusalReason reason) -> void;
+    auto refuseLate(Time now) -> void;
+    auto readingTimeOf(const PlacementRequest& request) const -> Duration;
+    auto expectedWait(Time now, const WaitingRequest& waiting) const -> Duration;
+    auto retryAfter(Time now, const WaitingRequest& waiting) -> std::chrono::milliseconds;
+    auto firstReadRate() const -> double;
+    auto noteThroughput(Time now, double cost) -> void;
+
+    Settings settings_;
+    EngineTraits traits_;
+    double serviceTokensPerSecond_ = 0;
+    double fraction_ = 1.0;
+    absl::flat_hash_map<UpstreamId, EngineModel> engines_;
+    absl::flat_hash_map<PlacementKey, UpstreamId> upstreamOf_;
+    OrganisationQueues queues_;
+    std::vector<PlacementVerdict> verdicts_;
+    /** Cost placed of late, fading over `throughputWindow`. */
+    double placedCost_ = 0;
+    Time placedAt_ {};
+    std::mt19937_64 random_;
+};
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/servicebalancer.cpp
@@ -0,0 +1,100 @@
+#include "servicebalancer.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace camphorshunt {
+
+namespace {
+
+/** Weight of the last request in the share that fails. */
+constexpr auto failingGain = 0.1;
+/** Requests in progress that an upstream which always fails is as bad as. */
+constexpr auto failingWeight = 8.0;
+/** What another failure domain counts, in requests in progress. */
+constexpr auto otherDomainWeight = 0.6;
+constexpr auto shortestSuspension = Duration(std::chrono::milliseconds(250));
+constexpr auto longestSuspension = Duration(std::chrono::milliseconds(2000));
+constexpr auto misdirectedSuspension = Duration(std::chrono::milliseconds(1000));
+
+auto isFault(PlacementEnd end) -> bool
+{
+    return end != PlacementEnd::Finished && end != PlacementEnd::Cancelled;
+}
+
+} // namespace
+
+auto ServiceBalancer::setUpstreams(std::span<const UpstreamEntry> entries) -> void
+{
+    auto next = absl::flat_hash_map<UpstreamId, Upstream> {};
+    for (const auto& entry : entries) {
+        if (entry.draining)
+            continue;
+        auto upstream = Upstream {};
+        const auto found = upstreams_.find(entry.id());
+        if (found != upstreams_.end() && found->second.entry.startedAt == entry.startedAt)
+            upstream = found->second;
+        upstream.entry = entry;
+        upstream.failureDomain = hashName(entry.failureDomain);
+        next.emplace(entry.id(), std::move(upstream));
+    }
+    upstreams_ = std::move(next);
+}
+
+auto ServiceBalancer::score(const Upstream& upstream, std::uint64_t failureDomain) -> double
+{
+    auto tieBreak = std::uniform_real_distribution<double>(0, 0.5);
+    const auto distance = upstream.failureDomain == failureDomain ? 0.0 : otherDomainWeight;
+    return upstream.running + failingWeight * upstream.failing + distance + tieBreak(random_);
+}
+
+auto ServiceBalancer::choose(Time now, std::uint64_t failureDomain, std::span<const UpstreamId> avoid)
+    -> const UpstreamEntry*
+{
+    // With all suspended the least bad one is as good as a probe.
+    constexpr auto suspendedPenalty = 1000.0;
+    const auto* best = static_cast<const UpstreamEntry*>(nullptr);
+    auto bestScore = std::numeric_limits<double>::max();
+    for (const auto& [id, upstream] : upstreams_) {
+        if (std::ranges::find(avoid, id) != avoid.end())
+            continue;
+        const auto penalty = now < upstream.suspendedUntil ? suspendedPenalty : 0.0;
+        const auto total = score(upstream, failureDomain) + penalty;
+        if (total < bestScore) {
+            bestScore = total;
+            best = &upstream.entry;
+        }
+    }
+    return best;
+}
+
+auto ServiceBalancer::begun(UpstreamId upstream) -> void
+{
+    const auto found = upstreams_.find(upstream);
+    if (found != upstreams_.end())
+        ++found->second.running;
+}
+
+auto ServiceBalancer::ended(Time now, UpstreamId id, PlacementEnd end) -> void
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return;
+    auto& upstream = found->second;
+    if (upstream.running > 0)
+        --upstream.running;
+    if (end == PlacementEnd::Cancelled)
+        return;
+    upstream.failing += failingGain * ((isFault(end) ? 1.0 : 0.0) - upstream.failing);
+    if (!isFault(end) || end == PlacementEnd::Failed) {
+        upstream.failuresInRow = 0;
+        return;
+    }
+    const auto first = end == PlacementEnd::Misdirected ? misdirectedSuspension : shortestSuspension;
+    constexpr auto mostDoublings = 4U;
+    const auto length = first * (1U << std::min(upstream.failuresInRow, mostDoublings));
+    ++upstream.failuresInRow;
+    upstream.suspendedUntil = now + std::min(length, longestSuspension);
+}
+
+} // namespace camphorshunt
--- a/src/camphorshuntd/settingsreader.cpp
+++ b/src/libcamphorshunt/settingsreader.cpp
@@ -97,6 +97,25 @@
     return {};
 }
 
+auto SettingsReader::endpoints(std::string_view name) -> std::vector<Endpoint>
+{
+    auto list = std::vector<Endpoint> {};
+    const auto* const found = value(name);
+    if (found == nullptr || !found->is_array()) {
+        refuse(name, "must be a list of end points");
+        return list;
+    }
+    for (const auto& element : found->get_array()) {
+        const auto given = element.is_string() ? std::string_view(element.get_string()) : std::string_view {};
+        auto parsed = Endpoint::parse(given, {});
+        if (parsed.has_value())
+            list.push_back(std::move(parsed.value()));
+        else
+            refuse(name, parsed.error().message);
+    }
+    return list;
+}
+
 auto SettingsReader::number(
     std::string_view name, std::uint64_t fallback, std::uint64_t least, std::uint64_t most) -> std::uint64_t
 {
--- a/src/camphorshuntd/settingsreader.h
+++ b/src/libcamphorshunt/settingsreader.h
@@ -32,6 +32,8 @@
     /** Empty when the field is missing. */
     auto optionalText(std::string_view name) -> std::string;
     auto endpoint(std::string_view name) -> Endpoint;
+    /** A list of end points; the field must be there. */
+    auto endpoints(std::string_view name) -> std::vector<Endpoint>;
     /** The number as given, or `fallback` when the field is missing. */
     auto number(std::string_view name, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
         -> std::uint64_t;
--- a/src/liblogging/log.cpp
+++ b/src/liblogging/log.cpp
@@ -5,8 +5,6 @@
 
 #include <easylogging++.h>
 
-#include "loglimiter.h"
-
 INITIALIZE_EASYLOGGINGPP
 
 namespace camphorshunt {
@@ -54,12 +52,12 @@
         << std::string(line);
 }
 
-auto limit(std::string_view event) -> LogLimiter::Verdict
+auto limit(std::string_view event, std::uint64_t linesPerSecond) -> LogLimiter::Verdict
 {
     static auto mutex = std::mutex {};
     static auto limiter = LogLimiter {};
     const auto lock = std::scoped_lock(mutex);
-    return limiter.take(std::chrono::steady_clock::now(), event);
+    return limiter.take(std::chrono::steady_clock::now(), event, linesPerSecond);
 }
 
 auto disableBelow(el::Configurations& configuration, LogLevel level) -> void
@@ -84,9 +82,10 @@
     el::Loggers::reconfigureLogger("default", configuration);
 }
 
-auto writeLog(LogLevel level, std::string_view event, std::span<const LogField> fields) -> void
+auto writeLog(LogLevel level, std::string_view event, std::span<const LogField> fields,
+    std::uint64_t linesPerSecond) -> void
 {
-    const auto verdict = limit(event);
+    const auto verdict = limit(event, linesPerSecond);
     if (verdict.leftOut > 0)
         writeLine(LogLevel::Warning,
             "event=log-limited of=" + std::string(event) + " left-out=" + std::to_string(verdict.leftOut));
--- a/src/liblogging/log.h
+++ b/src/liblogging/log.h
@@ -5,6 +5,8 @@
 
 #include "camphorshunt/action.h"
 
+#include "loglimiter.h"
+
 namespace camphorshunt {
 
 /** Sets up easylogging++: one line an event on standard error, `level` and above. */
@@ -12,8 +14,9 @@
 
 /**
  * Writes `time level program event key=value ...`; values with spaces are quoted. An event
- * with more than LogLimiter::linesPerSecond lines in a second is left out and counted. From any thread.
+ * with more than `linesPerSecond` lines in a second is left out and counted. From any thread.
  */
-auto writeLog(LogLevel level, std::string_view event, std::span<const LogField> fields) -> void;
+auto writeLog(LogLevel level, std::string_view event, std::span<const LogField> fields,
+    std::uint64_t linesPerSecond = LogLimiter::linesPerSecond) -> void;
 
 } // namespace camphorshunt
--- a/src/liblogging/loglimiter.cpp
+++ b/src/liblogging/loglimiter.cpp
@@ -2,7 +2,7 @@
 
 namespace camphorshunt {
 
-auto LogLimiter::take(Time now, std::string_view event) -> Verdict
+auto LogLimiter::take(Time now, std::string_view event, std::uint64_t mostLines) -> Verdict
 {
     auto found = windows_.find(event);
     if (found == windows_.end())
@@ -11,10 +11,10 @@
     auto& window = found->second;
     auto verdict = Verdict {};
     if (now - window.begin >= std::chrono::seconds(1)) {
-        verdict.leftOut = window.lines > linesPerSecond ? window.lines - linesPerSecond : 0;
+        verdict.leftOut = window.lines > mostLines ? window.lines - mostLines : 0;
         window = { now, 0 };
     }
-    verdict.write = ++window.lines <= linesPerSecond;
+    verdict.write = ++window.lines <= mostLines;
     return verdict;
 }
 
--- a/src/liblogging/loglimiter.h
+++ b/src/liblogging/loglimiter.h
@@ -21,7 +21,7 @@
         std::uint64_t leftOut {};
     };
 
-    auto take(Time now, std::string_view event) -> Verdict;
+    auto take(Time now, std::string_view event, std::uint64_t mostLines = linesPerSecond) -> Verdict;
 
 private:
     struct Window {
--- a/src/plugins/modelengine/eventstreamreader.cpp
+++ b/src/plugins/modelengine/eventstreamreader.cpp
@@ -6,6 +6,8 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
 
+#include "eventstream.h"
+
 namespace camphorshunt {
 
 namespace {
@@ -13,52 +15,6 @@
 /** An engine that sends one event longer than this is taken for faulty. */
 constexpr auto longestEventBytes = std::size_t { 1024 } * 1024;
 
-struct EventFields {
-    std::string_view id;
-    std::string_view name;
-    std::string_view data;
-};
-
-auto fieldsOf(std::string_view event) -> EventFields
-{
-    auto fields = EventFields {};
-    while (!event.empty()) {
-        const auto lineEnd = event.find('\n');
-        auto line = event.substr(0, lineEnd);
-        event.remove_prefix(lineEnd == std::string_view::npos ? event.size() : lineEnd + 1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos)
-            continue;
-        const auto name = line.substr(0, colon);
-        auto value = line.substr(colon + 1);
-        if (value.starts_with(' '))
-            value.remove_prefix(1);
-        if (name == "id")
-            fields.id = value;
-        else if (name == "event")
-            fields.name = value;
-        else if (name == "data")
-            fields.data = value;
-    }
-    return fields;
-}
-
-/** Position after the empty line that ends the first event, or npos. */
-auto eventEnd(std::string_view bytes, std::size_t from) -> std::size_t
-{
-    for (auto newline = bytes.find('\n', from); newline != std::string_view::npos;
-         newline = bytes.find('\n', newline + 1)) {
-        const auto rest = bytes.substr(newline + 1);
-        if (rest.starts_with('\n'))
-            return newline + 2;
-        if (rest.starts_with("\r\n"))
-            return newline + 3;
-    }
-    return std::string_view::npos;
-}
-
 auto countOf(const boost::json::object& object, std::string_view name) -> std::uint32_t
 {
     const auto* const value = object.if_contains(name);
@@ -103,7 +59,7 @@
 
 auto EventStreamReader::takeEvent(std::string_view event) -> bool
 {
-    const auto fields = fieldsOf(event);
+    const auto fields = eventFields(event);
     if (fields.name == "done") {
         takeDone(fields.data);
         return true;
