Refuse streams that could not end before a drained router does

Ruled out: a drain that is too short, since the process lived until 0.4 s before it would have been killed.

Change: from 2.4 s after the drain began, streams get 503 (not run) and come again elsewhere at once; plain requests are still served. The process ends 0.2 s before the kill in place of 0.4 s.

--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -27,6 +27,8 @@
 constexpr auto mostTried = std::size_t { 4 };
 /** When a caller may come again after a refusal that is over soon. */
 constexpr auto shortRetry = milliseconds(150);
+/** When a caller of a router that shuts down may come again; another router takes it at once. */
+constexpr auto drainRetry = milliseconds(50);
 /** When a caller may come again to a router that has no configuration yet. */
 constexpr auto startRetry = milliseconds(300);
 
@@ -65,7 +67,7 @@
 
 auto Exchange::begin() -> void
 {
-    if (!admit())
+    if (!admit() || !mayFinish())
         return;
     const auto patience = request_.patience.value_or(route_->timeout);
     deadline_ = arrived_ + std::min<milliseconds>(patience, route_->timeout);
@@ -102,6 +104,14 @@
     return true;
 }
 
+auto Exchange::mayFinish() -> bool
+{
+    if (route_->kind != RequestKind::Stream || relay_.takesStreams())
+        return true;
+    answerOwn(503, "the router shuts down before the stream would end", drainRetry);
+    return false;
+}
+
 auto Exchange::findPlace() -> void
 {
     state_ = State::Placing;
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -56,6 +56,8 @@
     Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive);
 
     auto admit() -> bool;
+    /** False if the process would end before a stream does. */
+    auto mayFinish() -> bool;
     auto findPlace() -> void;
     auto askForEngine() -> void;
     auto chooseUpstream() -> void;
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -16,6 +16,8 @@
 constexpr auto sweepInterval = Duration(250ms);
 /** New connections are taken for this long after a drain began, until callers have gone elsewhere. */
 constexpr auto acceptInDrain = Duration(3500ms);
+/** Streams that begin this long after a drain began may not end before the process does. */
+constexpr auto streamsInDrain = Duration(2400ms);
 constexpr auto acceptPause = 50ms;
 
 } // namespace
@@ -198,6 +200,11 @@
     drainBegan_ = steadyNow();
 }
 
+auto Relay::takesStreams() const -> bool
+{
+    return !draining_ || steadyNow() - drainBegan_ < streamsInDrain;
+}
+
 auto Relay::tick() -> void
 {
     timer_.expires_after(tickInterval);
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -72,6 +72,8 @@
     auto metrics() -> RouterMetrics& { return metrics_; }
     auto failureDomain() const -> std::uint64_t { return failureDomain_; }
     auto isDraining() const -> bool { return draining_; }
+    /** There is time for a new stream to end before the process does. */
+    auto takesStreams() const -> bool;
     auto draw() -> std::uint64_t { return random_(); }
     /** Requests in progress. */
     auto busy() const -> std::size_t { return exchanges_.size(); }
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -23,7 +23,7 @@
 /** Callers learn within this that the router is not ready, and go elsewhere. */
 constexpr auto leastDrain = 3800ms;
 /** The process ends this long before it would be killed. */
-constexpr auto stopMargin = 400ms;
+constexpr auto stopMargin = 200ms;
 /** Descriptors that are not for callers: upstreams, peers, the store, files. */
 constexpr auto otherDescriptors = std::uint64_t { 1000 };
 
