--- a/include/camphorshunt/fleetconfiguration.h
+++ b/include/camphorshunt/fleetconfiguration.h
@@ -96,7 +96,8 @@
     std::vector<ServiceDeclaration> services;
     std::vector<OrganisationDeclaration> organisations;
     CallerLimits limits;
-    /** Throughput of all model engines: tokens read, plus twice the tokens generated, a second; zero if unset.
+    /** Throughput of all model engines: tokens read, plus twice the tokens generated, a second; zero if
+     * unset.
      */
     double tokensPerSecond = 0;
 };
--- a/include/camphorshunt/retrybudget.h
+++ b/include/camphorshunt/retrywindow.h
@@ -12,7 +12,7 @@
  * spare at any time. Each router keeps its own: the shares add up to the fleet's, the spare ones are
  * divided.
  */
-class RetryBudget {
+class RetryWindow {
 public:
     struct Settings {
         /** Second tries for each request. */
@@ -22,7 +22,7 @@
         Duration window = std::chrono::seconds(10);
     };
 
-    explicit RetryBudget(const Settings& settings)
+    explicit RetryWindow(const Settings& settings)
         : settings_(settings)
     {
     }
--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -34,8 +34,7 @@
 
 } // namespace
 
-AnswerRelay::AnswerRelay(
-    const platform::ResponseHeader& header, Mode mode, bool isHead, bool lastAnswer)
+AnswerRelay::AnswerRelay(const platform::ResponseHeader& header, Mode mode, bool isHead, bool lastAnswer)
     : mode_(mode)
     , header_(header)
     , isHead_(isHead)
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -42,8 +42,7 @@
 
 } // namespace
 
-Exchange::Exchange(
-    Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
+Exchange::Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
     : relay_(relay)
     , caller_(&caller)
     , message_(std::move(request))
@@ -383,8 +382,8 @@
         answerOwn(503, reason, shortRetry + milliseconds(relay_.draw() % std::uint64_t(shortRetry.count())));
 }
 
-auto Exchange::answerOwn(
-    unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter) -> void
+auto Exchange::answerOwn(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
+    -> void
 {
     const auto self = shared_from_this();
     keepAlive_ = keepAlive_ && !relay_.isDraining();
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -26,8 +26,8 @@
  */
 class Exchange : public AnswerListener, public std::enable_shared_from_this<Exchange> {
 public:
-    static auto create(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
-        -> std::shared_ptr<Exchange>;
+    static auto create(Relay& relay, CallerConnection& caller, CallerConnection::Request request,
+        bool keepAlive) -> std::shared_ptr<Exchange>;
     Exchange(const Exchange&) = delete;
     Exchange(Exchange&&) = delete;
     auto operator=(const Exchange&) -> Exchange& = delete;
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -48,8 +48,8 @@
 
 auto packHello(FlatBufferBuilder& builder, const PeerHello& hello) -> Offset<fleet::Hello>
 {
-    return fleet::CreateHello(builder, builder.CreateString(hello.endpoint), hello.run,
-        static_cast<float>(hello.processorShare));
+    return fleet::CreateHello(
+        builder, builder.CreateString(hello.endpoint), hello.run, static_cast<float>(hello.processorShare));
 }
 
 auto packVerdict(const PeerVerdict& verdict) -> fleet::Verdict
@@ -166,8 +166,8 @@
     const auto directory = frame.directory ? packDirectory(builder, *frame.directory) : 0;
     const auto configuration = frame.configuration ? builder.CreateString(*frame.configuration) : 0;
     const auto beat = frame.beat.value_or(PeerBeat {});
-    const auto packedBeat = fleet::Beat(
-        beat.configurationVersion, beat.directoryEnd, beat.storeReachable, beat.leaving);
+    const auto packedBeat
+        = fleet::Beat(beat.configurationVersion, beat.directoryEnd, beat.storeReachable, beat.leaving);
     builder.Finish(fleet::CreateFrame(builder, hello, members, frame.beat ? &packedBeat : nullptr, placeList,
         verdictList, reportList, directory, frame.wantsDirectory, configuration, frame.wantsConfiguration));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
--- a/src/camphorshuntrouter/peermesh.cpp
+++ b/src/camphorshuntrouter/peermesh.cpp
@@ -161,8 +161,8 @@
 auto PeerMesh::makeLink(Tcp::socket socket, bool dialled) -> std::shared_ptr<MeshLink>
 {
     auto handlers = MeshLink::Handlers {
-        .onHello = [this](const std::shared_ptr<MeshLink>& link,
-                       const PeerHello& hello) { greeted(link, hello); },
+        .onHello
+        = [this](const std::shared_ptr<MeshLink>& link, const PeerHello& hello) { greeted(link, hello); },
         .onFrame
         = [this](MeshLink& link, PeerFrame frame) { handlers_.onFrame(link.router(), std::move(frame)); },
         .onClosed = [this](MeshLink& link, std::string_view reason) { closed(link, reason); },
--- a/src/camphorshuntrouter/placementduty.cpp
+++ b/src/camphorshuntrouter/placementduty.cpp
@@ -195,8 +195,7 @@
 auto PlacementDuty::takeVerdict(RouterId peer, const PeerVerdict& verdict) -> void
 {
     const auto found = own_.find(verdict.number);
-    const auto isCurrent
-        = found != own_.end() && found->second.placer == peer && !found->second.upstream;
+    const auto isCurrent = found != own_.end() && found->second.placer == peer && !found->second.upstream;
     if (!isCurrent) {
         // Another router has been asked since, or the request has ended: the place is free.
         if (verdict.upstream) {
--- a/src/camphorshuntrouter/placementduty.h
+++ b/src/camphorshuntrouter/placementduty.h
@@ -28,8 +28,8 @@
 
 /**
  * Where requests for engines are placed. One router places all requests of a service; which one follows from
- * who is live, so that two may place for a moment, which costs some order but breaks no promise. This router's
- * own requests go to the one that places, and go to another when that changes. No sockets, no clock.
+ * who is live, so that two may place for a moment, which costs some order but breaks no promise. This
+ * router's own requests go to the one that places, and go to another when that changes. No sockets, no clock.
  */
 class PlacementDuty {
 public:
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -100,7 +100,7 @@
     return balancers_.try_emplace(service, random_()).first->second;
 }
 
-auto Relay::budget(ServiceId service) -> RetryBudget&
+auto Relay::budget(ServiceId service) -> RetryWindow&
 {
     auto& budget = budgets_.try_emplace(service, settings_.retries).first->second;
     budget.setRouters(routers_);
@@ -127,7 +127,8 @@
         return;
     // The scheduler is behind: nothing has been sent, so the caller may come again.
     boost::asio::post(context_, [this, number, service] {
-        handle(PlaceAnswered { { number, service, std::nullopt, std::nullopt, RefusalReason::OverShare, 500ms } });
+        handle(PlaceAnswered {
+            { number, service, std::nullopt, std::nullopt, RefusalReason::OverShare, 500ms } });
     });
 }
 
@@ -201,10 +202,7 @@
     drainBegan_ = steadyNow();
 }
 
-auto Relay::takesStreams() const -> bool
-{
-    return !draining_ || steadyNow() - drainBegan_ < streamsInDrain;
-}
+auto Relay::takesStreams() const -> bool { return !draining_ || steadyNow() - drainBegan_ < streamsInDrain; }
 
 auto Relay::tick() -> void
 {
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -14,7 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "camphorshunt/result.h"
-#include "camphorshunt/retrybudget.h"
+#include "camphorshunt/retrywindow.h"
 #include "camphorshunt/ring.h"
 #include "camphorshunt/routetable.h"
 
@@ -37,7 +37,7 @@
     struct Settings {
         Endpoint listen;
         std::string failureDomain;
-        RetryBudget::Settings retries;
+        RetryWindow::Settings retries;
         std::size_t mostCallers = 2000;
         std::uint64_t seed = 1;
     };
@@ -67,7 +67,7 @@
     auto table() const -> const std::shared_ptr<const RouteTable>& { return table_; }
     auto limits() const -> const CallerLimits&;
     auto balancer(ServiceId service) -> ServiceBalancer&;
-    auto budget(ServiceId service) -> RetryBudget&;
+    auto budget(ServiceId service) -> RetryWindow&;
     auto pool() -> UpstreamPool& { return pool_; }
     auto metrics() -> RouterMetrics& { return metrics_; }
     auto failureDomain() const -> std::uint64_t { return failureDomain_; }
@@ -107,7 +107,7 @@
     std::size_t routers_ = 1;
     UpstreamPool pool_;
     std::map<ServiceId, ServiceBalancer> balancers_;
-    std::map<ServiceId, RetryBudget> budgets_;
+    std::map<ServiceId, RetryWindow> budgets_;
     absl::flat_hash_map<std::uint64_t, Exchange*> exchanges_;
     std::multimap<Time, std::weak_ptr<Exchange>> checks_;
     std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> callers_;
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -98,8 +98,8 @@
     scheduler_ = std::move(scheduler.value());
 
     store_ = std::make_unique<StoreDuty>(storeThread_.context(), settings_.store, storeToScheduler_);
-    auto telemetry = TelemetryDuty::listen(telemetryThread_.context(),
-        { settings_.readiness, settings_.metrics }, ready_, registry_, log_);
+    auto telemetry = TelemetryDuty::listen(
+        telemetryThread_.context(), { settings_.readiness, settings_.metrics }, ready_, registry_, log_);
     if (!telemetry)
         return telemetry.error();
     telemetry_ = std::move(telemetry.value());
@@ -175,8 +175,8 @@
     boost::asio::post(
         schedulerThread_.context(), [this, seeds = next.value().seeds] { scheduler_->know(seeds); });
     if (next.value().store != settings_.store) {
-        boost::asio::post(storeThread_.context(),
-            [this, store = next.value().store] { store_->setStore(store); });
+        boost::asio::post(
+            storeThread_.context(), [this, store = next.value().store] { store_->setStore(store); });
     }
     settings_.seeds = next.value().seeds;
     settings_.store = next.value().store;
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -45,7 +45,8 @@
     , requestTime_(histogram(registry, "router_request_seconds", "From a request to the end of its answer"))
     , firstByteTime_(
           histogram(registry, "router_first_byte_seconds", "From a request to the first byte of its answer"))
-    , connectionsOpened_(gauge(registry, "router_upstream_connections_opened", "Connections made to upstreams"))
+    , connectionsOpened_(
+          gauge(registry, "router_upstream_connections_opened", "Connections made to upstreams"))
     , routers_(gauge(registry, "router_routers_in_touch", "Routers in touch, this one among them"))
     , configuration_(gauge(registry, "router_configuration_version", "Version of the configuration in force"))
     , waiting_(gauge(registry, "router_requests_waiting", "Requests that wait at this router's placers"))
--- a/src/camphorshuntrouter/routersettings.cpp
+++ b/src/camphorshuntrouter/routersettings.cpp
@@ -13,9 +13,9 @@
 
 using std::chrono::milliseconds;
 
-auto readRetries(SettingsReader bounds) -> RetryBudget::Settings
+auto readRetries(SettingsReader bounds) -> RetryWindow::Settings
 {
-    auto retries = RetryBudget::Settings {};
+    auto retries = RetryWindow::Settings {};
     retries.ratio = bounds.real("retryRatio", retries.ratio, 0, 1);
     retries.spare = bounds.real("retrySpare", retries.spare, 0, 1e6);
     const auto seconds = bounds.real("retryWindowSeconds", 10, 1, 3600);
--- a/src/camphorshuntrouter/routersettings.h
+++ b/src/camphorshuntrouter/routersettings.h
@@ -7,7 +7,7 @@
 
 #include "camphorshunt/endpoint.h"
 #include "camphorshunt/result.h"
-#include "camphorshunt/retrybudget.h"
+#include "camphorshunt/retrywindow.h"
 
 namespace camphorshunt::router {
 
@@ -31,7 +31,7 @@
     std::uint64_t descriptors = 1024;
     /** From the request to stop to the end of the process, at the latest. */
     std::chrono::milliseconds stopTime { 8000 };
-    RetryBudget::Settings retries;
+    RetryWindow::Settings retries;
 
     /** Parses JSON with comments; an error's field names `file` and the path. */
     static auto parse(std::string_view text, std::string_view file) -> Result<RouterSettings>;
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -55,8 +55,7 @@
 auto Scheduler::create(boost::asio::io_context& context, const Settings& settings, const Rings& rings,
     RouterLog& log, RouterMetrics& metrics, std::atomic<bool>& ready) -> Result<std::unique_ptr<Scheduler>>
 {
-    auto scheduler
-        = std::unique_ptr<Scheduler>(new Scheduler(context, settings, rings, log, metrics, ready));
+    auto scheduler = std::unique_ptr<Scheduler>(new Scheduler(context, settings, rings, log, metrics, ready));
     const auto opened = scheduler->open();
     if (!opened)
         return opened.error();
@@ -67,8 +66,7 @@
 {
     auto handlers = PeerMesh::Handlers {
         .onConnected = [this](RouterId router, const PeerHello& hello) { connected(router, hello); },
-        .onDisconnected
-        = [this](RouterId router, std::string_view reason) { disconnected(router, reason); },
+        .onDisconnected = [this](RouterId router, std::string_view reason) { disconnected(router, reason); },
         .onFrame = [this](RouterId router, PeerFrame frame) { frameArrived(router, std::move(frame)); },
     };
     const auto self = PeerHello { settings_.listen.text(), settings_.run, settings_.processorShare };
@@ -142,8 +140,8 @@
 
 auto Scheduler::callStore(Time now) -> void
 {
-    const auto known = StorePacer::Known { fleet_.directoryEnd(), fleet_.table() != nullptr, isReader(),
-        !peers_.empty() };
+    const auto known
+        = StorePacer::Known { fleet_.directoryEnd(), fleet_.table() != nullptr, isReader(), !peers_.empty() };
     for (auto& call : pacer_.due(now, known))
         rings_.toStore.push(std::move(call));
 }
@@ -230,9 +228,8 @@
                 { "ms", std::to_string(inMilliseconds(now - peer.heard).count()) } });
     }
     const auto before = peers_.size();
-    std::erase_if(peers_, [now](const auto& peer) {
-        return !peer.second.isLive && now - peer.second.heard > knownFor;
-    });
+    std::erase_if(peers_,
+        [now](const auto& peer) { return !peer.second.isLive && now - peer.second.heard > knownFor; });
     if (changed || peers_.size() != before)
         routersChanged(now);
 }
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -47,7 +47,8 @@
     };
 
     static auto create(boost::asio::io_context& context, const Settings& settings, const Rings& rings,
-        RouterLog& log, RouterMetrics& metrics, std::atomic<bool>& ready) -> Result<std::unique_ptr<Scheduler>>;
+        RouterLog& log, RouterMetrics& metrics, std::atomic<bool>& ready)
+        -> Result<std::unique_ptr<Scheduler>>;
 
     auto take(RelayToScheduler message) -> void;
     auto take(StoreToScheduler message) -> void;
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -179,15 +179,13 @@
     auto used = std::size_t { 0 };
     while (used < bytes.size() && !parser_->is_done()) {
         auto error = boost::beast::error_code {};
-        const auto size
-            = parser_->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+        const auto size = parser_->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
         used += size;
         if (error && error != http::error::need_more) {
             malformed_ = true;
             break;
         }
-        const auto announces
-            = parser_->is_header_done() && parser_->get().result_int() < firstFinalStatus;
+        const auto announces = parser_->is_header_done() && parser_->get().result_int() < firstFinalStatus;
         if (parser_->is_done() && announces) {
             beginParser();
             continue;
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -35,7 +35,8 @@
 struct CollectedBody {
     using value_type = std::string;
 
-    struct reader {
+    // The name that Beast asks of a body.
+    struct reader { // NOLINT(readability-identifier-naming)
         template <bool IsRequest, typename Fields>
         reader(boost::beast::http::header<IsRequest, Fields>&, value_type& body)
             : body_(body)
--- a/src/camphorshuntrouter/upstreampool.cpp
+++ b/src/camphorshuntrouter/upstreampool.cpp
@@ -48,8 +48,8 @@
     return connection;
 }
 
-auto UpstreamPool::release(std::shared_ptr<UpstreamConnection> connection,
-    std::optional<std::chrono::seconds> idleTimeout) -> void
+auto UpstreamPool::release(
+    std::shared_ptr<UpstreamConnection> connection, std::optional<std::chrono::seconds> idleTimeout) -> void
 {
     if (!connection->isReusable())
         return;
--- a/src/camphorshuntrouter/upstreampool.h
+++ b/src/camphorshuntrouter/upstreampool.h
@@ -22,11 +22,11 @@
     }
 
     /** Sends on an idle connection, or on a new one if there is none or `fresh` asks for it. */
-    auto send(const UpstreamEntry& entry, std::string request, bool isHead, bool fresh, AnswerListener& listener)
-        -> std::shared_ptr<UpstreamConnection>;
+    auto send(const UpstreamEntry& entry, std::string request, bool isHead, bool fresh,
+        AnswerListener& listener) -> std::shared_ptr<UpstreamConnection>;
     /** Takes back a connection whose answer has ended; `idleTimeout` is what the upstream said of it. */
-    auto release(std::shared_ptr<UpstreamConnection> connection, std::optional<std::chrono::seconds> idleTimeout)
-        -> void;
+    auto release(std::shared_ptr<UpstreamConnection> connection,
+        std::optional<std::chrono::seconds> idleTimeout) -> void;
     /** Closes what has been idle too long. */
     auto sweep(Time now) -> void;
     auto setMostIdle(std::size_t perUpstream) -> void { mostIdle_ = perUpstream; }
--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -125,8 +125,8 @@
         return false;
     if (traits_.memoryTokens == 0 || running_.empty())
         return true;
-    const auto needed = cache_.pinnedTokens() + cache_.newlyPinnedTokens(prompt.parts, chains) + privateTokens_
-        + privateTokensOf(prompt);
+    const auto needed = cache_.pinnedTokens() + cache_.newlyPinnedTokens(prompt.parts, chains)
+        + privateTokens_ + privateTokensOf(prompt);
     return double(needed) <= double(traits_.memoryTokens) * usableMemory;
 }
 
--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -44,8 +44,7 @@
 
 auto OrganisationQueues::remove(const PlacementKey& key) -> std::optional<WaitingRequest>
 {
-    auto removed
-        = removeIf([&key](const WaitingRequest& waiting) { return waiting.request.key == key; });
+    auto removed = removeIf([&key](const WaitingRequest& waiting) { return waiting.request.key == key; });
     if (removed.empty())
         return std::nullopt;
     return std::move(removed.front());
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -42,10 +42,7 @@
     return Duration(static_cast<Duration::rep>(double(time.count()) * factor));
 }
 
-auto milliTime(double time) -> Duration
-{
-    return Duration(static_cast<Duration::rep>(time * 1000.0));
-}
+auto milliTime(double time) -> Duration { return Duration(static_cast<Duration::rep>(time * 1000.0)); }
 
 } // namespace
 
@@ -77,8 +74,7 @@
     for (const auto& entry : entries)
         listed[entry.id()] = &entry;
     absl::erase_if(engines_, [&listed](const auto& engine) { return !listed.contains(engine.first); });
-    absl::erase_if(
-        upstreamOf_, [this](const auto& placed) { return !engines_.contains(placed.second); });
+    absl::erase_if(upstreamOf_, [this](const auto& placed) { return !engines_.contains(placed.second); });
 
     auto added = std::vector<UpstreamId> {};
     for (const auto& entry : entries) {
@@ -108,7 +104,8 @@
         rates += engine.tokensReadPerMs();
     const auto rate = engines_.empty() ? fallbackReadRate : rates / double(engines_.size());
     // The last part is the request's own; those before it are mostly kept.
-    const auto own = request.prompt.parts.empty() ? request.prompt.tokens : request.prompt.parts.back().tokens;
+    const auto own
+        = request.prompt.parts.empty() ? request.prompt.tokens : request.prompt.parts.back().tokens;
     return fixedFirstToken + Duration(static_cast<Duration::rep>(own / rate * 1000.0));
 }
 
@@ -183,7 +180,8 @@
     for (auto& [id, engine] : engines_)
         engine.forgetRouter(now, router);
     absl::erase_if(upstreamOf_, [router](const auto& placed) { return placed.first.router == router; });
-    queues_.removeIf([router](const WaitingRequest& waiting) { return waiting.request.key.router == router; });
+    queues_.removeIf(
+        [router](const WaitingRequest& waiting) { return waiting.request.key.router == router; });
 }
 
 auto Placer::keeperOf(Time now, const WaitingRequest& waiting) const -> Keeper
@@ -209,7 +207,8 @@
     for (auto& [id, engine] : engines_) {
         if (engine.entry().draining || engine.isSuspended(now) || engine.isOnProbation())
             continue;
-        if (std::ranges::find(request.avoid, id) != request.avoid.end() || engine.isTooSmallFor(request.prompt))
+        if (std::ranges::find(request.avoid, id) != request.avoid.end()
+            || engine.isTooSmallFor(request.prompt))
             continue;
         const auto kept = engine.keptTokens(request.prompt, waiting.chains);
         const auto copies = keeper.tokens >= kept + leastCopied;
@@ -217,7 +216,8 @@
         const auto fill = double(engine.running()) / double(engine.slots());
         auto cost = estimate.backlog + scaled(estimate.reading, rereadWeight) + scaled(fullBatchCost, fill);
         if (copies)
-            cost += copySetup + milliTime(double(keeper.tokens - kept) / traits_.copiedTokensPerMs * copyWeight);
+            cost += copySetup
+                + milliTime(double(keeper.tokens - kept) / traits_.copiedTokensPerMs * copyWeight);
         if (hashName(engine.entry().failureDomain) != request.failureDomain)
             cost += otherDomainCost;
         bestCost = std::min(bestCost, cost);
--- a/src/libcamphorshunt/promptcache.cpp
+++ b/src/libcamphorshunt/promptcache.cpp
@@ -20,8 +20,8 @@
 }
 
 template <typename Counts>
-auto PromptCache::prefixTokens(std::span<const PromptPart> parts, std::span<const Chain> chains,
-    Counts counts) const -> std::uint32_t
+auto PromptCache::prefixTokens(
+    std::span<const PromptPart> parts, std::span<const Chain> chains, Counts counts) const -> std::uint32_t
 {
     auto tokens = std::uint32_t { 0 };
     for (auto index = std::size_t { 0 }; index < chains.size(); ++index) {
--- a/src/libcamphorshunt/retrybudget.cpp
+++ b/src/libcamphorshunt/retrywindow.cpp
@@ -1,4 +1,4 @@
-#include "camphorshunt/retrybudget.h"
+#include "camphorshunt/retrywindow.h"
 
 #include <algorithm>
 
@@ -11,12 +11,12 @@
 
 } // namespace
 
-auto RetryBudget::slice(Time now) const -> std::int64_t
+auto RetryWindow::slice(Time now) const -> std::int64_t
 {
     return now.time_since_epoch() / (settings_.window / buckets);
 }
 
-auto RetryBudget::bucketAt(Time now) -> Bucket&
+auto RetryWindow::bucketAt(Time now) -> Bucket&
 {
     const auto current = slice(now);
     auto& bucket = ring_[static_cast<std::size_t>(current) % buckets];
@@ -25,9 +25,9 @@
     return bucket;
 }
 
-auto RetryBudget::noteRequest(Time now) -> void { ++bucketAt(now).requests; }
+auto RetryWindow::noteRequest(Time now) -> void { ++bucketAt(now).requests; }
 
-auto RetryBudget::take(Time now) -> bool
+auto RetryWindow::take(Time now) -> bool
 {
     const auto oldest = slice(now) - static_cast<std::int64_t>(buckets);
     auto requests = 0.0;
--- a/src/libcamphorshunt/routetable.cpp
+++ b/src/libcamphorshunt/routetable.cpp
@@ -11,7 +11,8 @@
 auto hostKey(std::string_view host) -> std::string
 {
     auto key = std::string(host.substr(0, host.find(':')));
-    const auto lower = [](char letter) { return letter >= 'A' && letter <= 'Z' ? char(letter - 'A' + 'a') : letter; };
+    const auto lower
+        = [](char letter) { return letter >= 'A' && letter <= 'Z' ? char(letter - 'A' + 'a') : letter; };
     std::ranges::transform(key, key.begin(), lower);
     return key;
 }
@@ -30,8 +31,7 @@
 
     organisations_.reserve(configuration_.organisations.size());
     for (const auto& declared : configuration_.organisations) {
-        organisations_.push_back(
-            { idOf<OrganisationId>(declared.name), declared.name, declared.priority });
+        organisations_.push_back({ idOf<OrganisationId>(declared.name), declared.name, declared.priority });
         for (const auto& key : declared.keys)
             byKey_[key] = &organisations_.back();
     }
--- a/src/libcamphorshunt/servicebalancer.h
+++ b/src/libcamphorshunt/servicebalancer.h
@@ -27,7 +27,8 @@
 
     auto setUpstreams(std::span<const UpstreamEntry> entries) -> void;
     /** Null if there is none but those to avoid. */
-    auto choose(Time now, std::uint64_t failureDomain, std::span<const UpstreamId> avoid) -> const UpstreamEntry*;
+    auto choose(Time now, std::uint64_t failureDomain, std::span<const UpstreamId> avoid)
+        -> const UpstreamEntry*;
     auto begun(UpstreamId upstream) -> void;
     auto ended(Time now, UpstreamId upstream, PlacementEnd end) -> void;
 
--- a/src/standins/faultswitch.cpp
+++ b/src/standins/faultswitch.cpp
@@ -24,6 +24,9 @@
         { "lost-ack", FaultMode::LostAck },
         { "late-ack", FaultMode::LateAck },
         { "crossed", FaultMode::Crossed },
+        { "unsigned", FaultMode::Unsigned },
+        { "error", FaultMode::Error },
+        { "unproved", FaultMode::Unproved },
     });
     const auto* const found = std::ranges::find(modes, name, [](const auto& mode) { return mode.first; });
     return found == modes.end() ? std::nullopt : std::optional(found->second);
--- a/src/standins/faultswitch.h
+++ b/src/standins/faultswitch.h
@@ -13,8 +13,22 @@
  * `afterEvents` events, without closing. Cut: closes after `afterEvents` events or in the middle of a plain
  * answer. LostAck: runs or appends, then closes without an answer. LateAck (log): closes without an answer,
  * and the record lands `delay` later. Crossed: echoes a wrong attempt id.
+ * Of platform engines: Unsigned: answers without a signature. Error: runs, then answers 500. Unproved: 503
+ * without the proof that it did not run.
  */
-enum class FaultMode { None, Refuse, Slow, Silent, Cut, LostAck, LateAck, Crossed };
+enum class FaultMode {
+    None,
+    Refuse,
+    Slow,
+    Silent,
+    Cut,
+    LostAck,
+    LateAck,
+    Crossed,
+    Unsigned,
+    Error,
+    Unproved
+};
 
 struct Fault {
     FaultMode mode = FaultMode::None;
--- a/src/standins/main.cpp
+++ b/src/standins/main.cpp
@@ -12,10 +12,13 @@
 
 #include "enginestandin.h"
 #include "logstandin.h"
+#include "platformengine.h"
+#include "platformstore.h"
 #include "servicestandin.h"
 #include "vmsstandin.h"
 
-ABSL_FLAG(std::string, role, "", "engine, service, log or vms");
+ABSL_FLAG(std::string, role, "", "engine, service, log, vms, platform-engine or platform-store");
+ABSL_FLAG(std::string, name, "engine", "platform-engine: its name in the directory");
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP number and port; port 0 takes a free one");
 ABSL_FLAG(std::uint32_t, slots, 4, "engine, service: requests that run at the same time");
 ABSL_FLAG(double, token_ms, 1, "engine: time for one output token, in ms");
@@ -49,6 +52,7 @@
         return listen.error();
     auto options = StandInOptions {};
     options.listen = listen.value();
+    options.name = absl::GetFlag(FLAGS_name);
     options.slots = absl::GetFlag(FLAGS_slots);
     options.tokenTime = Milliseconds(absl::GetFlag(FLAGS_token_ms));
     options.promptTime = Milliseconds(absl::GetFlag(FLAGS_prompt_ms));
@@ -102,9 +106,10 @@
     const auto role = absl::GetFlag(FLAGS_role);
     const auto runs
         = std::map<std::string_view, int (*)(const StandInOptions&)> { { "engine", run<EngineStandIn> },
-              { "service", run<ServiceStandIn> }, { "log", run<LogStandIn> }, { "vms", run<VmsStandIn> } };
+              { "service", run<ServiceStandIn> }, { "log", run<LogStandIn> }, { "vms", run<VmsStandIn> },
+              { "platform-engine", run<PlatformEngine> }, { "platform-store", run<PlatformStore> } };
     const auto found = runs.find(role);
     if (found != runs.end())
         return found->second(options.value());
-    return fail(failure(Error::Code::Invalid, "--role", "'" + role + "' is not engine, service, log or vms"));
+    return fail(failure(Error::Code::Invalid, "--role", "'" + role + "' is not a role; see --help"));
 }
--- a/src/standins/standin.cpp
+++ b/src/standins/standin.cpp
@@ -57,6 +57,11 @@
     exchange->onGone([this, weak = std::weak_ptr(exchange)] { held_.erase(weak.lock()); });
 }
 
+auto StandIn::refuse(const Exchange& exchange) -> void
+{
+    respondError(*exchange, statusUnavailable, "refused");
+}
+
 auto StandIn::receive(const Request& request, const Exchange& exchange) -> void
 {
     if (pathOf(request) == "/admin/faults") {
@@ -70,7 +75,7 @@
     const auto isAdmin = pathOf(request).starts_with("/admin/");
     const auto fault = isAdmin ? Fault {} : faults_.next(kindOf(request));
     if (fault.mode == FaultMode::Refuse)
-        respondError(*exchange, statusUnavailable, "refused");
+        refuse(exchange);
     else if (fault.mode == FaultMode::Silent && fault.afterEvents == 0)
         hold(exchange);
     else if (fault.mode == FaultMode::Slow)
--- a/src/standins/standin.h
+++ b/src/standins/standin.h
@@ -42,6 +42,8 @@
 protected:
     auto listen() -> Result<void>;
     virtual auto kindOf(const Request& request) const -> RequestKind;
+    /** Answers that a request was refused before it ran. */
+    virtual auto refuse(const Exchange& exchange) -> void;
     /** A request that is not the switch's; `fault` is what the role has to see to. */
     virtual auto serve(const Request& request, const Exchange& exchange, const Fault& fault) -> void = 0;
 
--- a/src/standins/standinoptions.h
+++ b/src/standins/standinoptions.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <string>
 
 #include "camphorshunt/endpoint.h"
 
@@ -12,6 +13,8 @@
 /** What all stand-ins can be told at start, each as the flag of main.cpp says; a role reads its part. */
 struct StandInOptions {
     Endpoint listen { "127.0.0.1", 0 };
+    /** Names a platform engine in the platform's directory. */
+    std::string name = "engine";
     std::size_t slots = 4;
     Milliseconds tokenTime { 1 };
     Milliseconds promptTime { 10 };
--- /dev/null
+++ b/tests/process/routertest.cpp
@@ -0,0 +1,322 @@
+#include "routerfleet.h"
+
+#include <signal.h>
+#include <thread>
+
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto withHeader(net::HttpRequest request, std::string name, std::string value) -> net::HttpRequest
+{
+    for (auto& header : request.headers) {
+        if (header.name == name) {
+            header.value = value;
+            return request;
+        }
+    }
+    request.headers.push_back({ std::move(name), std::move(value) });
+    return request;
+}
+
+auto without(net::HttpRequest request, std::string_view name) -> net::HttpRequest
+{
+    std::erase_if(request.headers, [name](const net::HttpHeader& header) { return header.name == name; });
+    return request;
+}
+
+auto isOwn(const Answer& answer) -> bool { return answer.header("X-Response-Signature").empty(); }
+
+} // namespace
+
+TEST_CASE("A router passes requests on as they came, with what the fleet sets itself")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    auto request = RouterFleet::request("book", "POST");
+    request.body = "the body";
+    for (const auto* const forged :
+        { "X-Tenant", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch" })
+        request = withHeader(request, forged, "forged");
+    const auto answer = call(fleet.router(0).callers, request);
+    CHECK(answer.status == 200);
+    CHECK(answer.isWhole());
+    CHECK(answer.body == "done " + std::string(request.header("X-Attempt-Id")));
+    CHECK(!answer.header("X-Response-Signature").empty());
+    CHECK(answer.header("X-Attempt-Id") == request.header("X-Attempt-Id"));
+
+    REQUIRE(fleet.totalRuns() == 1);
+    const auto index = fleet.runs(2).empty() ? std::size_t { 3 } : std::size_t { 2 };
+    const auto run = fleet.runs(index).front();
+    CHECK(run.at("method") == "POST");
+    CHECK(run.at("target") == "/book/call?x=1");
+    CHECK(run.at("body") == "the body");
+    CHECK(run.at("X-Tenant") == "acme");
+    CHECK(run.at("X-Expect-Instance") == fleet.upstream(index).name);
+    CHECK(run.at("Authorization").empty());
+    for (const auto* const forged : { "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch" })
+        CHECK(run.at(forged).empty());
+    const auto left = std::stoi(run.at("X-Deadline-Ms"));
+    CHECK(left > 2000);
+    CHECK(left <= 3000);
+}
+
+TEST_CASE("A router refuses what the configuration does not allow, and says so at once")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    const auto& callers = fleet.router(0).callers;
+    CHECK(call(callers, RouterFleet::request("nowhere")).status == 404);
+    CHECK(call(callers, withHeader(RouterFleet::request("plain"), "Host", "other.example")).status == 404);
+    CHECK(
+        call(callers, withHeader(RouterFleet::request("plain"), "Authorization", "Bearer no")).status == 401);
+    CHECK(call(callers, without(RouterFleet::request("plain"), "Authorization")).status == 401);
+    CHECK(call(callers, without(RouterFleet::request("open"), "Authorization")).status == 200);
+    CHECK(call(callers, without(RouterFleet::request("plain"), "X-Attempt-Id")).status == 400);
+    auto longBody = RouterFleet::request("plain", "POST");
+    longBody.body = std::string(200000, 'x');
+    CHECK(call(callers, longBody).status == 413);
+    CHECK(call(callers, withHeader(RouterFleet::request("plain"), "X-Long", std::string(9000, 'x'))).status
+        == 431);
+    CHECK(fleet.totalRuns() == 1);
+}
+
+TEST_CASE("A router without a configuration answers 503 and is not ready, and it takes the first one at once")
+{
+    auto options = RouterFleet::Options {};
+    options.routers = 0;
+    auto fleet = RouterFleet(options);
+    fleet.put("keyed.op", "config", "");
+    auto other = RouterFleet({});
+    REQUIRE(other.awaitReady());
+    other.router(0).process->kill();
+    other.put("keyed.op", "config", "");
+    other.startRouter(0);
+    REQUIRE(eventually(
+        [&] { return call(other.router(0).callers, RouterFleet::request("plain")).status == 503; }));
+    CHECK(!other.isReady(0));
+    other.putConfiguration(boost::json::serialize(RouterFleet::configuration(3)));
+    CHECK(eventually([&] { return other.isReady(0); }, 5s));
+    CHECK(call(other.router(0).callers, RouterFleet::request("plain")).status == 200);
+}
+
+TEST_CASE("A stream is relayed whole, and one that is cut is resumed only where the route says so")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    const auto& callers = fleet.router(0).callers;
+    const auto whole = call(callers, RouterFleet::stream("stream", 12));
+    CHECK(whole.status == 200);
+    CHECK(whole.isWhole());
+    CHECK(whole.body.find("id: 12\n") != std::string::npos);
+
+    for (auto index = std::size_t { 0 }; index < 2; ++index)
+        fleet.fault(index, R"({"mode":"cut","afterEvents":4,"count":1})");
+    const auto cut = call(callers, RouterFleet::stream("stream", 12));
+    CHECK(!cut.isWhole());
+
+    const auto resumed = call(callers, RouterFleet::stream("resume", 12));
+    CHECK(resumed.isWhole());
+    auto expected = std::string {};
+    for (auto id = 1; id <= 12; ++id)
+        expected += "id: " + std::to_string(id) + "\ndata: token " + std::to_string(id) + "\n\n";
+    CHECK(resumed.body == expected);
+}
+
+TEST_CASE("A request that may have run is not sent again, and its caller is not told that it has not run")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    const auto fault = GENERATE(as<std::string> {}, "lost-ack", "crossed", "unsigned", "unproved");
+    for (auto index = std::size_t { 2 }; index < 4; ++index)
+        fleet.fault(index, R"({"mode":")" + fault + R"("})");
+    const auto answer = call(
+        fleet.router(0).callers, withHeader(RouterFleet::request("book", "POST"), "X-Deadline-Ms", "600"));
+    INFO(fault);
+    CHECK((answer.status == 502 || answer.status == 504));
+    CHECK(isOwn(answer));
+    CHECK(fleet.totalRuns() == 1);
+}
+
+TEST_CASE("A refusal with proof is told as one, and idempotent work goes elsewhere after a failure")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    const auto& callers = fleet.router(0).callers;
+    for (auto index = std::size_t { 2 }; index < 4; ++index)
+        fleet.fault(index, R"({"mode":"refuse"})");
+    const auto refused = call(callers, RouterFleet::request("book", "POST"));
+    CHECK(refused.status == 503);
+    CHECK(!refused.header("Retry-After").empty());
+    CHECK(fleet.totalRuns() == 0);
+
+    fleet.fault(2, R"({"mode":"error"})");
+    fleet.fault(3, R"({"mode":"none"})");
+    for (auto round = 0; round < 6; ++round)
+        CHECK(call(callers, RouterFleet::request("plain")).status == 200);
+    fleet.fault(3, R"({"mode":"error"})");
+    const auto failed = call(callers, RouterFleet::request("plain"));
+    CHECK(failed.status == 500);
+    CHECK(!isOwn(failed));
+    fleet.fault(2, R"({"mode":"silent"})");
+    fleet.fault(3, R"({"mode":"none"})");
+    for (auto round = 0; round < 4; ++round)
+        CHECK(call(callers, RouterFleet::request("plain")).status == 200);
+}
+
+TEST_CASE("A caller that leaves has its request cancelled at the engine within half a second")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    auto watched = WatchedCall(fleet.router(0).callers, RouterFleet::stream("stream", 1000));
+    REQUIRE(watched.waitFor("id: 3\n"));
+    REQUIRE(fleet.working(0) + fleet.working(1) == 1);
+    watched.cancel();
+    const auto left = std::chrono::steady_clock::now();
+    CHECK(eventually([&] { return fleet.working(0) + fleet.working(1) == 0; }));
+    CHECK(std::chrono::steady_clock::now() - left < 500ms);
+}
+
+TEST_CASE("A request past its route's time is answered within half a second")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    for (auto index = std::size_t { 2 }; index < 4; ++index)
+        fleet.fault(index, R"({"mode":"silent"})");
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = call(
+        fleet.router(0).callers, withHeader(RouterFleet::request("book", "POST"), "X-Deadline-Ms", "700"));
+    const auto took = std::chrono::steady_clock::now() - begin;
+    CHECK(answer.status == 504);
+    CHECK(took >= 700ms);
+    CHECK(took < 1200ms);
+}
+
+TEST_CASE("An upstream that drains, or whose address another one has, gets nothing more")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    const auto& callers = fleet.router(0).callers;
+    fleet.putUpstream(2, "draining");
+    std::this_thread::sleep_for(2s);
+    const auto before = fleet.runs(2).size();
+    for (auto round = 0; round < 10; ++round)
+        CHECK(call(callers, RouterFleet::request("plain")).status == 200);
+    CHECK(fleet.runs(2).size() == before);
+
+    // The entry of a third upstream names the address of the first.
+    const auto entry = R"({"service":"desk","address":")" + fleet.upstream(2).endpoint.text()
+        + R"(","zone":"zone-a","slots":8,"state":"ready","born":5})";
+    fleet.put("keyed.servers", "desk-gone", entry);
+    std::this_thread::sleep_for(1s);
+    for (auto round = 0; round < 10; ++round)
+        CHECK(call(callers, RouterFleet::request("book", "POST")).status == 200);
+    CHECK(fleet.runs(2).size() == before);
+}
+
+TEST_CASE("Routers with the store out of reach take a newer configuration and the upstreams from a peer")
+{
+    auto options = RouterFleet::Options {};
+    options.routers = 3;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    fleet.storeFault(R"({"mode":"refuse"})");
+    fleet.router(0).process->kill();
+    fleet.startRouter(0);
+    CHECK(eventually([&] { return fleet.isReady(0); }, 10s));
+    CHECK(call(fleet.router(0).callers, RouterFleet::request("plain")).status == 200);
+    CHECK(call(fleet.router(0).callers, RouterFleet::stream("stream", 5)).isWhole());
+}
+
+TEST_CASE("A version is in force on every router within two seconds, also after the store forgot its history")
+{
+    auto options = RouterFleet::Options {};
+    options.routers = 3;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    const auto forgets = GENERATE(false, true);
+    auto next = RouterFleet::configuration(9);
+    next["tenants"] = boost::json::array { boost::json::object {
+        { "name", "acme" }, { "api_keys", boost::json::array { "key-new" } } } };
+    fleet.putConfiguration(boost::json::serialize(next));
+    if (forgets)
+        REQUIRE(post(fleet.store(), "/admin/forget?topic=keyed.op", "").status == 200);
+    std::this_thread::sleep_for(2s);
+    for (auto index = std::size_t { 0 }; index < 3; ++index) {
+        const auto& callers = fleet.router(index).callers;
+        CHECK(call(callers, RouterFleet::request("plain")).status == 401);
+        CHECK(
+            call(callers, withHeader(RouterFleet::request("plain"), "Authorization", "Bearer key-new")).status
+            == 200);
+    }
+}
+
+TEST_CASE("A configuration that can't be read leaves the last one in force, and an older one changes nothing")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    fleet.putConfiguration("{\"version\": 50, \"routes\": [{\"name\": 3}]}");
+    auto older = RouterFleet::configuration(1);
+    older["routes"] = boost::json::array {};
+    fleet.putConfiguration(boost::json::serialize(older));
+    std::this_thread::sleep_for(1500ms);
+    CHECK(call(fleet.router(0).callers, RouterFleet::request("plain")).status == 200);
+}
+
+TEST_CASE("A router that is told to stop is not ready at once, finishes its streams and refuses late ones")
+{
+    auto options = RouterFleet::Options {};
+    options.routers = 2;
+    options.engineFlags = { "--slots=8", "--token_ms=100" };
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    auto watched = WatchedCall(fleet.router(0).callers, RouterFleet::stream("stream", 25));
+    REQUIRE(watched.waitFor("id: 2\n"));
+    fleet.router(0).process->signal(SIGTERM);
+    CHECK(eventually([&] { return !fleet.isReady(0); }, 1s));
+    std::this_thread::sleep_for(2600ms);
+    const auto late = call(fleet.router(0).callers, RouterFleet::stream("stream", 50));
+    CHECK(late.status == 503);
+    CHECK(isOwn(late));
+    const auto answer = watched.finish();
+    CHECK(answer.isWhole());
+    CHECK(answer.body.find("id: 25\n") != std::string::npos);
+    CHECK(fleet.router(0).process->wait() == 0);
+}
+
+TEST_CASE("Requests go on while the router that places them is killed or stopped")
+{
+    auto options = RouterFleet::Options {};
+    options.routers = 3;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    const auto signal = GENERATE(SIGKILL, SIGSTOP);
+    for (auto victim = std::size_t { 0 }; victim < 2; ++victim) {
+        fleet.router(victim).process->signal(signal);
+        std::this_thread::sleep_for(600ms);
+        const auto answer = call(fleet.router(2).callers, RouterFleet::stream("stream", 5));
+        CHECK(answer.status == 200);
+        CHECK(answer.isWhole());
+    }
+    if (signal == SIGSTOP) {
+        for (auto victim = std::size_t { 0 }; victim < 2; ++victim)
+            fleet.router(victim).process->signal(SIGCONT);
+    }
+}
+
+TEST_CASE("Settings that are wrong are refused with the field's name")
+{
+    const auto file = "/tmp/routersettings-" + std::to_string(::getpid()) + ".json";
+    FILE* const stream = std::fopen(file.c_str(), "w");
+    std::fputs("{\"name\": \"r\", \"failureDomain\": \"a\", \"listen\": {}}", stream);
+    std::fclose(stream);
+    const auto arguments = std::vector<std::string> { "--settings=" + file, "--check" };
+    auto process = ChildProcess("camphorshuntrouter", arguments);
+    CHECK(process.wait() == 2);
+    std::remove(file.c_str());
+}
--- /dev/null
+++ b/tests/unit/answerrelaytest.cpp
@@ -0,0 +1,83 @@
+#include "answerrelay.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+
+namespace {
+
+auto header() -> platform::ResponseHeader
+{
+    auto made = platform::ResponseHeader {};
+    made.result(200);
+    made.set("X-Response-Signature", "s");
+    return made;
+}
+
+/** Body of a chunked answer, without its head. */
+auto bodyOf(std::string text) -> std::string
+{
+    const auto end = text.find("\r\n\r\n");
+    if (text.starts_with("HTTP/"))
+        text.erase(0, end + 4);
+    auto body = std::string {};
+    while (!text.empty()) {
+        const auto line = text.find("\r\n");
+        const auto size = std::stoul(text.substr(0, line), nullptr, 16);
+        body += text.substr(line + 2, size);
+        text.erase(0, line + 2 + size + 2);
+    }
+    return body;
+}
+
+} // namespace
+
+TEST_CASE("A plain answer is passed on when it is whole, with its length")
+{
+    auto relay = AnswerRelay(header(), AnswerRelay::Mode::Whole, false, false);
+    CHECK(relay.take("ab").empty());
+    CHECK(relay.take("cd").empty());
+    CHECK(!relay.hasBegun());
+    const auto text = relay.finish();
+    CHECK(text.find("Content-Length: 4\r\n") != std::string::npos);
+    CHECK(text.ends_with("\r\n\r\nabcd"));
+}
+
+TEST_CASE("A stream is passed on byte by byte, and ends with its last chunk only when it is whole")
+{
+    auto relay = AnswerRelay(header(), AnswerRelay::Mode::Stream, false, false);
+    auto text = relay.take("id: 1\nda");
+    CHECK(relay.hasBegun());
+    text += relay.take("ta: x\n\n");
+    CHECK(bodyOf(text) == "id: 1\ndata: x\n\n");
+    CHECK(relay.finish() == "0\r\n\r\n");
+}
+
+TEST_CASE("Of a resumable stream whole events are passed on, wherever an engine stops")
+{
+    const auto events = std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    for (auto cut = std::size_t { 0 }; cut <= events.size(); ++cut) {
+        auto relay = AnswerRelay(header(), AnswerRelay::Mode::ResumableStream, false, false);
+        auto text = std::string {};
+        for (const auto letter : events.substr(0, cut))
+            text += relay.take(std::string_view(&letter, 1));
+        relay.resume();
+        const auto last = relay.lastEvent().empty() ? 0 : std::stoi(relay.lastEvent());
+        text += relay.take(events.substr(static_cast<std::size_t>(last) * events.size() / 3));
+        text += relay.finish();
+        CHECK(bodyOf(text) == events);
+    }
+}
+
+TEST_CASE("An answer with a length that is passed on as it comes keeps it")
+{
+    auto made = header();
+    made.set("Content-Length", "3");
+    auto relay = AnswerRelay(made, AnswerRelay::Mode::Stream, false, true);
+    auto text = relay.take("abc");
+    text += relay.finish();
+    CHECK(text.find("Content-Length: 3\r\n") != std::string::npos);
+    CHECK(text.find("Connection: close\r\n") != std::string::npos);
+    CHECK(text.ends_with("\r\n\r\nabc"));
+}
--- /dev/null
+++ b/tests/unit/placementdutytest.cpp
@@ -0,0 +1,233 @@
+#include "placementduty.h"
+
+#include <algorithm>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "peerframe.h"
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto routerCount = std::size_t { 4 };
+
+auto configuration() -> FleetConfiguration
+{
+    auto made = FleetConfiguration {};
+    made.version = 1;
+    auto service = ServiceDeclaration {};
+    service.name = "model";
+    service.engine = EngineTraits { 4, 0, 0 };
+    made.services.push_back(service);
+    return made;
+}
+
+/** Duties of several routers that talk through frames, some of which can be cut off. */
+struct DutyFleet {
+    DutyFleet()
+    {
+        for (auto index = std::size_t { 0 }; index < 2; ++index) {
+            auto entry = UpstreamEntry {};
+            entry.name = "engine-" + std::to_string(index);
+            entry.service = idOf<ServiceId>("model");
+            entry.slots = 4;
+            upstreams.push_back(entry);
+        }
+        for (auto index = std::uint64_t { 1 }; index <= routerCount; ++index) {
+            all.push_back({ RouterId { index }, 1 });
+            duties.emplace(RouterId { index }, PlacementDuty(RouterId { index }, {}));
+            duties.at(RouterId { index }).setFleet(now, *table, upstreams);
+        }
+        setLive(all);
+    }
+
+    auto setLive(const std::vector<LiveRouter>& live) -> void
+    {
+        for (auto& [id, duty] : duties)
+            duty.setRouters(now, live, routerCount);
+        now += 100ms;
+        settle();
+    }
+
+    auto ask(RouterId router, std::uint64_t number) -> void
+    {
+        auto place = PeerPlace {};
+        place.request.key.number = number;
+        place.request.service = idOf<ServiceId>("model");
+        place.request.organisation = { 1 };
+        place.request.prompt.tokens = 10;
+        place.goalLeft = 800ms;
+        place.deadlineLeft = 5s;
+        duties.at(router).ask(now, std::move(place));
+        settle();
+    }
+
+    auto report(RouterId router, std::uint64_t number, PeerReportKind kind) -> void
+    {
+        duties.at(router).report(now, { number, idOf<ServiceId>("model"), kind, PlacementEnd::Finished });
+        settle();
+    }
+
+    /** Delivers frames, through their encoding, until none are left. */
+    auto settle() -> void
+    {
+        auto busy = true;
+        while (busy) {
+            busy = false;
+            for (auto& [from, duty] : duties) {
+                if (cut.contains(from))
+                    continue;
+                duty.pump(now);
+                auto outputs = duty.takeOutputs();
+                for (const auto& verdict : outputs.verdicts)
+                    verdicts[from].push_back(verdict);
+                for (const auto& [to, frame] : outputs.frames) {
+                    if (cut.contains(to))
+                        continue;
+                    const auto bytes = encodePeerFrame(frame);
+                    duties.at(to).fromPeer(now, from, decodePeerFrame(bytes).value());
+                    busy = true;
+                }
+            }
+        }
+    }
+
+    auto placer() const -> RouterId { return placerOf(idOf<ServiceId>("model"), all); }
+    auto other() const -> RouterId
+    {
+        return std::ranges::find_if(all, [this](const LiveRouter& live) {
+            return live.router != placer();
+        })->router;
+    }
+
+    Time now { 100s };
+    std::shared_ptr<const RouteTable> table = RouteTable::build(configuration());
+    UpstreamList upstreams;
+    std::vector<LiveRouter> all;
+    std::map<RouterId, PlacementDuty> duties;
+    std::set<RouterId> cut;
+    std::map<RouterId, std::vector<PeerVerdict>> verdicts;
+};
+
+} // namespace
+
+TEST_CASE("One router places the requests of all, within the engines' slots")
+{
+    auto fleet = DutyFleet {};
+    for (auto number = std::uint64_t { 1 }; number <= 3; ++number) {
+        for (const auto& live : fleet.all) {
+            fleet.ask(live.router, number);
+            fleet.report(live.router, number, PeerReportKind::Started);
+        }
+    }
+    auto placed = std::size_t { 0 };
+    for (const auto& [router, verdicts] : fleet.verdicts)
+        placed += verdicts.size();
+    CHECK(placed == 8);
+    CHECK(fleet.duties.at(fleet.placer()).waiting() == 4);
+    fleet.report(RouterId { 1 }, 1, PeerReportKind::Ended);
+    CHECK(fleet.duties.at(fleet.placer()).waiting() == 3);
+}
+
+TEST_CASE("When the placing router is lost, the next one learns what runs and places what waited")
+{
+    auto fleet = DutyFleet {};
+    const auto lost = fleet.placer();
+    const auto entry = fleet.other();
+    for (auto number = std::uint64_t { 1 }; number <= 10; ++number) {
+        fleet.ask(entry, number);
+        fleet.report(entry, number, PeerReportKind::Started);
+    }
+    REQUIRE(fleet.verdicts[entry].size() == 8);
+
+    fleet.cut.insert(lost);
+    auto live = fleet.all;
+    std::erase_if(live, [lost](const LiveRouter& candidate) { return candidate.router == lost; });
+    fleet.setLive(live);
+    // With a quarter of the routers out of touch, a quarter of the slots is left to them.
+    CHECK(fleet.verdicts[entry].size() == 8);
+    for (auto number = std::uint64_t { 1 }; number <= 5; ++number)
+        fleet.report(entry, number, PeerReportKind::Ended);
+    CHECK(fleet.verdicts[entry].size() > 8);
+}
+
+TEST_CASE("A verdict of a router that no longer places is not followed, and its place is given back")
+{
+    auto fleet = DutyFleet {};
+    const auto former = fleet.placer();
+    const auto entry = fleet.other();
+    fleet.ask(entry, 1);
+    REQUIRE(fleet.verdicts[entry].size() == 1);
+    auto stale = PeerFrame {};
+    stale.verdicts.push_back(
+        { 1, idOf<ServiceId>("model"), fleet.upstreams[0].id(), std::nullopt, RefusalReason {}, 0ms });
+    fleet.duties.at(entry).fromPeer(fleet.now, former, stale);
+    CHECK(fleet.duties.at(entry).takeOutputs().verdicts.empty());
+
+    fleet.duties.at(entry).fromPeer(fleet.now, former, stale);
+    const auto outputs = fleet.duties.at(entry).takeOutputs();
+    REQUIRE(outputs.frames.contains(former));
+    REQUIRE(outputs.frames.at(former).reports.size() == 1);
+    CHECK(outputs.frames.at(former).reports.front().end == PlacementEnd::Cancelled);
+}
+
+TEST_CASE("Services are spread over the routers by their part of the processor")
+{
+    auto routers = std::vector<LiveRouter> { { RouterId { 1 }, 0.25 }, { RouterId { 2 }, 0.25 },
+        { RouterId { 3 }, 0.5 } };
+    auto counts = std::map<std::uint64_t, int> {};
+    for (auto service = std::uint64_t { 0 }; service < 8000; ++service)
+        ++counts[placerOf(idOf<ServiceId>(std::to_string(service)), routers).value];
+    CHECK(std::abs(counts[3] - 4000) < 300);
+    CHECK(std::abs(counts[1] - 2000) < 300);
+    // Who places a service changes only with its router.
+    const auto service = idOf<ServiceId>("x");
+    const auto owner = placerOf(service, routers);
+    std::erase_if(
+        routers, [owner](const LiveRouter& live) { return live.router != owner && live.router.value < 3; });
+    CHECK(placerOf(service, routers) == owner);
+}
+
+TEST_CASE("A frame between routers survives its encoding, and bytes that are none are refused")
+{
+    auto frame = PeerFrame {};
+    frame.hello = PeerHello { "10.0.0.1:7", 9, 0.25 };
+    frame.members = { "10.0.0.2:7" };
+    frame.beat = PeerBeat { 5, 6, true, true };
+    auto place = PeerPlace {};
+    place.request.key.number = 3;
+    place.request.prompt.parts = { { 1, 2 }, { 3, 4 } };
+    place.request.avoid = { UpstreamId { 8 } };
+    place.goalLeft = -5ms;
+    place.runningAt = UpstreamId { 4 };
+    frame.places.push_back(place);
+    frame.directory = DirectoryPage { true, 1, 2, { { "a", "x", 1 }, { "b", std::nullopt, 2 } } };
+    frame.configuration = "{}";
+    frame.wantsDirectory = true;
+    auto bytes = encodePeerFrame(frame);
+    const auto decoded = decodePeerFrame(bytes);
+    REQUIRE(decoded);
+    const auto& back = decoded.value();
+    CHECK(back.hello->endpoint == "10.0.0.1:7");
+    CHECK(back.beat->leaving);
+    REQUIRE(back.places.size() == 1);
+    CHECK(back.places[0].request.prompt.parts[1].tokens == 4);
+    CHECK(back.places[0].goalLeft == -5ms);
+    CHECK(back.places[0].runningAt == UpstreamId { 4 });
+    CHECK(back.directory->records[1].value == std::nullopt);
+    CHECK(back.configuration == "{}");
+    CHECK(back.wantsDirectory);
+
+    CHECK(!decodePeerFrame(std::span<const std::uint8_t> {}));
+    for (auto size = std::size_t { 0 }; size < bytes.size(); size += 3)
+        static_cast<void>(decodePeerFrame(std::span(bytes).first(size)));
+    for (auto index = std::size_t { 0 }; index < bytes.size(); ++index) {
+        auto spoilt = bytes;
+        spoilt[index] ^= 0xffU;
+        static_cast<void>(decodePeerFrame(spoilt));
+    }
+}
--- /dev/null
+++ b/tests/unit/routersettingstest.cpp
@@ -0,0 +1,59 @@
+#include "routersettings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt::router;
+
+namespace {
+
+auto settingsText() -> std::string
+{
+    return R"({
+        // A router.
+        "name": "r1", "failureDomain": "zone-a",
+        "listen": { "callers": "10.0.0.1:1", "readiness": "10.0.0.1:2", "peers": "10.0.0.1:3",
+            "metrics": "10.0.0.1:4" },
+        "seeds": ["10.0.0.2:3"], "store": "10.0.0.9:5",
+        "limits": { "processorShare": 0.25, "descriptors": 4200, "stopSeconds": 8.0 },
+        "bounds": { "retryRatio": 0.2, "retrySpare": 52.0, "retryWindowSeconds": 10 }
+    })";
+}
+
+auto replaced(std::string_view what, std::string_view with) -> std::string
+{
+    auto text = settingsText();
+    text.replace(text.find(what), what.size(), with);
+    return text;
+}
+
+auto errorOf(const std::string& text) -> std::string
+{
+    const auto settings = RouterSettings::parse(text, "f.json");
+    return settings ? "" : settings.error().text();
+}
+
+} // namespace
+
+TEST_CASE("A router's settings are read from JSON with comments")
+{
+    const auto settings = RouterSettings::parse(settingsText(), "f.json");
+    REQUIRE(settings);
+    CHECK(settings.value().callers.port == 1);
+    CHECK(settings.value().seeds.size() == 1);
+    CHECK(settings.value().processorShare == 0.25);
+    CHECK(settings.value().stopTime == std::chrono::seconds(8));
+    CHECK(settings.value().retries.spare == 52);
+}
+
+TEST_CASE("Settings with a fault are refused with the file and the field")
+{
+    CHECK(errorOf("{") != "");
+    CHECK(errorOf(replaced("\"name\": \"r1\",", "")).find("f.json: name") == 0);
+    CHECK(errorOf(replaced("10.0.0.1:3", "nowhere")).find("f.json: listen.peers") == 0);
+    CHECK(errorOf(replaced("\"10.0.0.2:3\"", "7")).find("f.json: seeds") == 0);
+    CHECK(errorOf(replaced("0.25", "\"much\"")).find("f.json: limits.processorShare") == 0);
+    CHECK(errorOf(replaced("\"store\"", "\"stroe\"")).find("f.json: store") == 0);
+    CHECK(errorOf(replaced("\"retryRatio\": 0.2", "\"retryRatio\": 0.2, \"more\": 1"))
+              .find("f.json: bounds.more")
+        == 0);
+}
--- /dev/null
+++ b/tests/unit/storepacertest.cpp
@@ -0,0 +1,97 @@
+#include "storepacer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto unavailable() -> Error { return failure(Error::Code::Unavailable, "store", "503"); }
+
+/** Answers every call at once, and counts them. */
+struct Counts {
+    int directory = 0;
+    int whole = 0;
+    int configuration = 0;
+    int joins = 0;
+};
+
+auto play(StorePacer& pacer, StorePacer::Known known, Time& now, Duration length, bool answers) -> Counts
+{
+    auto counts = Counts {};
+    const auto end = now + length;
+    for (; now < end; now += 10ms) {
+        for (const auto& call : pacer.due(now, known)) {
+            if (const auto* const read = std::get_if<ReadDirectory>(&call)) {
+                ++counts.directory;
+                counts.whole += read->from ? 0 : 1;
+                pacer.directoryRead(now, answers ? Result<DirectoryPage>(DirectoryPage {}) : unavailable());
+            } else if (std::holds_alternative<ReadConfiguration>(call)) {
+                ++counts.configuration;
+                pacer.configurationRead(now,
+                    answers ? Result<ConfigurationRead::Content>(ConfigurationRead::Content {})
+                            : unavailable());
+            } else {
+                ++counts.joins;
+                pacer.fleetJoined(now, answers);
+            }
+        }
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("The reader reads the directory often enough for an upstream that leaves")
+{
+    auto pacer = StorePacer("10.0.0.1:7");
+    auto now = Time { 10s };
+    const auto counts = play(pacer, { 5, true, true, true }, now, 10s, true);
+    CHECK(counts.directory >= 20);
+    CHECK(counts.directory <= 30);
+    CHECK(counts.configuration >= 5);
+    CHECK(counts.joins == 1);
+}
+
+TEST_CASE("Other routers leave the store alone while they hear of the reader")
+{
+    auto pacer = StorePacer("10.0.0.1:7");
+    auto now = Time { 10s };
+    play(pacer, { std::nullopt, false, false, true }, now, 100ms, true);
+    auto calls = 0;
+    for (auto round = 0; round < 50; ++round) {
+        pacer.directoryNews(now);
+        pacer.configurationNews(now);
+        const auto counts = play(pacer, { 5, true, false, true }, now, 400ms, true);
+        calls += counts.directory + counts.configuration;
+    }
+    CHECK(calls == 0);
+    const auto alone = play(pacer, { 5, true, false, true }, now, 5s, true);
+    CHECK(alone.directory >= 3);
+    CHECK(alone.configuration >= 2);
+}
+
+TEST_CASE("A store that does not answer is not called more than twice a second for each topic")
+{
+    auto pacer = StorePacer("10.0.0.1:7");
+    auto now = Time { 10s };
+    const auto counts = play(pacer, { 5, true, true, true }, now, 10s, false);
+    CHECK(!pacer.isReachable());
+    CHECK(counts.directory <= 21);
+    CHECK(counts.configuration <= 21);
+    CHECK(counts.joins <= 11);
+    play(pacer, { 5, true, true, true }, now, 1s, true);
+    CHECK(pacer.isReachable());
+}
+
+TEST_CASE("After records have expired all of them are read anew")
+{
+    auto pacer = StorePacer("10.0.0.1:7");
+    auto now = Time { 10s };
+    pacer.due(now, { 5, true, true, true });
+    pacer.directoryRead(now, failure(Error::Code::NotFound, "store", "410"));
+    const auto counts = play(pacer, { 5, true, true, true }, now, 300ms, true);
+    CHECK(counts.whole == 1);
+}
--- /dev/null
+++ b/tests/unit/upstreamdirectorytest.cpp
@@ -0,0 +1,65 @@
+#include "upstreamdirectory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace std::chrono_literals;
+
+namespace {
+
+auto entry(std::string name) -> UpstreamEntry
+{
+    auto made = UpstreamEntry {};
+    made.name = std::move(name);
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("An entry that is removed while the directory is read is gone at once")
+{
+    auto directory = UpstreamDirectory {};
+    auto now = Time { 10s };
+    directory.noteRead(now);
+    CHECK(directory.apply(now, "a", entry("a")));
+    CHECK(!directory.apply(now, "a", entry("a")));
+    now += 400ms;
+    directory.noteRead(now);
+    CHECK(directory.apply(now, "a", std::nullopt));
+    CHECK(directory.entries().empty());
+}
+
+TEST_CASE("Entries that lapsed while the directory was out of reach have two seconds to come back")
+{
+    auto directory = UpstreamDirectory {};
+    auto now = Time { 10s };
+    directory.noteRead(now);
+    directory.apply(now, "back", entry("back"));
+    directory.apply(now, "gone", entry("gone"));
+    now += 5s;
+    directory.noteRead(now);
+    CHECK(!directory.apply(now, "back", std::nullopt));
+    CHECK(!directory.apply(now, "gone", std::nullopt));
+    CHECK(directory.entries().size() == 2);
+    now += 1s;
+    directory.noteRead(now);
+    directory.apply(now, "back", entry("back"));
+    now += 900ms;
+    CHECK(!directory.settle(now));
+    now += 500ms;
+    CHECK(directory.settle(now));
+    REQUIRE(directory.entries().size() == 1);
+    CHECK(directory.entries().front().name == "back");
+}
+
+TEST_CASE("Entries that a whole reading does not name are gone")
+{
+    auto directory = UpstreamDirectory {};
+    const auto now = Time { 10s };
+    directory.noteRead(now);
+    directory.apply(now, "a", entry("a"));
+    const auto whole = std::vector<UpstreamDirectory::Named> { { "b", entry("b") }, { "c", std::nullopt } };
+    CHECK(directory.replaceAll(now, whole));
+    REQUIRE(directory.entries().size() == 1);
+    CHECK(directory.entries().front().name == "b");
+}
