Count only what is more urgent as ahead of a request

The expected wait of a request counted all that its organisation had waiting, also long requests with later goals that it would be placed before. Ruled out: full engines, since these requests were refused on arrival.

Change: the wait counts what is as urgent or more, and other organisations' shares as before. The new test fails without it.

--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -77,14 +77,18 @@
     return accounts_[organisation].waiting;
 }
 
-auto OrganisationQueues::costAhead(Time now, OrganisationId organisation, double cost) const -> double
+auto OrganisationQueues::costAhead(Time now, const WaitingRequest& waiting) const -> double
 {
+    const auto organisation = waiting.request.organisation;
+    auto ahead = 0.0;
+    auto level = waiting.cost;
     const auto found = accounts_.find(organisation);
-    auto ahead = cost;
-    auto level = cost;
     if (found != accounts_.end()) {
-        ahead += found->second.waitingCost;
-        level = serviceOf(now, found->second) + ahead;
+        for (const auto& other : found->second.waiting) {
+            if (urgency(other) <= urgency(waiting))
+                ahead += other.cost;
+        }
+        level += serviceOf(now, found->second) + ahead;
     }
     for (const auto& [id, account] : accounts_) {
         if (id != organisation && !account.waiting.empty())
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -47,8 +47,11 @@
     /** Those that have requests waiting, the least served first. */
     auto byService(Time now) -> std::vector<OrganisationId>;
     auto waitingOf(OrganisationId organisation) -> WaitingList&;
-    /** Cost of what has to be served, at equal shares, before a new request of this cost begins. */
-    auto costAhead(Time now, OrganisationId organisation, double cost) const -> double;
+    /**
+     * Cost of what has to be served, at equal shares, before a new request begins: what its organisation has
+     * waiting that is more urgent, and what others are owed until they have had as much.
+     */
+    auto costAhead(Time now, const WaitingRequest& waiting) const -> double;
 
     auto size() const -> std::size_t { return size_; }
     auto removeIf(const std::function<bool(const WaitingRequest&)>& matches) -> WaitingList;
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -117,7 +117,7 @@
     const auto rate = placedCost_ * std::exp(-fading) / throughputWindow.count();
     if (rate <= 0)
         return {};
-    const auto ahead = queues_.costAhead(now, waiting.request.organisation, waiting.cost) - waiting.cost;
+    const auto ahead = queues_.costAhead(now, waiting);
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(ahead / rate));
 }
 
--- a/tests/unit/placertest.cpp
+++ b/tests/unit/placertest.cpp
@@ -259,6 +259,21 @@
     }
 }
 
+TEST_CASE("A request with a near goal is not refused for what waits behind it")
+{
+    auto fixture = PlacerFixture(1);
+    fixture.submit(fixture.request("a", 5000));
+    for (auto index = 0; index < 8; ++index)
+        fixture.submit(fixture.request("a", 5000));
+    auto urgent = fixture.request("a", 300);
+    urgent.goal = fixture.now + 300ms;
+    const auto key = fixture.submit(urgent);
+    CHECK(!fixture.refused.contains(key));
+    fixture.now += 60ms;
+    fixture.pump();
+    CHECK(fixture.placed.contains(key));
+}
+
 TEST_CASE("A request that can't be on time any more is refused, not held until its deadline")
 {
     auto fixture = PlacerFixture(1);
