Place what can be on time before what can't

Cause: within an organisation the request with the nearest goal came first, also when it could no longer be on time; under overload each late one made the next one late. Ruled out: slow engines; their queues held under 50 ms of unread prompt.

Change: requests whose latest start has passed are placed only where none that can be on time would be, and are refused 600 ms after their goal. Those beyond their organisation's share are refused on arrival as before.

--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -20,6 +20,8 @@
     /** Tokens read once and generated twice: what its organisation is charged. */
     double cost = 0;
     Time since;
+    /** Placed after this it will be late. */
+    Time latestStart;
 };
 
 /** Tokens read once and generated twice. */
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -135,10 +135,9 @@
         refuse(now, waiting, RefusalReason::NoUpstream);
         return;
     }
-    const auto latest = std::max(waiting.request.goal + settings_.lateness, now + Duration(1));
-    const auto slack = latest - now - readingTimeOf(waiting.request);
+    waiting.latestStart = waiting.request.goal - readingTimeOf(waiting.request);
     const auto wait = expectedWait(now, waiting);
-    if (wait > Duration {} && wait > slack) {
+    if (wait > Duration {} && now + wait > waiting.latestStart) {
         refuse(now, waiting, RefusalReason::OverShare);
         return;
     }
@@ -230,8 +229,7 @@
         }
     }
     if (bestFree.engine != nullptr && bestFreeCost - bestCost > worthWaitingFor) {
-        const auto latest = request.goal - readingTimeOf(request) - worthWaitingFor;
-        bestFree.waits = now < latest;
+        bestFree.waits = now + worthWaitingFor < waiting.latestStart;
     }
     return bestFree;
 }
@@ -254,13 +252,15 @@
     placedAt_ = now;
 }
 
-auto Placer::placeFor(Time now, OrganisationId organisation, std::size_t& looks) -> bool
+auto Placer::placeFor(Time now, OrganisationId organisation, Pass pass, std::size_t& looks) -> bool
 {
     auto& waiting = queues_.waitingOf(organisation);
-    for (auto index = std::size_t { 0 }; index < std::min(waiting.size(), mostLooksEach); ++index) {
-        if (looks == 0)
-            return false;
+    auto looksLeft = mostLooksEach;
+    for (auto index = std::size_t { 0 }; index < waiting.size() && looksLeft > 0 && looks > 0; ++index) {
+        if ((now > waiting[index].latestStart) != (pass == Pass::Late))
+            continue;
         --looks;
+        --looksLeft;
         const auto choice = choose(now, waiting[index]);
         if (choice.engine == nullptr || choice.waits)
             continue;
@@ -286,7 +286,7 @@
 auto Placer::refuseLate(Time now) -> void
 {
     const auto late = queues_.removeIf([this, now](const WaitingRequest& waiting) {
-        return now + fixedFirstToken >= waiting.request.goal + settings_.lateness;
+        return now >= waiting.request.goal + settings_.lateness;
     });
     for (const auto& waiting : late)
         refuse(now, waiting, RefusalReason::Waited);
@@ -296,19 +296,25 @@
 {
     for (auto& [id, engine] : engines_)
         engine.checkOverdue(now);
+    placeAll(now, Pass::InTime);
+    placeAll(now, Pass::Late);
+    refuseLate(now);
+    return std::exchange(verdicts_, {});
+}
+
+auto Placer::placeAll(Time now, Pass pass) -> void
+{
     auto looks = mostLooks;
     auto progress = true;
     while (progress && looks > 0 && queues_.size() > 0) {
         progress = false;
         for (const auto organisation : queues_.byService(now)) {
-            if (placeFor(now, organisation, looks)) {
+            if (placeFor(now, organisation, pass, looks)) {
                 progress = true;
                 break;
             }
         }
     }
-    refuseLate(now);
-    return std::exchange(verdicts_, {});
 }
 
 } // namespace camphorshunt
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -28,8 +28,8 @@
         Duration backlogLimit = std::chrono::milliseconds(50);
         /** Time after which service that an organisation had is forgotten. */
         Duration shareWindow = std::chrono::seconds(4);
-        /** How long after its goal a request may still begin, if there is room for it. */
-        Duration lateness {};
+        /** How long after its goal a request may still begin, if no other one could be on time there. */
+        Duration lateness = std::chrono::milliseconds(600);
         std::uint64_t seed = 1;
     };
 
@@ -75,7 +75,11 @@
     auto choose(Time now, const WaitingRequest& waiting) -> Choice;
     auto keeperOf(Time now, const WaitingRequest& waiting) const -> Keeper;
     auto place(Time now, WaitingRequest waiting, const Choice& choice) -> void;
-    auto placeFor(Time now, OrganisationId organisation, std::size_t& looks) -> bool;
+    /** The requests that can be on time, or those that can't any more. */
+    enum class Pass : std::uint8_t { InTime, Late };
+
+    auto placeAll(Time now, Pass pass) -> void;
+    auto placeFor(Time now, OrganisationId organisation, Pass pass, std::size_t& looks) -> bool;
     auto refuse(Time now, const WaitingRequest& waiting, RefusalReason reason) -> void;
     auto refuseLate(Time now) -> void;
     auto readingTimeOf(const PlacementRequest& request) const -> Duration;
