Hold no buffer for callers' idle connections, and ask callers to leave in time

Ruled out: waiting requests (some hundred) and log lines (bounded at 2,048).

Change: a caller's connection waits for bytes without a buffer and reads into one that the relay shares; the space of a request goes with it; past half of the callers that the descriptors allow, answers end their connection. The body of a stream that can't be sent again is dropped when its answer begins.

--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -57,22 +57,24 @@
 
 auto CallerConnection::read() -> void
 {
-    socket_.async_read_some(boost::asio::buffer(buffer_),
-        [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
-            if (self->open_)
-                self->readDone(error, size);
+    socket_.async_wait(
+        Socket::wait_read, [self = shared_from_this()](const boost::system::error_code& error) {
+            if (self->open_ && !error)
+                self->readReady();
         });
 }
 
-auto CallerConnection::readDone(const boost::system::error_code& error, std::size_t size) -> void
+auto CallerConnection::readReady() -> void
 {
-    const auto self = shared_from_this();
-    if (error) {
+    const auto buffer = relay_.readBuffer();
+    auto error = boost::system::error_code {};
+    const auto size = socket_.read_some(boost::asio::buffer(buffer.data(), buffer.size()), error);
+    if (error && error != boost::asio::error::would_block) {
         close();
         return;
     }
     if (!closing_)
-        input_.append(buffer_.data(), size);
+        input_.append(buffer.data(), size);
     if (!exchange_ && !closing_)
         parse();
     if (open_ && (input_.size() < mostReadAhead || !exchange_))
@@ -113,9 +115,10 @@
                 return;
             continue;
         }
-        keepAlive_ = parser_->keep_alive() && !relay_.isDraining();
+        keepAlive_ = parser_->keep_alive() && relay_.keepsCallers();
         auto request = parser_->release();
         parser_.reset();
+        input_.shrink_to_fit();
         exchange_ = Exchange::create(relay_, *this, std::move(request), keepAlive_);
         const auto exchange = exchange_;
         exchange->begin();
@@ -150,6 +153,8 @@
         written += socket_.write_some(
             boost::asio::buffer(output_.data() + written, output_.size() - written), error);
     output_.erase(0, written);
+    if (output_.empty())
+        output_.shrink_to_fit();
     if (error && error != boost::asio::error::would_block) {
         // The pending read reports the loss to the exchange.
         output_.clear();
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,8 +17,9 @@
 class Relay;
 
 /**
- * A caller's connection: reads one request at a time and writes its answer. A read is always pending, so that
- * a caller that leaves is noticed while its request is in progress.
+ * A caller's connection: reads one request at a time and writes its answer. It always waits for bytes, so
+ * that a caller that leaves is noticed while its request is in progress. Idle connections are many and hold
+ * no buffer.
  */
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
@@ -55,7 +55,7 @@
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     auto read() -> void;
-    auto readDone(const boost::system::error_code& error, std::size_t size) -> void;
+    auto readReady() -> void;
     auto parse() -> void;
     auto beginRequest() -> void;
     auto refuse(unsigned status, std::string_view reason) -> void;
@@ -65,7 +65,6 @@
 
     Socket socket_;
     Relay& relay_;
-    std::array<char, 4096> buffer_ {};
     std::string input_;
     std::string output_;
     std::optional<Parser> parser_;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -267,8 +267,13 @@
     if (isStream)
         mode = route_->resumable ? AnswerRelay::Mode::ResumableStream : AnswerRelay::Mode::Stream;
     const auto isHead = message_.method() == boost::beast::http::verb::head;
-    keepAlive_ = keepAlive_ && !relay_.isDraining();
+    keepAlive_ = keepAlive_ && relay_.keepsCallers();
     relayed_.emplace(header, mode, isHead, !keepAlive_);
+    if (mode == AnswerRelay::Mode::Stream) {
+        // Nothing can be sent again from here on.
+        message_.body().clear();
+        message_.body().shrink_to_fit();
+    }
     return true;
 }
 
@@ -386,7 +391,7 @@
     -> void
 {
     const auto self = shared_from_this();
-    keepAlive_ = keepAlive_ && !relay_.isDraining();
+    keepAlive_ = keepAlive_ && relay_.keepsCallers();
     caller_->write(platform::writeOwnAnswer({ status, request_.attempt, reason, retryAfter, !keepAlive_ }));
     finish(promisesNotRun(status) ? Outcome::Refused : Outcome::Failed, status, reason);
 }
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <random>
+#include <span>
 #include <unordered_map>
 #include <vector>
 
@@ -72,6 +74,10 @@
     auto metrics() -> RouterMetrics& { return metrics_; }
     auto failureDomain() const -> std::uint64_t { return failureDomain_; }
     auto isDraining() const -> bool { return draining_; }
+    /** Callers' connections are kept for more requests: there are not too many, and the router stays. */
+    auto keepsCallers() const -> bool { return !draining_ && callers_.size() < settings_.mostCallers / 2; }
+    /** Space for one read, used up before the next. */
+    auto readBuffer() -> std::span<char> { return readBuffer_; }
     /** There is time for a new stream to end before the process does. */
     auto takesStreams() const -> bool;
     auto draw() -> std::uint64_t { return random_(); }
@@ -111,6 +117,7 @@
     absl::flat_hash_map<std::uint64_t, Exchange*> exchanges_;
     std::multimap<Time, std::weak_ptr<Exchange>> checks_;
     std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> callers_;
+    std::array<char, std::size_t { 16 } * 1024> readBuffer_ {};
     std::uint64_t nextNumber_ = 1;
     Time nextSweep_ {};
     bool draining_ = false;
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -115,7 +115,7 @@
     AnswerListener* listener_ = nullptr;
     std::string output_;
     std::size_t written_ = 0;
-    std::array<char, 4096> input_ {};
+    std::array<char, 2048> input_ {};
     /** Bytes that the parser could not use yet. */
     std::string pending_;
     std::optional<Parser> parser_;
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -60,6 +60,7 @@
 } // namespace
 
 RouterFleet::RouterFleet(const Options& options)
+    : descriptors_(options.descriptors)
 {
     static auto counter = std::atomic<int> { 0 };
     folder_ = (std::filesystem::temp_directory_path()
@@ -117,7 +118,8 @@
         { "listen",
             json::object { { "callers", router.callers.text() }, { "readiness", router.readiness.text() },
                 { "peers", router.peers.text() }, { "metrics", router.metrics.text() } } },
-        { "seeds", seeds }, { "store", store_.text() }, { "limits", json::object { { "stopSeconds", 6 } } },
+        { "seeds", seeds }, { "store", store_.text() },
+        { "limits", json::object { { "stopSeconds", 6 }, { "descriptors", descriptors_ } } },
         { "bounds", json::object { { "retryRatio", 0.2 }, { "retrySpare", 50 } } } };
     std::ofstream(router.settings) << json::serialize(settings);
     const auto arguments = std::vector<std::string> { "--settings=" + router.settings };
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -26,6 +26,7 @@
         std::size_t plain = 2;
         std::vector<std::string> engineFlags { "--slots=8", "--token_ms=2" };
         std::vector<std::string> plainFlags { "--call_ms=5" };
+        std::uint64_t descriptors = 1024;
     };
     struct Upstream {
         std::string name;
@@ -79,6 +80,7 @@
         -> void;
 
     std::string folder_;
+    std::uint64_t descriptors_;
     std::unique_ptr<ChildProcess> storeProcess_;
     Endpoint store_;
     std::vector<Upstream> upstreams_;
--- a/tests/process/routertest.cpp
+++ b/tests/process/routertest.cpp
@@ -3,6 +3,8 @@
 #include <signal.h>
 #include <thread>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
@@ -309,6 +311,26 @@
     }
 }
 
+TEST_CASE("A router with many idle callers asks them to leave after their answer, and serves new ones")
+{
+    auto options = RouterFleet::Options {};
+    options.descriptors = 128;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    const auto& callers = fleet.router(0).callers;
+    CHECK(call(callers, RouterFleet::request("plain")).header("Connection").empty());
+
+    auto context = boost::asio::io_context {};
+    auto idle = std::vector<boost::asio::ip::tcp::socket> {};
+    for (auto index = 0; index < 40; ++index) {
+        idle.emplace_back(context);
+        idle.back().connect({ boost::asio::ip::make_address(callers.address), callers.port });
+    }
+    const auto answer = call(callers, RouterFleet::request("plain"));
+    CHECK(answer.status == 200);
+    CHECK(answer.header("Connection") == "close");
+}
+
 TEST_CASE("Settings that are wrong are refused with the field's name")
 {
     const auto file = "/tmp/routersettings-" + std::to_string(::getpid()) + ".json";
