Test that a stopped router ends in time; trace an incident

No change to the router; the new test asks that a router with an endless stream ends by itself within its stop time.

--- a/tests/process/routertest.cpp
+++ b/tests/process/routertest.cpp
@@ -291,6 +291,23 @@
     CHECK(fleet.router(0).process->wait() == 0);
 }
 
+TEST_CASE("A router that is told to stop ends before it would be killed, whatever still runs")
+{
+    auto options = RouterFleet::Options {};
+    options.engineFlags = { "--slots=8", "--token_ms=100" };
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    auto watched = WatchedCall(fleet.router(0).callers,
+        withHeader(RouterFleet::stream("stream", 1000), "X-Deadline-Ms", "20000"));
+    REQUIRE(watched.waitFor("id: 2\n"));
+    const auto begin = std::chrono::steady_clock::now();
+    fleet.router(0).process->signal(SIGTERM);
+    CHECK(fleet.router(0).process->wait() == 0);
+    // The settings allow six seconds.
+    CHECK(std::chrono::steady_clock::now() - begin < 6000ms);
+    CHECK(!watched.finish().isWhole());
+}
+
 TEST_CASE("Requests go on while the router that places them is killed or stopped")
 {
     auto options = RouterFleet::Options {};
