Tell in a request's log line what its placing was decided from

On-call engineers could see that a request waited or was refused, but not why: the placer is another router.

--- a/include/camphorshunt/placement.h
+++ b/include/camphorshunt/placement.h
@@ -70,12 +70,23 @@
     Failed,
 };
 
+/** What a placer knew when it decided, for the log of the router that asked. */
+struct PlacementInputs {
+    /** Until the engine has read the prompts before this one; of a refusal, the wait that was expected. */
+    std::chrono::milliseconds wait {};
+    /** Tokens of the prompt that need not be read. */
+    std::uint32_t keptTokens = 0;
+    /** Requests that waited at the placer. */
+    std::uint32_t waiting = 0;
+};
+
 /** A request may be sent to this engine now. */
 struct Placed {
     PlacementKey key;
     UpstreamId upstream;
     /** Engine that keeps more of the prompt, to copy from. */
     std::optional<UpstreamId> copyFrom;
+    PlacementInputs inputs;
 };
 
 enum class RefusalReason : std::uint8_t {
@@ -92,6 +103,7 @@
     PlacementKey key;
     RefusalReason reason {};
     std::chrono::milliseconds retryAfter {};
+    PlacementInputs inputs;
 };
 
 using PlacementVerdict = std::variant<Placed, PlacementRefused>;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -502,6 +502,11 @@
         { "asked-ms", sinceArrival(askedAt_) }, { "sent-ms", sinceArrival(sentAt_) },
         { "first-ms", sinceArrival(firstByteAt_) }, { "end-ms", sinceArrival(steadyNow()) },
         { "configuration", std::to_string(table_ == nullptr ? 0 : table_->version()) } };
+    if (placement_) {
+        fields.push_back({ "placer-wait-ms", std::to_string(placement_->wait.count()) });
+        fields.push_back({ "placer-kept", std::to_string(placement_->keptTokens) });
+        fields.push_back({ "placer-waiting", std::to_string(placement_->waiting) });
+    }
     if (!reason.empty())
         fields.push_back({ "reason", std::string(reason) });
     const auto isGood = outcome == Outcome::Served || outcome == Outcome::Passed;
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -38,6 +38,8 @@
     auto number() const -> std::uint64_t { return number_; }
     /** `copyFrom`: an engine that keeps more of the prompt; may be null. */
     auto placed(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
+    /** What the placer's decision was made from. */
+    auto notePlacement(const PlacementInputs& inputs) -> void { placement_ = inputs; }
     auto refused(RefusalReason reason, std::chrono::milliseconds retryAfter) -> void;
     auto callerGone() -> void;
     /** Acts on what has become due; gives the time of the next check, or none when it has ended. */
@@ -105,6 +107,7 @@
     std::uint32_t sends_ = 0;
     bool mayHaveRun_ = false;
     bool startedTold_ = false;
+    std::optional<PlacementInputs> placement_;
 
     std::optional<platform::EngineAnswer> answer_;
     std::optional<std::chrono::seconds> idleTimeout_;
--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -74,9 +74,12 @@
   uint64_t upstream_;
   uint64_t copy_from_;
   uint32_t retry_ms_;
+  uint32_t wait_ms_;
+  uint32_t kept_tokens_;
+  uint32_t waiting_;
   uint8_t reason_;
   uint8_t placed_;
-  int16_t padding0__;
+  int16_t padding0__;  int32_t padding1__;
 
  public:
   Verdict()
@@ -85,21 +88,31 @@
         upstream_(0),
         copy_from_(0),
         retry_ms_(0),
+        wait_ms_(0),
+        kept_tokens_(0),
+        waiting_(0),
         reason_(0),
         placed_(0),
-        padding0__(0) {
+        padding0__(0),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
-  Verdict(uint64_t _number, uint64_t _service, uint64_t _upstream, uint64_t _copy_from, uint32_t _retry_ms, uint8_t _reason, bool _placed)
+  Verdict(uint64_t _number, uint64_t _service, uint64_t _upstream, uint64_t _copy_from, uint32_t _retry_ms, uint32_t _wait_ms, uint32_t _kept_tokens, uint32_t _waiting, uint8_t _reason, bool _placed)
       : number_(flatbuffers::EndianScalar(_number)),
         service_(flatbuffers::EndianScalar(_service)),
         upstream_(flatbuffers::EndianScalar(_upstream)),
         copy_from_(flatbuffers::EndianScalar(_copy_from)),
         retry_ms_(flatbuffers::EndianScalar(_retry_ms)),
+        wait_ms_(flatbuffers::EndianScalar(_wait_ms)),
+        kept_tokens_(flatbuffers::EndianScalar(_kept_tokens)),
+        waiting_(flatbuffers::EndianScalar(_waiting)),
         reason_(flatbuffers::EndianScalar(_reason)),
         placed_(flatbuffers::EndianScalar(static_cast<uint8_t>(_placed))),
-        padding0__(0) {
+        padding0__(0),
+        padding1__(0) {
     (void)padding0__;
+    (void)padding1__;
   }
   uint64_t number() const {
     return flatbuffers::EndianScalar(number_);
@@ -116,6 +129,15 @@
   uint32_t retry_ms() const {
     return flatbuffers::EndianScalar(retry_ms_);
   }
+  uint32_t wait_ms() const {
+    return flatbuffers::EndianScalar(wait_ms_);
+  }
+  uint32_t kept_tokens() const {
+    return flatbuffers::EndianScalar(kept_tokens_);
+  }
+  uint32_t waiting() const {
+    return flatbuffers::EndianScalar(waiting_);
+  }
   uint8_t reason() const {
     return flatbuffers::EndianScalar(reason_);
   }
@@ -123,7 +145,7 @@
     return flatbuffers::EndianScalar(placed_) != 0;
   }
 };
-FLATBUFFERS_STRUCT_END(Verdict, 40);
+FLATBUFFERS_STRUCT_END(Verdict, 56);
 
 FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Report FLATBUFFERS_FINAL_CLASS {
  private:
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -56,8 +56,9 @@
 {
     return { verdict.number, verdict.service.value, verdict.upstream.value_or(UpstreamId {}).value,
         verdict.copyFrom.value_or(UpstreamId {}).value,
-        static_cast<std::uint32_t>(verdict.retryAfter.count()), static_cast<std::uint8_t>(verdict.reason),
-        verdict.upstream.has_value() };
+        static_cast<std::uint32_t>(verdict.retryAfter.count()),
+        static_cast<std::uint32_t>(verdict.inputs.wait.count()), verdict.inputs.keptTokens,
+        verdict.inputs.waiting, static_cast<std::uint8_t>(verdict.reason), verdict.upstream.has_value() };
 }
 
 auto unpackPlace(const fleet::Place& packed) -> PeerPlace
@@ -102,6 +103,7 @@
         verdict.copyFrom = UpstreamId { packed.copy_from() };
     verdict.reason = static_cast<RefusalReason>(packed.reason());
     verdict.retryAfter = std::chrono::milliseconds(packed.retry_ms());
+    verdict.inputs = { std::chrono::milliseconds(packed.wait_ms()), packed.kept_tokens(), packed.waiting() };
     return verdict;
 }
 
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -47,6 +47,7 @@
     std::optional<UpstreamId> copyFrom;
     RefusalReason reason {};
     std::chrono::milliseconds retryAfter {};
+    PlacementInputs inputs;
 };
 
 enum class PeerReportKind : std::uint8_t { Withdrawn, Started, Ended };
--- a/src/camphorshuntrouter/placementduty.cpp
+++ b/src/camphorshuntrouter/placementduty.cpp
@@ -220,11 +220,13 @@
         key = placed->key;
         packed.upstream = placed->upstream;
         packed.copyFrom = placed->copyFrom;
+        packed.inputs = placed->inputs;
     } else {
         const auto& refused = std::get<PlacementRefused>(verdict);
         key = refused.key;
         packed.reason = refused.reason;
         packed.retryAfter = refused.retryAfter;
+        packed.inputs = refused.inputs;
     }
     packed.number = key.number;
     if (key.router != self_) {
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -128,7 +128,7 @@
     // The scheduler is behind: nothing has been sent, so the caller may come again.
     boost::asio::post(context_, [this, number, service] {
         handle(PlaceAnswered {
-            { number, service, std::nullopt, std::nullopt, RefusalReason::OverShare, 500ms } });
+            { number, service, std::nullopt, std::nullopt, RefusalReason::OverShare, 500ms, {} } });
     });
 }
 
@@ -162,6 +162,7 @@
         return;
     }
     const auto exchange = found->second->shared_from_this();
+    exchange->notePlacement(verdict.inputs);
     if (!verdict.upstream) {
         exchange->refused(verdict.reason, verdict.retryAfter);
         return;
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -238,11 +238,15 @@
 {
     const auto& key = waiting.request.key;
     auto& engine = *choice.engine;
+    const auto kept = std::max(engine.keptTokens(waiting.request.prompt, waiting.chains), choice.copied);
+    const auto estimate = engine.estimate(now, waiting.request.prompt, kept);
+    const auto inputs = PlacementInputs { std::chrono::duration_cast<milliseconds>(estimate.backlog), kept,
+        static_cast<std::uint32_t>(queues_.size()) };
     engine.begin(now, key, waiting.request.prompt, std::move(waiting.chains), choice.copied);
     upstreamOf_[key] = engine.entry().id();
     queues_.charge(now, waiting.request.organisation, waiting.cost);
     noteThroughput(now, waiting.cost);
-    verdicts_.emplace_back(Placed { key, engine.entry().id(), choice.copyFrom });
+    verdicts_.emplace_back(Placed { key, engine.entry().id(), choice.copyFrom, inputs });
 }
 
 auto Placer::noteThroughput(Time now, double cost) -> void
@@ -280,7 +284,11 @@
 
 auto Placer::refuse(Time now, const WaitingRequest& waiting, RefusalReason reason) -> void
 {
-    verdicts_.emplace_back(PlacementRefused { waiting.request.key, reason, retryAfter(now, waiting) });
+    const auto inputs
+        = PlacementInputs { std::chrono::duration_cast<milliseconds>(expectedWait(now, waiting)), 0,
+              static_cast<std::uint32_t>(queues_.size()) };
+    verdicts_.emplace_back(
+        PlacementRefused { waiting.request.key, reason, retryAfter(now, waiting), inputs });
 }
 
 auto Placer::refuseLate(Time now) -> void
--- a/tests/process/routertest.cpp
+++ b/tests/process/routertest.cpp
@@ -297,8 +297,8 @@
     options.engineFlags = { "--slots=8", "--token_ms=100" };
     auto fleet = RouterFleet(options);
     REQUIRE(fleet.awaitReady());
-    auto watched = WatchedCall(fleet.router(0).callers,
-        withHeader(RouterFleet::stream("stream", 1000), "X-Deadline-Ms", "20000"));
+    auto watched = WatchedCall(
+        fleet.router(0).callers, withHeader(RouterFleet::stream("stream", 1000), "X-Deadline-Ms", "20000"));
     REQUIRE(watched.waitFor("id: 2\n"));
     const auto begin = std::chrono::steady_clock::now();
     fleet.router(0).process->signal(SIGTERM);
--- a/tests/unit/placementdutytest.cpp
+++ b/tests/unit/placementdutytest.cpp
@@ -164,7 +164,7 @@
     REQUIRE(fleet.verdicts[entry].size() == 1);
     auto stale = PeerFrame {};
     stale.verdicts.push_back(
-        { 1, idOf<ServiceId>("model"), fleet.upstreams[0].id(), std::nullopt, RefusalReason {}, 0ms });
+        { 1, idOf<ServiceId>("model"), fleet.upstreams[0].id(), std::nullopt, RefusalReason {}, 0ms, {} });
     fleet.duties.at(entry).fromPeer(fleet.now, former, stale);
     CHECK(fleet.duties.at(entry).takeOutputs().verdicts.empty());
 
--- a/tests/unit/placertest.cpp
+++ b/tests/unit/placertest.cpp
@@ -286,7 +286,8 @@
     CHECK(fixture.refused.at(waiting).reason == RefusalReason::Waited);
 }
 
-TEST_CASE("A request that will be late is placed after those that can be on time, and still gets room that is left")
+TEST_CASE(
+    "A request that will be late is placed after those that can be on time, and still gets room that is left")
 {
     auto fixture = PlacerFixture(1);
     const auto busy = fixture.submit(fixture.request("a", 30000));
