Serve organisations that are well behind first, also when they are late

Change: organisations with less than 0.7 of the best served one's recent service come first, with requests in time and then late ones, and are not refused on arrival for being late.

--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -10,6 +10,8 @@
 
 /** A generated token takes an engine about as long as two that are read. */
 constexpr auto generatedTokenCost = 2.0;
+/** Shares are fair down to half of the best served organisation's; this leaves room for one large request. */
+constexpr auto behindShare = 0.7;
 
 auto urgency(const WaitingRequest& waiting) -> std::tuple<std::uint32_t, Time>
 {
@@ -97,6 +99,15 @@
     return ahead;
 }
 
+auto OrganisationQueues::isBehind(Time now, OrganisationId organisation) const -> bool
+{
+    auto best = 0.0;
+    for (const auto& [id, account] : accounts_)
+        best = std::max(best, serviceOf(now, account));
+    const auto found = accounts_.find(organisation);
+    return found == accounts_.end() || serviceOf(now, found->second) < behindShare * best;
+}
+
 auto OrganisationQueues::removeIf(const std::function<bool(const WaitingRequest&)>& matches) -> WaitingList
 {
     auto removed = WaitingList {};
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -55,6 +55,9 @@
      */
     auto costAhead(Time now, const WaitingRequest& waiting) const -> double;
 
+    /** Well below the service that the best served organisation has had of late. */
+    auto isBehind(Time now, OrganisationId organisation) const -> bool;
+
     auto size() const -> std::size_t { return size_; }
     auto removeIf(const std::function<bool(const WaitingRequest&)>& matches) -> WaitingList;
 
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -137,7 +137,11 @@
     }
     waiting.latestStart = waiting.request.goal - readingTimeOf(waiting.request);
     const auto wait = expectedWait(now, waiting);
-    if (wait > Duration {} && now + wait > waiting.latestStart) {
+    // An organisation that is behind is not refused for being late.
+    const auto latest = queues_.isBehind(now, waiting.request.organisation)
+        ? std::max(waiting.latestStart, now) + settings_.lateness
+        : waiting.latestStart;
+    if (wait > Duration {} && now + wait > latest) {
         refuse(now, waiting, RefusalReason::OverShare);
         return;
     }
@@ -294,7 +298,7 @@
 auto Placer::refuseLate(Time now) -> void
 {
     const auto late = queues_.removeIf([this, now](const WaitingRequest& waiting) {
-        return now >= waiting.request.goal + settings_.lateness;
+        return now >= std::max(waiting.request.goal, waiting.since) + settings_.lateness;
     });
     for (const auto& waiting : late)
         refuse(now, waiting, RefusalReason::Waited);
@@ -304,19 +308,23 @@
 {
     for (auto& [id, engine] : engines_)
         engine.checkOverdue(now);
-    placeAll(now, Pass::InTime);
-    placeAll(now, Pass::Late);
+    for (const auto who : { Who::Behind, Who::All }) {
+        placeAll(now, who, Pass::InTime);
+        placeAll(now, who, Pass::Late);
+    }
     refuseLate(now);
     return std::exchange(verdicts_, {});
 }
 
-auto Placer::placeAll(Time now, Pass pass) -> void
+auto Placer::placeAll(Time now, Who who, Pass pass) -> void
 {
     auto looks = mostLooks;
     auto progress = true;
     while (progress && looks > 0 && queues_.size() > 0) {
         progress = false;
         for (const auto organisation : queues_.byService(now)) {
+            if (who == Who::Behind && !queues_.isBehind(now, organisation))
+                continue;
             if (placeFor(now, organisation, pass, looks)) {
                 progress = true;
                 break;
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -78,7 +78,10 @@
     /** The requests that can be on time, or those that can't any more. */
     enum class Pass : std::uint8_t { InTime, Late };
 
-    auto placeAll(Time now, Pass pass) -> void;
+    /** The organisations that are well behind in service, or all. */
+    enum class Who : std::uint8_t { Behind, All };
+
+    auto placeAll(Time now, Who who, Pass pass) -> void;
     auto placeFor(Time now, OrganisationId organisation, Pass pass, std::size_t& looks) -> bool;
     auto refuse(Time now, const WaitingRequest& waiting, RefusalReason reason) -> void;
     auto refuseLate(Time now) -> void;
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -166,14 +166,15 @@
     once["attempts"] = 1;
     auto booking = route("book", "non_idempotent", "desk");
     booking["attempts"] = 1;
+    auto payment = route("pay", "non_idempotent", "desk");
     auto open = route("open", "idempotent", "desk");
     open["public"] = true;
     const auto engine = json::object { { "slots", 8 }, { "kv_capacity", 100000 },
         { "kv_token_bytes", 163840 }, { "link_mbps", 740000.0 } };
     return { { "version", version },
         { "routes",
-            json::array { route("plain", "idempotent", "desk"), std::move(booking), std::move(once),
-                std::move(resumable), std::move(open) } },
+            json::array { route("plain", "idempotent", "desk"), std::move(booking), std::move(payment),
+                std::move(once), std::move(resumable), std::move(open) } },
         { "services",
             json::array { json::object { { "name", "model" }, { "health_path", "/health" },
                               { "max_connections", 100 }, { "engine", engine } },
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -60,7 +60,10 @@
     auto put(std::string_view topic, std::string_view key, const std::string& value) -> void;
     auto putConfiguration(const std::string& json) -> void { put("keyed.op", "config", json); }
     auto putUpstream(std::size_t index, std::string_view state = "ready", std::uint64_t born = 1) -> void;
-    /** The configuration of the first day: routes `/plain/`, `/book/`, `/stream/` and `/resume/`. */
+    /**
+     * The configuration of the first day: routes `/plain/`, `/book/` (one upstream), `/pay/` (two),
+     * `/stream/`, `/resume/` and `/open/`.
+     */
     static auto configuration(std::uint64_t version) -> boost::json::object;
 
     static auto request(std::string_view route, std::string_view method = "GET") -> net::HttpRequest;
--- a/tests/process/routertest.cpp
+++ b/tests/process/routertest.cpp
@@ -134,14 +134,20 @@
 {
     auto fleet = RouterFleet({});
     REQUIRE(fleet.awaitReady());
-    const auto fault = GENERATE(as<std::string> {}, "lost-ack", "crossed", "unsigned", "unproved");
+    const auto fault = GENERATE(as<std::string> {}, "lost-ack", "crossed", "unsigned", "unproved", "error");
+    const auto route = GENERATE(as<std::string> {}, "book", "pay");
     for (auto index = std::size_t { 2 }; index < 4; ++index)
         fleet.fault(index, R"({"mode":")" + fault + R"("})");
     const auto answer = call(
-        fleet.router(0).callers, withHeader(RouterFleet::request("book", "POST"), "X-Deadline-Ms", "600"));
-    INFO(fault);
-    CHECK((answer.status == 502 || answer.status == 504));
-    CHECK(isOwn(answer));
+        fleet.router(0).callers, withHeader(RouterFleet::request(route, "POST"), "X-Deadline-Ms", "600"));
+    INFO(fault << " " << route);
+    if (fault == "error") {
+        CHECK(answer.status == 500);
+        CHECK(!isOwn(answer));
+    } else {
+        CHECK((answer.status == 502 || answer.status == 504));
+        CHECK(isOwn(answer));
+    }
     CHECK(fleet.totalRuns() == 1);
 }
 
--- a/tests/unit/placertest.cpp
+++ b/tests/unit/placertest.cpp
@@ -395,3 +395,39 @@
     CHECK(after < 15);
     CHECK(after > 7);
 }
+
+TEST_CASE("An organisation whose requests arrive late still gets at least half of another's service")
+{
+    auto fixture = PlacerFixture(2);
+    auto served = std::map<std::string, double> {};
+    auto names = std::map<PlacementKey, std::string> {};
+    auto busyUntil = std::map<UpstreamId, Time> {};
+    auto due = std::multimap<Time, PlacementKey> {};
+    for (auto step = 0; step < 2400; ++step) {
+        fixture.now += 5ms;
+        if (step % 4 == 0) {
+            const auto prompt = fixture.request("prompt", 3000);
+            names[prompt.key] = "prompt";
+            fixture.submit(prompt);
+            auto late = fixture.request("late", 3000);
+            late.goal = fixture.now - 100ms;
+            names[late.key] = "late";
+            fixture.submit(late);
+        }
+        for (const auto& [key, said] : fixture.placed) {
+            auto& until = busyUntil[said.upstream];
+            until = std::max(until, fixture.now) + 60ms;
+            due.emplace(until, key);
+            served[names[key]] += 3000;
+        }
+        fixture.placed.clear();
+        while (!due.empty() && due.begin()->first <= fixture.now) {
+            fixture.start(due.begin()->second);
+            fixture.end(due.begin()->second);
+            due.erase(due.begin());
+        }
+        fixture.pump();
+    }
+    CHECK(served["late"] >= served["prompt"] / 2);
+    CHECK(served["prompt"] >= served["late"]);
+}
