--- a/src/camphorshuntrouter/main.cpp
+++ b/src/camphorshuntrouter/main.cpp
@@ -11,13 +11,15 @@
 #include "router.h"
 #include "routersettings.h"
 
+#include "platform/environment.h"
+
 ABSL_FLAG(std::string, settings, "", "file with this router's settings, JSON with comments");
 ABSL_FLAG(bool, check, false, "check the settings and end");
 
 namespace {
 
-/** Names the settings file where no flag does. */
-constexpr auto settingsVariable = "CAMPHORSHUNT_BOOT";
+using camphorshunt::platform::settingsVariable;
+
 constexpr auto wrongSettings = 2;
 
 auto refuse(const std::string& message) -> int
