Listen, give up and fade service in one place each

Relay and PeerMesh opened their acceptors by the same lines, now net::listenOn; the mesh had a clock of its own beside steadyNow; the placer wrote its fading twice and built each new engine twice; a refusal repeated what giving up does. Accessors and fields that nothing used are gone. TcpPeerTransport and HttpServer still open theirs by similar lines.

--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -52,7 +52,6 @@
         begun_ = true;
         text = platform::writeRelayedHead(header_, { length_, lastAnswer_ });
     }
-    bytes_ += body.size();
     if (length_)
         text += body;
     else if (!body.empty())
--- a/src/camphorshuntrouter/answerrelay.h
+++ b/src/camphorshuntrouter/answerrelay.h
@@ -29,11 +29,9 @@
 
     /** Something has been passed on, so that no other answer can be given. */
     auto hasBegun() const -> bool { return begun_; }
-    auto mode() const -> Mode { return mode_; }
     auto status() const -> unsigned { return status_; }
     /** Of a resumable stream: the id of the last event passed on; empty if there is none. */
     auto lastEvent() const -> const std::string& { return lastEvent_; }
-    auto bytes() const -> std::uint64_t { return bytes_; }
 
 private:
     auto wholeEvents(std::string_view bytes) -> std::string;
@@ -48,7 +46,6 @@
     std::optional<std::uint64_t> length_;
     std::string pending_;
     std::string lastEvent_;
-    std::uint64_t bytes_ = 0;
     bool begun_ = false;
 };
 
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -43,10 +43,8 @@
     auto finishAnswer(bool keep) -> void;
     /** Ends the connection so that the caller sees the answer cut. */
     auto abort() -> void;
-    auto unwritten() const -> std::size_t { return output_.size(); }
 
     auto isOpen() const -> bool { return open_; }
-    auto isBusy() const -> bool { return exchange_ != nullptr; }
     /** Some of a request has come. */
     auto hasInput() const -> bool { return !input_.empty() || (parser_ && parser_->got_some()); }
     auto closeIfIdle() -> void;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -147,12 +147,7 @@
     if (state_ != State::Placing)
         return;
     relay_.metrics().refused(reason);
-    if (relayed_ && relayed_->hasBegun())
-        giveUp(refusalName(reason));
-    else if (mayHaveRun_)
-        answerOwn(502, refusalName(reason));
-    else
-        answerOwn(503, refusalName(reason), retryAfter);
+    giveUp(refusalName(reason), retryAfter);
 }
 
 auto Exchange::send(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
@@ -333,6 +328,11 @@
 }
 
 auto Exchange::giveUp(std::string_view reason) -> void
+{
+    giveUp(reason, shortRetry + milliseconds(relay_.draw() % std::uint64_t(shortRetry.count())));
+}
+
+auto Exchange::giveUp(std::string_view reason, milliseconds retryAfter) -> void
 {
     if (relayed_ && relayed_->hasBegun()) {
         auto* const caller = caller_;
@@ -343,7 +343,7 @@
     if (mayHaveRun_)
         answerOwn(502, reason);
     else
-        answerOwn(503, reason, shortRetry + milliseconds(relay_.draw() % std::uint64_t(shortRetry.count())));
+        answerOwn(503, reason, retryAfter);
 }
 
 auto Exchange::answerOwn(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -72,6 +72,8 @@
     auto endAttempt(PlacementEnd end) -> void;
     auto mayTryAgain() -> bool;
     auto giveUp(std::string_view reason) -> void;
+    /** The caller may come again after `retryAfter`, if nothing has run. */
+    auto giveUp(std::string_view reason, std::chrono::milliseconds retryAfter) -> void;
 
     auto answerOwn(unsigned status, std::string_view reason,
         std::optional<std::chrono::milliseconds> retryAfter = std::nullopt) -> void;
--- a/src/camphorshuntrouter/peermesh.cpp
+++ b/src/camphorshuntrouter/peermesh.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "clock.h"
+#include "listening.h"
+
 namespace camphorshunt::router {
 
 namespace {
@@ -18,8 +21,6 @@
 constexpr auto forgetAfter = Duration(60s);
 constexpr auto mostUnnamed = std::size_t { 64 };
 
-auto now() -> Time { return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now()); }
-
 auto helloFrame(const PeerHello& hello) -> PeerFrame
 {
     auto frame = PeerFrame {};
@@ -27,15 +28,6 @@
     return frame;
 }
 
-auto tcpEndpoint(const Endpoint& endpoint) -> Result<boost::asio::ip::tcp::endpoint>
-{
-    auto code = boost::system::error_code {};
-    const auto address = boost::asio::ip::make_address(endpoint.address, code);
-    if (code)
-        return failure(Error::Code::Invalid, "endpoint", endpoint.text() + " is no IP number and port");
-    return boost::asio::ip::tcp::endpoint { address, endpoint.port };
-}
-
 } // namespace
 
 PeerMesh::PeerMesh(boost::asio::io_context& context, PeerHello hello, Handlers handlers)
@@ -54,7 +46,7 @@
     Handlers handlers) -> Result<std::unique_ptr<PeerMesh>>
 {
     auto mesh = std::unique_ptr<PeerMesh>(new PeerMesh(context, std::move(self), std::move(handlers)));
-    const auto opened = mesh->open(endpoint);
+    const auto opened = net::listenOn(mesh->acceptor_, endpoint, "listen.peers");
     if (!opened)
         return opened.error();
     mesh->accept();
@@ -62,24 +54,6 @@
     return Result<std::unique_ptr<PeerMesh>>(std::move(mesh));
 }
 
-auto PeerMesh::open(const Endpoint& endpoint) -> Result<void>
-{
-    const auto local = tcpEndpoint(endpoint);
-    if (!local)
-        return local.error();
-    auto code = boost::system::error_code {};
-    acceptor_.open(local.value().protocol(), code);
-    if (!code)
-        acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
-    if (!code)
-        acceptor_.bind(local.value(), code);
-    if (!code)
-        acceptor_.listen(Tcp::acceptor::max_listen_connections, code);
-    if (code)
-        return failure(Error::Code::Io, "listen.peers", endpoint.text() + ": " + code.message());
-    return boost::outcome_v2::success();
-}
-
 auto PeerMesh::stop() -> void
 {
     auto ignored = boost::system::error_code {};
@@ -121,24 +95,24 @@
     auto& peer = peers_[router];
     peer.endpoint = endpoint;
     peer.backoff = shortestBackoff;
-    peer.lostAt = now();
+    peer.lostAt = steadyNow();
     dial(peer);
 }
 
 auto PeerMesh::dial(Peer& peer) -> void
 {
     const auto endpoint = Endpoint::parse(peer.endpoint, "peer");
-    const auto remote = tcpEndpoint(endpoint.value());
+    const auto remote = net::tcpEndpointOf(endpoint.value(), "peer");
     if (!remote)
         return;
-    peer.nextDial = now() + dialTimeout;
+    peer.nextDial = steadyNow() + dialTimeout;
     peer.dialling = makeLink(Tcp::socket(context_), true);
     peer.dialling->dial(remote.value(), helloFrame(hello_));
 }
 
 auto PeerMesh::dialDue() -> void
 {
-    const auto time = now();
+    const auto time = steadyNow();
     std::erase_if(peers_, [time](const auto& known) {
         const auto& peer = known.second;
         return !peer.link && !peer.dialling && time - peer.lostAt > forgetAfter;
@@ -205,13 +179,13 @@
     for (auto& [router, peer] : peers_) {
         if (peer.dialling == shared) {
             peer.dialling.reset();
-            peer.nextDial = now() + peer.backoff;
+            peer.nextDial = steadyNow() + peer.backoff;
             return;
         }
         if (peer.link == shared) {
             peer.link.reset();
-            peer.lostAt = now();
-            peer.nextDial = now() + peer.backoff;
+            peer.lostAt = steadyNow();
+            peer.nextDial = steadyNow() + peer.backoff;
             handlers_.onDisconnected(router, reason);
             return;
         }
--- a/src/camphorshuntrouter/peermesh.h
+++ b/src/camphorshuntrouter/peermesh.h
@@ -66,7 +66,6 @@
 
     PeerMesh(boost::asio::io_context& context, PeerHello hello, Handlers handlers);
 
-    auto open(const Endpoint& endpoint) -> Result<void>;
     auto accept() -> void;
     auto dial(Peer& peer) -> void;
     auto dialDue() -> void;
--- a/src/camphorshuntrouter/placementduty.cpp
+++ b/src/camphorshuntrouter/placementduty.cpp
@@ -104,7 +104,6 @@
     request.goal = now + place.goalLeft;
     request.deadline = now + place.deadlineLeft;
     auto own = Own {};
-    own.goal = request.goal;
     own.request = std::move(request);
     tellPlacer(now, own_.insert_or_assign(number, std::move(own)).first->second);
 }
--- a/src/camphorshuntrouter/placementduty.h
+++ b/src/camphorshuntrouter/placementduty.h
@@ -65,7 +65,6 @@
     /** A request of this router, from its asking to its end. */
     struct Own {
         PlacementRequest request;
-        Time goal;
         /** The router that was asked, or told of it. */
         RouterId placer;
         std::optional<UpstreamId> upstream;
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "clock.h"
+#include "listening.h"
 
 namespace camphorshunt::router {
 
@@ -42,7 +43,7 @@
     -> Result<std::unique_ptr<Relay>>
 {
     auto relay = std::unique_ptr<Relay>(new Relay(context, settings, toScheduler, log, metrics));
-    const auto opened = relay->open(settings.listen);
+    const auto opened = net::listenOn(relay->acceptor_, settings.listen, "listen.callers");
     if (!opened)
         return opened.error();
     relay->accept();
@@ -50,24 +51,6 @@
     return Result<std::unique_ptr<Relay>>(std::move(relay));
 }
 
-auto Relay::open(const Endpoint& endpoint) -> Result<void>
-{
-    auto code = boost::system::error_code {};
-    const auto address = boost::asio::ip::make_address(endpoint.address, code);
-    const auto local = Tcp::endpoint(address, endpoint.port);
-    if (!code)
-        acceptor_.open(local.protocol(), code);
-    if (!code)
-        acceptor_.set_option(Tcp::acceptor::reuse_address(true), code);
-    if (!code)
-        acceptor_.bind(local, code);
-    if (!code)
-        acceptor_.listen(Tcp::acceptor::max_listen_connections, code);
-    if (code)
-        return failure(Error::Code::Io, "listen.callers", endpoint.text() + ": " + code.message());
-    return boost::outcome_v2::success();
-}
-
 auto Relay::accept() -> void
 {
     acceptor_.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -90,7 +90,6 @@
     Relay(boost::asio::io_context& context, const Settings& settings, Ring<RelayToScheduler>& toScheduler,
         RouterLog& log, RouterMetrics& metrics);
 
-    auto open(const Endpoint& endpoint) -> Result<void>;
     auto accept() -> void;
     auto tick() -> void;
     auto checkExchanges(Time now) -> void;
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -71,7 +71,6 @@
     auto running() const -> std::size_t { return running_.size(); }
     auto slots() const -> std::size_t;
     auto tokensReadPerMs() const -> double { return readRate_; }
-    auto failures() const -> std::uint32_t { return failures_; }
 
 private:
     struct Running {
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include <absl/container/flat_hash_set.h>
+
 namespace camphorshunt {
 
 namespace {
@@ -61,32 +63,26 @@
         engine.setTraits(traits);
 }
 
-auto Placer::firstReadRate() const -> double
+auto Placer::firstReadRate(std::size_t engines) const -> double
 {
-    if (serviceTokensPerSecond_ <= 0 || engines_.empty())
+    if (serviceTokensPerSecond_ <= 0 || engines == 0)
         return fallbackReadRate;
-    return readRateFactor * serviceTokensPerSecond_ / 1000.0 / double(engines_.size());
+    return readRateFactor * serviceTokensPerSecond_ / 1000.0 / double(engines);
 }
 
 auto Placer::setUpstreams(Time now, std::span<const UpstreamEntry> entries) -> void
 {
-    auto listed = absl::flat_hash_map<UpstreamId, const UpstreamEntry*> {};
+    auto listed = absl::flat_hash_set<UpstreamId> {};
     for (const auto& entry : entries)
-        listed[entry.id()] = &entry;
+        listed.insert(entry.id());
     absl::erase_if(engines_, [&listed](const auto& engine) { return !listed.contains(engine.first); });
     absl::erase_if(upstreamOf_, [this](const auto& placed) { return !engines_.contains(placed.second); });
 
-    auto added = std::vector<UpstreamId> {};
+    const auto rate = firstReadRate(listed.size());
     for (const auto& entry : entries) {
-        const auto [found, isNew] = engines_.try_emplace(entry.id(), entry, traits_, fallbackReadRate);
-        found->second.setEntry(now, entry);
-        found->second.setFraction(fraction_);
-        if (isNew)
-            added.push_back(entry.id());
-    }
-    for (const auto id : added) {
-        engines_.erase(id);
-        engines_.try_emplace(id, *listed[id], traits_, firstReadRate()).first->second.setFraction(fraction_);
+        auto& engine = engines_.try_emplace(entry.id(), entry, traits_, rate).first->second;
+        engine.setEntry(now, entry);
+        engine.setFraction(fraction_);
     }
 }
 
@@ -106,15 +102,14 @@
     // The last part is the request's own; those before it are mostly kept.
     const auto own
         = request.prompt.parts.empty() ? request.prompt.tokens : request.prompt.parts.back().tokens;
-    return fixedFirstToken + Duration(static_cast<Duration::rep>(own / rate * 1000.0));
+    return fixedFirstToken + milliTime(own / rate);
 }
 
 auto Placer::expectedWait(Time now, const WaitingRequest& waiting) const -> Duration
 {
     if (queues_.size() == 0)
         return {};
-    const auto fading = std::chrono::duration<double>(now - placedAt_) / throughputWindow;
-    const auto rate = placedCost_ * std::exp(-fading) / throughputWindow.count();
+    const auto rate = fadedCost(now) / throughputWindow.count();
     if (rate <= 0)
         return {};
     const auto ahead = queues_.costAhead(now, waiting);
@@ -253,10 +248,14 @@
     verdicts_.emplace_back(Placed { key, engine.entry().id(), choice.copyFrom, inputs });
 }
 
+auto Placer::fadedCost(Time now) const -> double
+{
+    return placedCost_ * std::exp(-(std::chrono::duration<double>(now - placedAt_) / throughputWindow));
+}
+
 auto Placer::noteThroughput(Time now, double cost) -> void
 {
-    const auto fading = std::chrono::duration<double>(now - placedAt_) / throughputWindow;
-    placedCost_ = placedCost_ * std::exp(-fading) + cost;
+    placedCost_ = fadedCost(now) + cost;
     placedAt_ = now;
 }
 
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -88,7 +88,9 @@
     auto readingTimeOf(const PlacementRequest& request) const -> Duration;
     auto expectedWait(Time now, const WaitingRequest& waiting) const -> Duration;
     auto retryAfter(Time now, const WaitingRequest& waiting) -> std::chrono::milliseconds;
-    auto firstReadRate() const -> double;
+    auto firstReadRate(std::size_t engines) const -> double;
+    /** Cost placed of late, faded to now. */
+    auto fadedCost(Time now) const -> double;
     auto noteThroughput(Time now, double cost) -> void;
 
     Settings settings_;
