Drop a request whose caller has left before it was read

Cause: a caller's connection that waits to be accepted, or to be read, holds the request and the caller's close together. CallerConnection read the request, passed it on and saw the close only at its next turn; on a slowed router that was over half a second later. Ruled out: the cancel itself, which follows the close within a turn (test "A caller that leaves ..."). Change: a connection is read until nothing is left, 64 KiB at most, before the request begins; a close found there drops it.

--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -68,13 +68,16 @@
 {
     const auto buffer = relay_.readBuffer();
     auto error = boost::system::error_code {};
-    const auto size = socket_.read_some(boost::asio::buffer(buffer.data(), buffer.size()), error);
+    // Reads until nothing is left: a caller may have left right after its request.
+    do {
+        const auto size = socket_.read_some(boost::asio::buffer(buffer.data(), buffer.size()), error);
+        if (!closing_)
+            input_.append(buffer.data(), size);
+    } while (!error && !closing_ && input_.size() < mostReadAhead);
     if (error && error != boost::asio::error::would_block) {
         close();
         return;
     }
-    if (!closing_)
-        input_.append(buffer.data(), size);
     if (!exchange_ && !closing_)
         parse();
     if (open_ && (input_.size() < mostReadAhead || !exchange_))
--- a/tests/process/routertest.cpp
+++ b/tests/process/routertest.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
@@ -32,6 +33,15 @@
     return request;
 }
 
+/** The bytes of a request on a connection that is kept. */
+auto requestText(const net::HttpRequest& request) -> std::string
+{
+    auto text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const auto& header : request.headers)
+        text += header.name + ": " + header.value + "\r\n";
+    return text + "Content-Length: " + std::to_string(request.body.size()) + "\r\n\r\n" + request.body;
+}
+
 auto isOwn(const Answer& answer) -> bool { return answer.header("X-Response-Signature").empty(); }
 
 } // namespace
@@ -196,6 +206,31 @@
     CHECK(call(fleet.router(0).callers, RouterFleet::request("plain")).status == 200);
 }
 
+TEST_CASE("A request whose caller has left before the router reads it is not passed on")
+{
+    using Tcp = boost::asio::ip::tcp;
+    auto options = RouterFleet::Options {};
+    options.plain = 1;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    // Leaves the router a connection to the upstream, so that a request is sent as soon as it is read.
+    REQUIRE(call(fleet.router(0).callers, RouterFleet::request("plain")).status == 200);
+    const auto before = fleet.totalRuns();
+
+    auto& router = fleet.router(0);
+    auto context = boost::asio::io_context {};
+    router.process->signal(SIGSTOP);
+    for (auto caller = 0; caller < 20; ++caller) {
+        auto socket = Tcp::socket(context);
+        socket.connect({ boost::asio::ip::make_address(router.callers.address), router.callers.port });
+        boost::asio::write(socket, boost::asio::buffer(requestText(RouterFleet::request("plain"))));
+    }
+    router.process->signal(SIGCONT);
+
+    CHECK(call(router.callers, RouterFleet::request("plain")).status == 200);
+    CHECK(fleet.totalRuns() == before + 1);
+}
+
 TEST_CASE("A request past its route's time is answered within half a second")
 {
     auto fleet = RouterFleet({});
