Write an answer's last bytes before its end when the end overtakes them

Cause: the daemon's callers thread takes an answer's parts from the upstreams' ring and its end from the scheduler's. While the scheduler's ring is being drained, an end that comes meanwhile is taken at once, before the wake-up of the other ring, which holds the last parts already; the request is forgotten and the parts are dropped. The caller sees an answer that ends well and lacks its last one or two events. Under load the drains are long. Ruled out: the engine stand-in (its last event and its end go out in one write), the HTTP client and server (in order on one connection), the bounded rings' overflow (ends wait until it has gone in). Change: Ring::deliver hands over what waits; the callers thread calls it on the upstreams' ring before it takes from the scheduler's, the upstreams thread on the callers' ring (a request's body before the order to send it).

--- a/include/camphorshunt/ring.h
+++ b/include/camphorshunt/ring.h
@@ -62,6 +62,21 @@
         moveOverflow();
     }
 
+    /**
+     * Hands what waits to the handler at once. A consumer of two rings calls it on the one before it takes an
+     * item of the other that may follow from what the first holds: while a ring is drained, its new items go
+     * before those that came to another ring earlier. Consumer's thread.
+     */
+    auto deliver() -> void
+    {
+        auto* item = static_cast<T*>(nullptr);
+        while (queue_.pop(item)) {
+            const auto owned = std::unique_ptr<T>(item);
+            depth_.fetch_sub(1, std::memory_order_relaxed);
+            handler_(std::move(*owned));
+        }
+    }
+
     /** True while messages wait beside the full ring. Producer's thread. */
     auto overflowing() const -> bool { return !overflow_.empty(); }
 
@@ -90,12 +105,7 @@
     auto drain() -> void
     {
         woken_.exchange(false);
-        auto* item = static_cast<T*>(nullptr);
-        while (queue_.pop(item)) {
-            const auto owned = std::unique_ptr<T>(item);
-            depth_.fetch_sub(1, std::memory_order_relaxed);
-            handler_(std::move(*owned));
-        }
+        deliver();
         if (wantsFlush_.exchange(false))
             boost::asio::post(producer_, [this] { flush(); });
     }
--- a/src/camphorshuntd/callers.cpp
+++ b/src/camphorshuntd/callers.cpp
@@ -46,6 +46,8 @@
     , nextRequest_(firstRequest.value)
 {
     rings_.fromScheduler.onItem([this](SchedulerToCallers message) {
+        // The end of an answer comes after its last bytes.
+        rings_.fromUpstreams.deliver();
         std::visit([this](const auto& action) { handle(action); }, message);
     });
     rings_.fromUpstreams.onItem([this](UpstreamsToCallers message) {
--- a/src/camphorshuntd/upstreams.cpp
+++ b/src/camphorshuntd/upstreams.cpp
@@ -31,6 +31,8 @@
         std::visit([this](auto& item) { handle(std::move(item)); }, message);
     });
     rings_.fromScheduler.onItem([this](SchedulerToUpstreams message) {
+        // A request is sent after its body has come.
+        rings_.fromCallers.deliver();
         std::visit([this](const auto& order) { handle(order); }, message);
     });
     rings_.toCallers.onFlushed([this] {
