Play the placing code on simulated engines; take the best free engine at once

Cause: late first tokens. Change: no request is held for a better engine; 50 ms of unread prompt to 20 ms; engines and organisations are kept in order, so that a run repeats.

--- a/src/camphorshuntload/lengths.cpp
+++ b/src/camphorshuntload/lengths.cpp
@@ -2,11 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <string>
 
 namespace camphorshunt::load {
 
 namespace {
 
+constexpr auto mostTokens = 100'000.0;
+
 auto drawReal(const Lengths& lengths, std::mt19937_64& random) -> double
 {
     switch (lengths.shape) {
@@ -24,6 +28,28 @@
 
 } // namespace
 
+auto Lengths::read(SettingsReader reader) -> Lengths
+{
+    static const auto shapes = std::map<std::string, Shape, std::less<>> { { "constant", Shape::Constant },
+        { "uniform", Shape::Uniform }, { "lognormal", Shape::Lognormal }, { "bimodal", Shape::Bimodal } };
+    auto lengths = Lengths {};
+    const auto found = shapes.find(reader.text("shape"));
+    if (found == shapes.end())
+        reader.refuse("shape", "must be constant, uniform, lognormal or bimodal");
+    else
+        lengths.shape = found->second;
+    lengths.first = reader.real("first", 1.0, 1.0, mostTokens);
+    lengths.second = reader.real("second", 0.0, 0.0, mostTokens);
+    lengths.rareFraction = reader.real("rareFraction", 0.0, 0.0, 1.0);
+    lengths.longest = reader.real("longest", mostTokens, 1.0, mostTokens);
+    if (lengths.shape == Shape::Uniform && lengths.second < lengths.first)
+        reader.refuse("second", "must not be less than first");
+    if (lengths.shape == Shape::Bimodal && lengths.second < 1.0)
+        reader.refuse("second", "must be 1 or more");
+    reader.finish();
+    return lengths;
+}
+
 auto Lengths::draw(std::mt19937_64& random) const -> std::uint64_t
 {
     return static_cast<std::uint64_t>(std::llround(std::clamp(drawReal(*this, random), 1.0, longest)));
--- a/src/camphorshuntload/lengths.h
+++ b/src/camphorshuntload/lengths.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <random>
 
+#include "settingsreader.h"
+
 namespace camphorshunt::load {
 
 /** How many tokens requests have. */
@@ -19,6 +21,7 @@
     /** No request is longer. */
     double longest = 100'000.0;
 
+    static auto read(SettingsReader reader) -> Lengths;
     /** At least 1. */
     auto draw(std::mt19937_64& random) const -> std::uint64_t;
 };
--- /dev/null
+++ b/src/camphorshuntload/placingplan.cpp
@@ -0,0 +1,175 @@
+#include "placingplan.h"
+
+#include <map>
+
+#include "planfile.h"
+#include "settingsreader.h"
+
+namespace camphorshunt::load {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto longestRunMs = std::uint64_t { 600'000 };
+constexpr auto mostMs = 60'000.0;
+constexpr auto mostTokens = std::uint64_t { 100'000'000 };
+constexpr auto mostEngines = std::uint64_t { 1000 };
+constexpr auto mostOrganisations = std::uint64_t { 10'000 };
+constexpr auto mostRate = 100'000.0;
+constexpr auto mostFactor = 1000.0;
+
+auto readMilliseconds(SettingsReader& reader, std::string_view name, milliseconds fallback) -> milliseconds
+{
+    return milliseconds(reader.number(name, static_cast<std::uint64_t>(fallback.count()), 0, longestRunMs));
+}
+
+/** The value that a text stands for; a text that is missing stands for the first one. */
+template <typename Value>
+auto readName(SettingsReader& reader, std::string_view name,
+    const std::vector<std::pair<std::string_view, Value>>& values) -> Value
+{
+    const auto text = reader.optionalText(name);
+    if (text.empty())
+        return values.front().second;
+    auto allowed = std::string {};
+    for (const auto& [known, value] : values) {
+        if (known == text)
+            return value;
+        allowed += (allowed.empty() ? "" : ", ") + std::string(known);
+    }
+    reader.refuse(name, "must be one of " + allowed);
+    return values.front().second;
+}
+
+auto readEngine(SettingsReader reader, PlacingPlan& plan) -> void
+{
+    auto& times = plan.times;
+    plan.traits.slots = static_cast<std::uint32_t>(reader.number("slots", 8, 1, 10'000));
+    plan.traits.memoryTokens = reader.number("memoryTokens", 1'000'000, 1, mostTokens);
+    plan.traits.copiedTokensPerMs = reader.real("copiedTokensPerMs", 0.0, 0.0, 1e6);
+    times.stepMs = reader.real("stepMs", times.stepMs, 0.01, mostMs);
+    times.stepMsPerRequest = reader.real("stepMsPerRequest", times.stepMsPerRequest, 0.0, mostMs);
+    times.stepMsPerThousandTokens
+        = reader.real("stepMsPerThousandTokens", times.stepMsPerThousandTokens, 0.0, mostMs);
+    times.readTokensPerMs = reader.real("readTokensPerMs", times.readTokensPerMs, 0.01, 1e6);
+    times.chunkTokens
+        = static_cast<std::uint32_t>(reader.number("chunkTokens", times.chunkTokens, 1, 1'000'000));
+    times.firstTokenMs = reader.real("firstTokenMs", times.firstTokenMs, 0.0, mostMs);
+    times.copySetupMs = reader.real("copySetupMs", times.copySetupMs, 0.0, mostMs);
+    times.queue = static_cast<std::uint32_t>(reader.number("queue", times.queue, 0, 100'000));
+    reader.finish();
+}
+
+auto readKind(SettingsReader& reader) -> PlannedKind
+{
+    auto kind = PlannedKind {};
+    kind.name = reader.text("name");
+    kind.share = reader.real("share", 1.0, 0.0, mostRate);
+    kind.goal = readMilliseconds(reader, "goalMs", milliseconds(1000));
+    kind.deadline = readMilliseconds(reader, "deadlineMs", milliseconds(10'000));
+    kind.worth = reader.real("worth", 1.0, 0.0, mostFactor);
+    kind.lateWorth = reader.real("lateWorth", kind.worth / 2, 0.0, mostFactor);
+    for (auto& item : reader.objects("parts")) {
+        auto part = PlannedPart {};
+        part.tokens = Lengths::read(item.object("tokens"));
+        part.variants = item.number("variants", 1, 1, 1'000'000);
+        part.ownToOrganisation = item.number("ownToOrganisation", 0, 0, 1) == 1;
+        item.finish();
+        kind.parts.push_back(part);
+    }
+    kind.ownTokens = Lengths::read(reader.object("ownTokens"));
+    kind.outputTokens = Lengths::read(reader.object("outputTokens"));
+    kind.hintSigma = reader.real("hintSigma", kind.hintSigma, -1.0, 10.0);
+    kind.repeatable = reader.number("repeatable", 0, 0, 1) == 1;
+    reader.finish();
+    return kind;
+}
+
+auto readSurge(SettingsReader& reader) -> PlannedSurge
+{
+    auto surge = PlannedSurge {};
+    surge.from = readMilliseconds(reader, "fromMs", {});
+    surge.length = readMilliseconds(reader, "forMs", {});
+    surge.factor = reader.real("factor", 1.0, 0.0, mostFactor);
+    surge.organisations = reader.number("organisations", 0, 0, mostOrganisations);
+    reader.finish();
+    return surge;
+}
+
+auto readFailure(SettingsReader& reader) -> PlannedFailure
+{
+    using Mode = PlannedFailure::Mode;
+    auto failure = PlannedFailure {};
+    failure.at = readMilliseconds(reader, "atMs", {});
+    failure.length = readMilliseconds(reader, "forMs", {});
+    failure.mode = readName<Mode>(reader, "mode",
+        { { "crash", Mode::Crash }, { "hang", Mode::Hang }, { "slow", Mode::Slow },
+            { "dispatcher-killed", Mode::DispatcherKilled } });
+    failure.engines = reader.number("engines", 1, 0, mostEngines);
+    failure.factor = reader.real("factor", 1.0, 1.0, mostFactor);
+    reader.finish();
+    return failure;
+}
+
+auto readPlacer(SettingsReader reader, PlacingPlan& plan) -> void
+{
+    plan.placer.backlogLimit = readMilliseconds(
+        reader, "backlogLimitMs", std::chrono::duration_cast<milliseconds>(plan.placer.backlogLimit));
+    plan.placer.shareWindow = readMilliseconds(
+        reader, "shareWindowMs", std::chrono::duration_cast<milliseconds>(plan.placer.shareWindow));
+    plan.placer.lateness = readMilliseconds(
+        reader, "latenessMs", std::chrono::duration_cast<milliseconds>(plan.placer.lateness));
+    plan.placer.rereadWeight = reader.real("rereadWeight", plan.placer.rereadWeight, 0.0, mostFactor);
+    plan.placer.copyWeight = reader.real("copyWeight", plan.placer.copyWeight, 0.0, mostFactor);
+    reader.finish();
+}
+
+auto readPlan(SettingsReader& reader) -> PlacingPlan
+{
+    auto plan = PlacingPlan {};
+    plan.seed = reader.number("seed", plan.seed, 0, ~std::uint64_t {});
+    plan.duration = readMilliseconds(reader, "durationMs", milliseconds(30'000));
+    plan.engines = reader.number("engines", 1, 1, mostEngines);
+    plan.routers = reader.number("routers", 1, 1, mostEngines);
+    plan.failureDomains = reader.number("failureDomains", 1, 1, mostEngines);
+    plan.hopMs = reader.real("hopMs", plan.hopMs, 0.0, mostMs);
+    plan.otherDomainHopMs = reader.real("otherDomainHopMs", plan.otherDomainHopMs, 0.0, mostMs);
+    readEngine(reader.object("engine"), plan);
+    plan.dispatching = readName<Dispatching>(reader, "dispatching",
+        { { "one", Dispatching::One }, { "each-router", Dispatching::EachRouter },
+            { "groups", Dispatching::Groups } });
+    plan.groups = reader.number("groups", 1, 1, plan.engines);
+    plan.takeover = readMilliseconds(reader, "takeoverMs", plan.takeover);
+    plan.organisations = reader.number("organisations", 1, 1, mostOrganisations);
+    plan.skew = reader.real("skew", plan.skew, 0.0, 10.0);
+    plan.rate = reader.real("rate", plan.rate, 0.0, mostRate);
+    plan.swing = reader.real("swing", plan.swing, 0.0, 1.0);
+    plan.swingPeriod = readMilliseconds(reader, "swingPeriodMs", plan.swingPeriod);
+    plan.returns = reader.number("returns", plan.returns, 0, 100);
+    for (auto& item : reader.objects("kinds"))
+        plan.kinds.push_back(readKind(item));
+    if (plan.kinds.empty())
+        reader.refuse("kinds", "must hold one kind or more");
+    for (auto& item : reader.objects("surges"))
+        plan.surges.push_back(readSurge(item));
+    for (auto& item : reader.objects("failures"))
+        plan.failures.push_back(readFailure(item));
+    readPlacer(reader.optionalObject("placer"), plan);
+    reader.finish();
+    return plan;
+}
+
+} // namespace
+
+auto PlacingPlan::parse(std::string_view text, std::string_view file) -> Result<PlacingPlan>
+{
+    return parsePlan<PlacingPlan>(text, file, readPlan);
+}
+
+auto PlacingPlan::load(const std::string& file) -> Result<PlacingPlan>
+{
+    return loadPlan<PlacingPlan>(file, readPlan);
+}
+
+} // namespace camphorshunt::load
--- a/src/camphorshuntload/plan.cpp
+++ b/src/camphorshuntload/plan.cpp
@@ -1,11 +1,8 @@
 #include "plan.h"
 
 #include <algorithm>
-#include <fstream>
-#include <iterator>
-#include <map>
-#include <optional>
 
+#include "planfile.h"
 #include "settingsreader.h"
 
 namespace camphorshunt::load {
@@ -15,36 +12,12 @@
 constexpr auto longestRunMs = std::uint64_t { 3'600'000 };
 constexpr auto mostInProgress = std::uint64_t { 10'000 };
 constexpr auto mostRate = 100'000.0;
-constexpr auto mostTokens = 100'000.0;
 
 auto milliseconds(SettingsReader& reader, std::string_view name) -> Milliseconds
 {
     return Milliseconds(reader.number(name, 0, 0, longestRunMs));
 }
 
-auto readLengths(SettingsReader reader) -> Lengths
-{
-    using Shape = Lengths::Shape;
-    static const auto shapes = std::map<std::string, Shape, std::less<>> { { "constant", Shape::Constant },
-        { "uniform", Shape::Uniform }, { "lognormal", Shape::Lognormal }, { "bimodal", Shape::Bimodal } };
-    auto lengths = Lengths {};
-    const auto found = shapes.find(reader.text("shape"));
-    if (found == shapes.end())
-        reader.refuse("shape", "must be constant, uniform, lognormal or bimodal");
-    else
-        lengths.shape = found->second;
-    lengths.first = reader.real("first", 1.0, 1.0, mostTokens);
-    lengths.second = reader.real("second", 0.0, 0.0, mostTokens);
-    lengths.rareFraction = reader.real("rareFraction", 0.0, 0.0, 1.0);
-    lengths.longest = reader.real("longest", mostTokens, 1.0, mostTokens);
-    if (lengths.shape == Shape::Uniform && lengths.second < lengths.first)
-        reader.refuse("second", "must not be less than first");
-    if (lengths.shape == Shape::Bimodal && lengths.second < 1.0)
-        reader.refuse("second", "must be 1 or more");
-    reader.finish();
-    return lengths;
-}
-
 auto readEntries(SettingsReader& reader, const Plan& plan) -> std::vector<Entry>
 {
     auto entries = std::vector<Entry> {};
@@ -74,8 +47,8 @@
         reader.refuse("rate", "must stand alone or be replaced by concurrency; give one of the two");
     organisation.operation = reader.text("operation");
     organisation.waitClass = reader.text("class");
-    organisation.promptTokens = readLengths(reader.object("promptTokens"));
-    organisation.outputTokens = readLengths(reader.object("outputTokens"));
+    organisation.promptTokens = Lengths::read(reader.object("promptTokens"));
+    organisation.outputTokens = Lengths::read(reader.object("outputTokens"));
     organisation.hintFactor = reader.real("hintFactor", 1.0, 0.0, 1000.0);
     organisation.from = milliseconds(reader, "fromMs");
     organisation.to = milliseconds(reader, "toMs");
@@ -129,24 +102,9 @@
 
 auto Plan::parse(std::string_view text, std::string_view file) -> Result<Plan>
 {
-    const auto document = parseSettingsObject(text, file);
-    if (!document)
-        return document.error();
-
-    auto error = std::optional<Error> {};
-    auto reader = SettingsReader(document.value(), {}, error);
-    auto plan = readPlan(reader);
-    if (error)
-        return failure(error->code, std::string(file) + ": " + error->field, std::move(error->message));
-    return plan;
+    return parsePlan<Plan>(text, file, readPlan);
 }
 
-auto Plan::load(const std::string& file) -> Result<Plan>
-{
-    auto stream = std::ifstream(file, std::ios::binary);
-    if (!stream)
-        return failure(Error::Code::Io, file, "cannot be read");
-    return parse(std::string(std::istreambuf_iterator<char>(stream), {}), file);
-}
+auto Plan::load(const std::string& file) -> Result<Plan> { return loadPlan<Plan>(file, readPlan); }
 
 } // namespace camphorshunt::load
--- /dev/null
+++ b/src/camphorshuntload/requestsource.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "camphorshunt/placement.h"
+
+#include "placingplan.h"
+
+namespace camphorshunt::load {
+
+/** A request of a simulated caller, and what only the simulation knows of it. */
+struct SimulatedRequest {
+    PlacementRequest request;
+    std::size_t kind = 0;
+    std::size_t organisation = 0;
+    std::size_t router = 0;
+    std::uint32_t output = 1;
+    /** When the caller first sent it; its goal and deadline count from there. */
+    Time firstSent;
+    std::uint64_t returnsLeft = 0;
+    /** It was refused before. */
+    bool isReturn = false;
+};
+
+/** Draws the requests of a plan, the same for the same seed. */
+class RequestSource {
+public:
+    explicit RequestSource(const PlacingPlan& plan);
+
+    /** The requests that callers send between `now` and `now + step`. */
+    auto draw(Time now, Duration step) -> std::vector<SimulatedRequest>;
+    auto organisationName(std::size_t organisation) const -> std::string;
+
+private:
+    auto rateOf(Time now, std::size_t organisation) const -> double;
+    auto drawOne(Time now, std::size_t organisation) -> SimulatedRequest;
+    auto drawPart(const PlannedPart& part, std::uint64_t salt, std::size_t organisation) -> PromptPart;
+
+    const PlacingPlan& plan_;
+    std::vector<double> organisationShares_;
+    std::discrete_distribution<std::size_t> kinds_;
+    std::mt19937_64 random_;
+    std::uint64_t next_ = 0;
+};
+
+} // namespace camphorshunt::load
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <vector>
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_map.h>
 
 #include "camphorshunt/placement.h"
 
@@ -73,7 +73,7 @@
     auto serviceOf(Time now, const Account& account) const -> double;
 
     Duration window_;
-    absl::flat_hash_map<OrganisationId, Account> accounts_;
+    absl::btree_map<OrganisationId, Account> accounts_;
     std::size_t size_ = 0;
 };
 
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -16,20 +16,14 @@
 constexpr auto mostLooks = std::size_t { 48 };
 /** Waiting requests of one organisation looked at in a row. */
 constexpr auto mostLooksEach = std::size_t { 8 };
-/** Reading a part anew costs others' time as well as the request's own. */
-constexpr auto rereadWeight = 1.5;
 /** Fewer kept tokens are not worth a copy from another engine. */
 constexpr auto leastCopied = 256U;
 /** To begin a copy between engines; from the engines' sheet, rounded up. */
 constexpr auto copySetup = Duration(milliseconds(4));
-/** Copies are paid for, so that their time counts more. */
-constexpr auto copyWeight = 2.0;
 /** What a full batch adds to the time of a token's step, as seen by a new request. */
 constexpr auto fullBatchCost = Duration(milliseconds(20));
 /** What another failure domain costs in traffic, as time. */
 constexpr auto otherDomainCost = Duration(milliseconds(2));
-/** A request waits for an engine that is better than the best free one by this much. */
-constexpr auto worthWaitingFor = Duration(milliseconds(40));
 /** From placing to the first token at the caller, besides reading. */
 constexpr auto fixedFirstToken = Duration(milliseconds(25));
 /** Bounds of the time after which a refused caller is asked to come again. */
@@ -201,7 +195,6 @@
     const auto keeper = keeperOf(now, waiting);
     auto bestFree = Choice {};
     auto bestFreeCost = Duration::max();
-    auto bestCost = Duration::max();
     for (auto& [id, engine] : engines_) {
         if (engine.entry().draining || engine.isSuspended(now) || engine.isOnProbation())
             continue;
@@ -212,13 +205,13 @@
         const auto copies = keeper.tokens >= kept + leastCopied;
         const auto estimate = engine.estimate(now, request.prompt, copies ? keeper.tokens : kept);
         const auto fill = double(engine.running()) / double(engine.slots());
-        auto cost = estimate.backlog + scaled(estimate.reading, rereadWeight) + scaled(fullBatchCost, fill);
+        auto cost = estimate.backlog + scaled(estimate.reading, settings_.rereadWeight)
+            + scaled(fullBatchCost, fill);
         if (copies)
             cost += copySetup
-                + milliTime(double(keeper.tokens - kept) / traits_.copiedTokensPerMs * copyWeight);
+                + milliTime(double(keeper.tokens - kept) / traits_.copiedTokensPerMs * settings_.copyWeight);
         if (hashName(engine.entry().failureDomain) != request.failureDomain)
             cost += otherDomainCost;
-        bestCost = std::min(bestCost, cost);
         if (cost < bestFreeCost
             && engine.admits(now, request.prompt, waiting.chains, settings_.backlogLimit)) {
             bestFreeCost = cost;
@@ -227,9 +220,6 @@
             bestFree.copied = copies ? keeper.tokens : 0;
         }
     }
-    if (bestFree.engine != nullptr && bestFreeCost - bestCost > worthWaitingFor) {
-        bestFree.waits = now + worthWaitingFor < waiting.latestStart;
-    }
     return bestFree;
 }
 
@@ -269,7 +259,7 @@
         --looks;
         --looksLeft;
         const auto choice = choose(now, waiting[index]);
-        if (choice.engine == nullptr || choice.waits)
+        if (choice.engine == nullptr)
             continue;
         place(now, *queues_.remove(waiting[index].request.key), choice);
         return true;
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -5,6 +5,7 @@
 #include <span>
 #include <vector>
 
+#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 
 #include "camphorshunt/fleetconfiguration.h"
@@ -25,11 +26,15 @@
 public:
     struct Settings {
         /** Unread prompts that an engine may hold when a request is placed on it. */
-        Duration backlogLimit = std::chrono::milliseconds(50);
+        Duration backlogLimit = std::chrono::milliseconds(20);
         /** Time after which service that an organisation had is forgotten. */
         Duration shareWindow = std::chrono::milliseconds(2000);
         /** How long after its goal a request may still begin, if no other one could be on time there. */
         Duration lateness = std::chrono::milliseconds(600);
+        /** Reading a part anew costs others' time as well as the request's own. */
+        double rereadWeight = 1.5;
+        /** Copies are paid for, so that their time counts more. */
+        double copyWeight = 2.0;
         std::uint64_t seed = 1;
     };
 
@@ -52,9 +57,12 @@
     /** Places and refuses what can be; call it after events, and every few milliseconds while some wait. */
     auto pump(Time now) -> std::vector<PlacementVerdict>;
 
+    /** In order, so that the same events lead to the same decisions. */
+    using EngineModels = absl::btree_map<UpstreamId, EngineModel>;
+
     auto waiting() const -> std::size_t { return queues_.size(); }
     auto running() const -> std::size_t { return upstreamOf_.size(); }
-    auto engines() const -> const absl::flat_hash_map<UpstreamId, EngineModel>& { return engines_; }
+    auto engines() const -> const EngineModels& { return engines_; }
 
 private:
     struct Choice {
@@ -62,8 +70,6 @@
         /** Engine to copy the beginning of the prompt from, and how many tokens that spares. */
         std::optional<UpstreamId> copyFrom;
         std::uint32_t copied = 0;
-        /** A better engine will take the request soon. */
-        bool waits = false;
     };
 
     /** The engine that keeps most of a prompt. */
@@ -97,7 +103,7 @@
     EngineTraits traits_;
     double serviceTokensPerSecond_ = 0;
     double fraction_ = 1.0;
-    absl::flat_hash_map<UpstreamId, EngineModel> engines_;
+    EngineModels engines_;
     absl::flat_hash_map<PlacementKey, UpstreamId> upstreamOf_;
     OrganisationQueues queues_;
     std::vector<PlacementVerdict> verdicts_;
--- /dev/null
+++ b/src/libcamphorshunt/simulatedengine.cpp
@@ -0,0 +1,180 @@
+#include "simulatedengine.h"
+
+#include <algorithm>
+
+namespace camphorshunt {
+
+namespace {
+
+auto milliTime(double milliseconds) -> Duration
+{
+    return Duration(static_cast<Duration::rep>(milliseconds * 1000.0));
+}
+
+auto sharedTokens(const Prompt& prompt) -> std::uint64_t
+{
+    auto tokens = std::uint64_t { 0 };
+    for (const auto& part : prompt.parts)
+        tokens += part.tokens;
+    return tokens;
+}
+
+} // namespace
+
+auto SimulatedEngine::submit(Time now, const PlacementKey& key, const Prompt& prompt, std::uint32_t output,
+    std::uint32_t copied) -> bool
+{
+    if (waiting_.size() >= times_.queue || prompt.tokens + output > traits_.memoryTokens)
+        return false;
+    auto job = Job {};
+    job.key = key;
+    job.prompt = prompt;
+    job.chains = PromptCache::chainsOf(prompt.parts);
+    job.output = std::max(output, 1U);
+    job.copied = copied;
+    job.readyAt = now;
+    const auto kept = keptTokens(prompt);
+    if (copied > kept && traits_.copiedTokensPerMs > 0)
+        job.readyAt += milliTime(times_.copySetupMs + double(copied - kept) / traits_.copiedTokensPerMs);
+    waiting_.push_back(std::move(job));
+    if (!stepEnd_)
+        beginStep(now);
+    return true;
+}
+
+auto SimulatedEngine::keptTokens(const Prompt& prompt) const -> std::uint32_t
+{
+    const auto chains = PromptCache::chainsOf(prompt.parts);
+    return std::min(cache_.readTokens(prompt.parts, chains), prompt.tokens);
+}
+
+auto SimulatedEngine::memoryInUse() const -> std::uint64_t
+{
+    auto tokens = cache_.pinnedTokens();
+    for (const auto& job : running_)
+        tokens += job.privateTokens + job.generated;
+    return tokens;
+}
+
+auto SimulatedEngine::admit(Time now) -> void
+{
+    while (!waiting_.empty() && running_.size() < traits_.slots) {
+        auto& next = waiting_.front();
+        if (next.readyAt > now)
+            return;
+        const auto shared = sharedTokens(next.prompt);
+        next.privateTokens = next.prompt.tokens > shared ? next.prompt.tokens - shared : 0;
+        const auto needed = cache_.newlyPinnedTokens(next.prompt.parts, next.chains) + next.privateTokens;
+        if (!running_.empty() && memoryInUse() + needed > traits_.memoryTokens)
+            return;
+        const auto kept = std::max(keptTokens(next.prompt), std::min(next.copied, next.prompt.tokens));
+        // What a preempted request had generated is read again as well.
+        next.unread = next.prompt.tokens - kept + next.generated;
+        cache_.pin(next.prompt.parts, next.chains);
+        running_.push_back(std::move(next));
+        waiting_.pop_front();
+    }
+}
+
+auto SimulatedEngine::beginStep(Time now) -> void
+{
+    admit(now);
+    stepEnd_.reset();
+    if (running_.empty()) {
+        if (!waiting_.empty())
+            stepEnd_ = std::max(now, waiting_.front().readyAt);
+        return;
+    }
+    auto chunk = times_.chunkTokens;
+    auto context = 0.0;
+    for (auto& job : running_) {
+        job.chunk = std::min(chunk, job.unread);
+        chunk -= job.chunk;
+        context += double(job.prompt.tokens + job.generated - job.unread);
+    }
+    const auto read = double(times_.chunkTokens - chunk);
+    const auto length = times_.stepMs + times_.stepMsPerRequest * double(running_.size())
+        + times_.stepMsPerThousandTokens * context / 1000.0 + read / times_.readTokensPerMs;
+    stepEnd_ = now + milliTime(length * slowness_);
+}
+
+auto SimulatedEngine::endStep(Time now) -> std::vector<EngineEvent>
+{
+    auto events = std::vector<EngineEvent> {};
+    auto stays = std::vector<Job> {};
+    stays.reserve(running_.size());
+    for (auto& job : running_) {
+        job.unread -= job.chunk;
+        tokensRead_ += job.chunk;
+        job.chunk = 0;
+        if (job.unread > 0) {
+            stays.push_back(std::move(job));
+            continue;
+        }
+        const auto isFirst = job.generated++ == 0;
+        const auto at = isFirst ? now + milliTime(times_.firstTokenMs * slowness_) : now;
+        if (isFirst) {
+            cache_.markRead(job.chains);
+            events.push_back({ job.key, EngineEvent::Kind::Started, at });
+        }
+        if (job.generated < job.output) {
+            stays.push_back(std::move(job));
+            continue;
+        }
+        events.push_back({ job.key, EngineEvent::Kind::Finished, at });
+        cache_.unpin(job.chains);
+    }
+    running_ = std::move(stays);
+    while (memoryInUse() > traits_.memoryTokens && running_.size() > 1)
+        preemptNewest();
+    const auto busy = memoryInUse() - cache_.pinnedTokens();
+    cache_.shrink(traits_.memoryTokens > busy ? traits_.memoryTokens - busy : 0);
+    beginStep(now);
+    return events;
+}
+
+auto SimulatedEngine::preemptNewest() -> void
+{
+    auto job = std::move(running_.back());
+    running_.pop_back();
+    cache_.unpin(job.chains);
+    ++preemptions_;
+    job.readyAt = {};
+    job.copied = 0;
+    waiting_.push_front(std::move(job));
+}
+
+auto SimulatedEngine::cancel(const PlacementKey& key) -> void
+{
+    std::erase_if(waiting_, [&key](const Job& job) { return job.key == key; });
+    const auto found = std::ranges::find(running_, key, &Job::key);
+    if (found == running_.end())
+        return;
+    cache_.unpin(found->chains);
+    running_.erase(found);
+}
+
+auto SimulatedEngine::crash() -> std::vector<PlacementKey>
+{
+    auto lost = std::vector<PlacementKey> {};
+    for (const auto& job : running_)
+        lost.push_back(job.key);
+    for (const auto& job : waiting_)
+        lost.push_back(job.key);
+    running_.clear();
+    waiting_.clear();
+    cache_.clear();
+    stepEnd_.reset();
+    return lost;
+}
+
+auto SimulatedEngine::setHung(Time now, bool hung) -> void
+{
+    if (hung_ == hung)
+        return;
+    hung_ = hung;
+    if (!hung_ && stepEnd_)
+        stepEnd_ = std::max(now, *stepEnd_);
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/tests/unit/placingruntest.cpp
@@ -0,0 +1,151 @@
+#include "placingrun.h"
+
+#include <map>
+
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::load;
+
+namespace {
+
+/** The heavy sample, 16 s of it. */
+auto heavyPlan(std::uint64_t seed) -> PlacingPlan
+{
+    auto plan = PlacingPlan::load(std::string(CAMPHORSHUNT_SAMPLES) + "/placing-heavy.json");
+    REQUIRE(plan);
+    plan.value().seed = seed;
+    plan.value().duration = 16s;
+    return plan.value();
+}
+
+auto play(const PlacingPlan& plan) -> PlacingOutcome
+{
+    auto run = PlacingRun(plan);
+    run.run();
+    return run.outcome();
+}
+
+auto errorField(const std::string& text) -> std::string
+{
+    const auto plan = PlacingPlan::parse(text, "plan.json");
+    REQUIRE(!plan);
+    return plan.error().field;
+}
+
+constexpr auto seeds = { std::uint64_t { 11 }, std::uint64_t { 12 }, std::uint64_t { 13 } };
+
+} // namespace
+
+TEST_CASE("A placing plan is checked, and its errors name the field")
+{
+    const auto engine = std::string(R"("engine": { "slots": 4 })");
+    CHECK(errorField("{ " + engine + " }") == "plan.json: kinds");
+    const auto kind
+        = std::string(R"("kinds": [{ "name": "chat", "ownTokens": { "shape": "constant", "first": 5 },
+        "outputTokens": { "shape": "odd" } }])");
+    CHECK(errorField("{ " + engine + ", " + kind + " }") == "plan.json: kinds[0].outputTokens.shape");
+    CHECK(errorField(R"({ "engine": { "slots": 0 }, "kinds": [] })") == "plan.json: engine.slots");
+    CHECK(errorField("{ " + engine + R"(, "dispatching": "nobody", "kinds": [] })")
+        == "plan.json: dispatching");
+}
+
+TEST_CASE("The same seed draws the same requests, and a surge multiplies those of the organisations it names")
+{
+    auto plan = heavyPlan(5);
+    plan.surges = { { 1s, 1s, 10.0, 1 } };
+    auto first = RequestSource(plan);
+    auto second = RequestSource(plan);
+    auto before = std::size_t { 0 };
+    auto during = std::size_t { 0 };
+    auto lengths = std::map<std::uint64_t, std::uint32_t> {};
+    for (auto now = Time {}; now < Time(2s); now += 1ms) {
+        const auto drawn = first.draw(now, 1ms);
+        const auto again = second.draw(now, 1ms);
+        REQUIRE(drawn.size() == again.size());
+        for (auto index = std::size_t { 0 }; index < drawn.size(); ++index) {
+            CHECK(drawn[index].request.prompt.tokens == again[index].request.prompt.tokens);
+            CHECK(drawn[index].output == again[index].output);
+            if (drawn[index].organisation == 0)
+                ++(now < Time(1s) ? before : during);
+            for (const auto& part : drawn[index].request.prompt.parts) {
+                const auto known = lengths.try_emplace(part.id, part.tokens).first->second;
+                CHECK(known == part.tokens);
+            }
+        }
+    }
+    CHECK(during > 7 * before);
+    CHECK(during < 13 * before);
+}
+
+TEST_CASE("A simulated run is the same each time for the same seed")
+{
+    auto plan = heavyPlan(8);
+    plan.duration = 6s;
+    plan.failures = { { 2s, 100ms, PlannedFailure::Mode::DispatcherKilled, 0, 1.0 } };
+    CHECK(boost::json::serialize(play(plan).json()) == boost::json::serialize(play(plan).json()));
+    auto other = plan;
+    other.seed = 9;
+    CHECK(boost::json::serialize(play(plan).json()) != boost::json::serialize(play(other).json()));
+}
+
+TEST_CASE("Each simulated request ends once, whatever fails")
+{
+    for (const auto mode : { PlannedFailure::Mode::Crash, PlannedFailure::Mode::Hang,
+             PlannedFailure::Mode::Slow, PlannedFailure::Mode::DispatcherKilled }) {
+        auto plan = heavyPlan(3);
+        plan.duration = 4s;
+        plan.failures = { { 1s, 1s, mode, 6, 5.0 } };
+        auto source = RequestSource(plan);
+        auto sent = std::size_t { 0 };
+        for (auto now = Time {}; now < Time(plan.duration); now += 1ms)
+            sent += source.draw(now, 1ms).size();
+        const auto outcome = play(plan);
+        const auto total = outcome.total();
+        CHECK(total.asked == sent);
+        CHECK(total.inTime + total.late + total.refused + total.failed == sent);
+    }
+}
+
+TEST_CASE("Under the heavy load one dispatcher serves more in time than each router alone, and more fairly")
+{
+    for (const auto seed : seeds) {
+        auto plan = heavyPlan(seed);
+        const auto one = play(plan);
+        plan.dispatching = Dispatching::EachRouter;
+        const auto each = play(plan);
+        CHECK(one.total().inTime > each.total().inTime);
+        CHECK(one.worstShare() > each.worstShare());
+    }
+}
+
+TEST_CASE("Under the heavy load every organisation that has to wait gets half of the best one's service")
+{
+    for (const auto seed : seeds) {
+        auto plan = heavyPlan(seed);
+        plan.failures.push_back({ 5s, 5s, PlannedFailure::Mode::Hang, 9, 1.0 });
+        const auto outcome = play(plan);
+        CAPTURE(seed);
+        CHECK(outcome.worstShare() >= 0.5);
+        for (auto kind = std::size_t { 0 }; kind < plan.kinds.size(); ++kind) {
+            const auto& counts = outcome.ofKind(kind);
+            // No kind is starved: each is served a quarter as often as all.
+            CHECK(double(counts.served()) / double(counts.asked)
+                >= 0.25 * double(outcome.total().served()) / double(outcome.total().asked));
+        }
+    }
+}
+
+TEST_CASE("Under the heavy load short queues at the engines put more requests in time than long ones")
+{
+    for (const auto seed : seeds) {
+        auto plan = heavyPlan(seed);
+        const auto shortQueues = play(plan);
+        plan.placer.backlogLimit = 80ms;
+        const auto longQueues = play(plan);
+        CAPTURE(seed);
+        CHECK(shortQueues.total().inTime > longQueues.total().inTime);
+        CHECK(shortQueues.total().late < longQueues.total().late);
+    }
+}
