Judge heads of answers in a class of their own; log a failure that is tried elsewhere

Change: AnswerIntake judges the heads over all tries of a request and hands out its bytes; triedElsewhere is the one place that ends a try, says so and looks for another; what is told at a request's end is built in requestrecord. Ruled out: two source files for one class.

--- /dev/null
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -0,0 +1,52 @@
+#include "answerintake.h"
+
+namespace camphorshunt::router {
+
+auto isSuccess(unsigned status) -> bool { return status >= 200 && status < 300; }
+
+auto promisesNotRun(unsigned status) -> bool
+{
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+auto AnswerIntake::takeHead(const platform::ResponseHeader& header, const Expected& expected) -> Head
+{
+    const auto answer = platform::readEngineAnswer(header);
+    if (answer.attempt != expected.attempt && !answer.notRun)
+        return Head::Foreign;
+    answer_ = answer;
+    // The header goes with its answer.
+    answer_->attempt = {};
+    if (answer.notRun)
+        return Head::NotRun;
+    if (!answer.genuine || answer.encoded)
+        return Head::NotGenuine;
+    const auto isStream = expected.route.kind == RequestKind::Stream && isSuccess(answer.status);
+    if (hasBegun()) {
+        if (!isStream)
+            return Head::NotResumed;
+        relay_->resume();
+        return Head::Accepted;
+    }
+    auto mode = AnswerRelay::Mode::Whole;
+    if (isStream)
+        mode = expected.route.resumable ? AnswerRelay::Mode::ResumableStream : AnswerRelay::Mode::Stream;
+    finalStream_ = mode == AnswerRelay::Mode::Stream;
+    relay_.emplace(header, mode, expected.isHead, expected.lastAnswer);
+    return Head::Accepted;
+}
+
+auto AnswerIntake::takeBody(std::string_view bytes) -> std::string
+{
+    if (!answer_ || answer_->notRun || !relay_)
+        return {};
+    return relay_->take(bytes);
+}
+
+auto AnswerIntake::dropUnsent() -> void
+{
+    if (!hasBegun())
+        relay_.reset();
+}
+
+} // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -1,7 +1,6 @@
 #include "exchange.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "attemptclock.h"
@@ -24,14 +23,6 @@
 /** When a caller of a router that shuts down may come again; another router takes it at once. */
 constexpr auto drainRetry = milliseconds(50);
 
-auto isSuccess(unsigned status) -> bool { return status >= 200 && status < 300; }
-
-/** Statuses by which a fleet promises that a request has not run. */
-auto promisesNotRun(unsigned status) -> bool
-{
-    return status == 429 || status == 503 || status == 408 || status == 421;
-}
-
 } // namespace
 
 Exchange::Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
@@ -54,11 +45,9 @@
     return std::shared_ptr<Exchange>(new Exchange(relay, caller, std::move(request), keepAlive));
 }
 
-auto Exchange::timeLeft() const -> Duration { return deadline_ - steadyNow(); }
-
 auto Exchange::begin() -> void
 {
-    if (!admit() || !mayFinish())
+    if (!admit())
         return;
     const auto patience = request_.patience.value_or(route_->timeout);
     deadline_ = times_.arrived + std::min<milliseconds>(patience, route_->timeout);
@@ -75,14 +64,10 @@
     const auto admission = CallerAdmission::decide(table_.get(), request_);
     route_ = admission.route;
     organisation_ = admission.organisation;
-    if (!admission.refusal)
-        return true;
-    answerOwn(admission.refusal->status, admission.refusal->reason, admission.refusal->retryAfter);
-    return false;
-}
-
-auto Exchange::mayFinish() -> bool
-{
+    if (admission.refusal) {
+        answerOwn(admission.refusal->status, admission.refusal->reason, admission.refusal->retryAfter);
+        return false;
+    }
     if (route_->kind != RequestKind::Stream || relay_.takesStreams())
         return true;
     answerOwn(503, "the router shuts down before the stream would end", drainRetry);
@@ -99,23 +84,17 @@
         chooseUpstream();
 }
 
-auto Exchange::routed() const -> RoutedRequest
-{
-    return { message_, request_, *route_, organisation_, service_ };
-}
-
 auto Exchange::askForEngine() -> void
 {
     auto place = placeFormOf(routed());
     place.request.key.number = number_;
     place.request.failureDomain = relay_.failureDomain();
     place.request.avoid = tried_;
-    const auto left = timeLeft();
-    place.deadlineLeft = left;
-    // A stream that goes on elsewhere is urgent, however late its first event was.
-    place.goalLeft = route_->goal.count() == 0 || (relayed_ && relayed_->hasBegun())
-        ? left
-        : std::min<Duration>(times_.arrived + Duration(route_->goal) - steadyNow(), left);
+    place.deadlineLeft = timeLeft();
+    place.goalLeft = place.deadlineLeft;
+    // A stream that goes on elsewhere has no goal left to meet.
+    if (route_->goal.count() != 0 && !answer_.hasBegun())
+        place.goalLeft = std::min<Duration>(times_.arrived + route_->goal - steadyNow(), place.goalLeft);
     relay_.askPlace(std::move(place));
 }
 
@@ -164,17 +143,14 @@
     times_.sent = steadyNow();
     lastByteAt_ = times_.sent;
     startedTold_ = false;
-    answer_.reset();
-    idleTimeout_.reset();
+    answer_.beginTry();
     ++sends_;
     if (!onEngine_)
         relay_.balancer(service_).begun(upstream.id());
 
-    const auto resumeAfter = relayed_ ? std::string_view(relayed_->lastEvent()) : std::string_view {};
-    auto bytes = upstreamBytesOf(routed(), upstream, copyFrom, inMilliseconds(left), resumeAfter);
-    const auto isHead = message_.method() == boost::beast::http::verb::head;
+    auto bytes = upstreamBytesOf(routed(), upstream, copyFrom, inMilliseconds(left), answer_.lastEvent());
     const auto fresh = !route_->repeatable() && !onEngine_;
-    connection_ = relay_.pool().send(upstream, std::move(bytes), isHead, fresh, *this);
+    connection_ = relay_.pool().send(upstream, std::move(bytes), isHead(), fresh, *this);
     relay_.watch(shared_from_this(), times_.sent + AttemptClock::connectLimit());
 }
 
@@ -187,46 +163,31 @@
 
 auto Exchange::headArrived(const platform::ResponseHeader& header) -> bool
 {
-    const auto answer = platform::readEngineAnswer(header);
+    using Head = AnswerIntake::Head;
+    const auto self = shared_from_this();
     lastByteAt_ = steadyNow();
-    if (answer.attempt != request_.attempt && !answer.notRun) {
+    if (!answer_.hasBegun())
+        keepAlive_ = keepAlive_ && relay_.keepsCallers();
+    switch (answer_.takeHead(header, { request_.attempt, *route_, isHead(), !keepAlive_ })) {
+    case Head::Foreign:
         relay_.log(LogLevel::Warning, "answer-of-another-request",
-            { { "id", std::string(request_.attempt) }, { "answered", std::string(answer.attempt) },
-                { "upstream", upstream_->name } });
+            { { "id", std::string(request_.attempt) }, { "upstream", upstream_->name } });
         return false;
-    }
-    const auto self = shared_from_this();
-    answer_ = answer;
-    // The header goes with its answer.
-    answer_->attempt = {};
-    idleTimeout_ = answer.idleTimeout;
-    if (answer.notRun)
-        return true;
-    if (!answer.genuine || answer.encoded) {
+    case Head::NotGenuine:
         connection_->close();
         attemptFailed(PlacementEnd::Broken, true, "the answer is not the upstream's");
         return true;
-    }
-    const auto isStream = route_->kind == RequestKind::Stream && isSuccess(answer.status);
-    if (relayed_ && relayed_->hasBegun()) {
-        if (isStream) {
-            relayed_->resume();
-            return true;
-        }
+    case Head::NotResumed:
         connection_->close();
         attemptFailed(PlacementEnd::Failed, true, "the stream was not resumed");
         return true;
+    case Head::NotRun:
+    case Head::Accepted:
+        break;
     }
-    auto mode = AnswerRelay::Mode::Whole;
-    if (isStream)
-        mode = route_->resumable ? AnswerRelay::Mode::ResumableStream : AnswerRelay::Mode::Stream;
-    const auto isHead = message_.method() == boost::beast::http::verb::head;
-    keepAlive_ = keepAlive_ && relay_.keepsCallers();
-    relayed_.emplace(header, mode, isHead, !keepAlive_);
-    if (mode == AnswerRelay::Mode::Stream) {
+    if (answer_.isFinalStream()) {
         // Nothing can be sent again from here on.
-        message_.body().clear();
-        message_.body().shrink_to_fit();
+        message_.body() = {};
     }
     return true;
 }
@@ -234,12 +195,12 @@
 auto Exchange::bodyArrived(std::string_view bytes) -> void
 {
     lastByteAt_ = steadyNow();
-    if (!answer_ || answer_->notRun || !relayed_)
+    if (!answer_.hasHead() || answer_.notRun())
         return;
     const auto self = shared_from_this();
-    if (!std::exchange(startedTold_, true) && onEngine_ && isSuccess(answer_->status))
+    if (!std::exchange(startedTold_, true) && onEngine_ && answer_.isSuccessful())
         relay_.reportStart(number_, service_);
-    auto text = relayed_->take(bytes);
+    auto text = answer_.takeBody(bytes);
     if (text.empty())
         return;
     if (times_.firstByte == Time {}) {
@@ -253,37 +214,32 @@
 auto Exchange::answerEnded(bool whole) -> void
 {
     const auto self = shared_from_this();
-    if (!whole || !answer_) {
-        attemptFailed(PlacementEnd::Broken, true, answer_ ? "the answer was cut" : "no answer");
+    if (!whole || !answer_.hasHead()) {
+        attemptFailed(PlacementEnd::Broken, true, answer_.hasHead() ? "the answer was cut" : "no answer");
         return;
     }
-    relay_.pool().release(connection_, idleTimeout_);
-    if (answer_->notRun) {
-        const auto end = answer_->misdirected ? PlacementEnd::Misdirected : PlacementEnd::Full;
-        if (answer_->misdirected)
+    relay_.pool().release(connection_, answer_.idleTimeout());
+    if (answer_.notRun()) {
+        const auto end = answer_.misdirected() ? PlacementEnd::Misdirected : PlacementEnd::Full;
+        if (answer_.misdirected())
             --sends_;
         attemptFailed(end, false, placementEndName(end));
         return;
     }
-    const auto status = answer_->status;
+    const auto status = answer_.status();
     if (promisesNotRun(status)) {
         // The status would promise more than the engine has said.
-        relayed_.reset();
         attemptFailed(PlacementEnd::Failed, true, "the upstream refused without proof");
         return;
     }
-    if (status >= 500 && route_->repeatable() && sends_ < route_->attempts && !relayed_->hasBegun()) {
+    if (status >= 500 && !answer_.hasBegun()) {
         mayHaveRun_ = true;
-        if (mayTryAgain()) {
-            endAttempt(PlacementEnd::Failed);
-            tried_.push_back(upstream_->id());
-            relayed_.reset();
-            findPlace();
+        if (triedElsewhere(PlacementEnd::Failed, "the upstream failed"))
             return;
-        }
+    } else {
+        endAttempt(isSuccess(status) ? PlacementEnd::Finished : PlacementEnd::Failed);
     }
-    endAttempt(isSuccess(status) ? PlacementEnd::Finished : PlacementEnd::Failed);
-    caller_->write(relayed_->finish());
+    caller_->write(answer_.finish());
     if (times_.firstByte == Time {})
         times_.firstByte = steadyNow();
     finish(isSuccess(status) ? RequestOutcome::Served : RequestOutcome::Passed, status, "");
@@ -308,9 +264,8 @@
     return sends_ == 0 || relay_.budget(service_).take(steadyNow());
 }
 
-auto Exchange::attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void
+auto Exchange::triedElsewhere(PlacementEnd end, std::string_view reason) -> bool
 {
-    mayHaveRun_ = mayHaveRun_ || mayHaveRun;
     endAttempt(end);
     tried_.push_back(upstream_->id());
     const auto again = mayTryAgain();
@@ -319,31 +274,33 @@
             { "end", std::string(placementEndName(end)) }, { "reason", std::string(reason) },
             { "may-have-run", mayHaveRun_ ? "true" : "false" }, { "sends", std::to_string(sends_) },
             { "again", again ? "true" : "false" } });
-    if (relayed_ && !relayed_->hasBegun())
-        relayed_.reset();
-    if (again)
-        findPlace();
-    else
-        giveUp(reason);
+    if (!again)
+        return false;
+    answer_.dropUnsent();
+    findPlace();
+    return true;
 }
 
-auto Exchange::giveUp(std::string_view reason) -> void
+auto Exchange::attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void
 {
-    giveUp(reason, shortRetry + milliseconds(relay_.draw() % std::uint64_t(shortRetry.count())));
+    mayHaveRun_ = mayHaveRun_ || mayHaveRun;
+    if (!triedElsewhere(end, reason))
+        giveUp(reason);
 }
 
-auto Exchange::giveUp(std::string_view reason, milliseconds retryAfter) -> void
+auto Exchange::giveUp(std::string_view reason, std::optional<milliseconds> retryAfter) -> void
 {
-    if (relayed_ && relayed_->hasBegun()) {
+    if (answer_.hasBegun()) {
         auto* const caller = caller_;
-        finish(RequestOutcome::Cut, relayed_->status(), reason);
+        finish(RequestOutcome::Cut, answer_.begunStatus(), reason);
         caller->abort();
         return;
     }
+    const auto spread = milliseconds(relay_.draw() % std::uint64_t(shortRetry.count()));
     if (mayHaveRun_)
         answerOwn(502, reason);
     else
-        answerOwn(503, reason, retryAfter);
+        answerOwn(503, reason, retryAfter.value_or(shortRetry + spread));
 }
 
 auto Exchange::answerOwn(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
@@ -383,18 +340,22 @@
 auto Exchange::check(Time now) -> std::optional<Time>
 {
     const auto self = shared_from_this();
-    if (state_ == State::Placing)
-        return checkPlacing(now);
+    if (state_ == State::Placing && now < deadline_)
+        return deadline_;
+    if (state_ == State::Placing) {
+        if (onEngine_)
+            relay_.withdraw(number_, service_);
+        giveUp("no place came in time");
+    }
     if (state_ == State::Done)
         return std::nullopt;
-    auto times = AttemptTimes {};
-    times.deadline = deadline_;
-    times.sent = times_.sent;
-    times.lastByte = lastByteAt_;
-    times.goal = route_->goal;
-    times.connected = connection_->isConnected();
-    times.answering = state_ == State::Answering;
-    times.mayGoElsewhere = route_->repeatable() && sends_ < route_->attempts;
+    const auto times = AttemptTimes { .deadline = deadline_,
+        .sent = times_.sent,
+        .lastByte = lastByteAt_,
+        .goal = route_->goal,
+        .connected = connection_->isConnected(),
+        .answering = state_ == State::Answering,
+        .mayGoElsewhere = route_->repeatable() && sends_ < route_->attempts };
     const auto check = AttemptClock::check(now, times);
     if (check.due == AttemptClock::Due::Nothing)
         return check.next;
@@ -408,21 +369,11 @@
     return state_ == State::Done ? std::nullopt : std::optional(deadline_);
 }
 
-auto Exchange::checkPlacing(Time now) -> std::optional<Time>
-{
-    if (now < deadline_)
-        return deadline_;
-    if (onEngine_)
-        relay_.withdraw(number_, service_);
-    giveUp("no place came in time");
-    return std::nullopt;
-}
-
 auto Exchange::deadlinePassed() -> void
 {
     mayHaveRun_ = true;
     endAttempt(lastByteAt_ == times_.sent ? PlacementEnd::Silent : PlacementEnd::Cancelled);
-    if (relayed_ && relayed_->hasBegun())
+    if (answer_.hasBegun())
         giveUp("the deadline passed");
     else
         answerOwn(504, "the deadline passed");
@@ -431,18 +382,17 @@
 auto Exchange::logEnd(RequestOutcome outcome, unsigned status, std::string_view reason) -> void
 {
     times_.ended = steadyNow();
-    auto fields = std::vector<LogField> { { "id", std::string(request_.attempt) },
-        { "outcome", std::string(outcomeName(outcome)) }, { "status", std::to_string(status) },
-        { "route", route_ == nullptr ? "-" : route_->name },
-        { "organisation", organisation_ == nullptr ? "-" : organisation_->name },
-        { "upstream", upstream_ ? upstream_->name : "-" }, { "sends", std::to_string(sends_) },
-        { "configuration", std::to_string(table_ == nullptr ? 0 : table_->version()) } };
-    std::ranges::move(times_.fields(), std::back_inserter(fields));
-    std::ranges::move(placementFields(placement_), std::back_inserter(fields));
-    if (!reason.empty())
-        fields.push_back({ "reason", std::string(reason) });
+    const auto ended = EndedRequest { .attempt = request_.attempt,
+        .outcome = outcome,
+        .status = status,
+        .route = route_ == nullptr ? "-" : std::string_view(route_->name),
+        .organisation = organisation_ == nullptr ? "-" : std::string_view(organisation_->name),
+        .upstream = upstream_ ? std::string_view(upstream_->name) : "-",
+        .sends = sends_,
+        .configuration = table_ == nullptr ? 0 : table_->version(),
+        .reason = reason };
     const auto isGood = outcome == RequestOutcome::Served || outcome == RequestOutcome::Passed;
-    relay_.log(isGood ? LogLevel::Info : LogLevel::Warning, "request-end", std::move(fields));
+    relay_.log(isGood ? LogLevel::Info : LogLevel::Warning, "request-end", ended.fields(times_, placement_));
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -11,14 +11,14 @@
 #include "camphorshunt/routetable.h"
 #include "camphorshunt/upstreamentry.h"
 
-#include "answerrelay.h"
+#include "answerintake.h"
 #include "callerconnection.h"
+#include "clock.h"
 #include "requestforms.h"
 #include "requestrecord.h"
 #include "upstreamconnection.h"
 
 #include "platform/callerwire.h"
-#include "platform/enginewire.h"
 
 namespace camphorshunt::router {
 
@@ -57,29 +57,30 @@
 
     Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive);
 
+    /** False if the request is refused, also since the process would end before its stream does. */
     auto admit() -> bool;
-    /** False if the process would end before a stream does. */
-    auto mayFinish() -> bool;
     auto findPlace() -> void;
-    auto routed() const -> RoutedRequest;
+    auto routed() const -> RoutedRequest { return { message_, request_, *route_, organisation_, service_ }; }
     auto askForEngine() -> void;
     auto chooseUpstream() -> void;
     auto send(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
-    auto checkPlacing(Time now) -> std::optional<Time>;
     auto deadlinePassed() -> void;
 
+    /** Ends the try; false if there may be no other one. */
+    auto triedElsewhere(PlacementEnd end, std::string_view reason) -> bool;
     auto attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void;
     auto endAttempt(PlacementEnd end) -> void;
     auto mayTryAgain() -> bool;
-    auto giveUp(std::string_view reason) -> void;
-    /** The caller may come again after `retryAfter`, if nothing has run. */
-    auto giveUp(std::string_view reason, std::chrono::milliseconds retryAfter) -> void;
+    /** If nothing has run, the caller may come again after `retryAfter`; soon if there is none. */
+    auto giveUp(std::string_view reason, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt)
+        -> void;
 
     auto answerOwn(unsigned status, std::string_view reason,
         std::optional<std::chrono::milliseconds> retryAfter = std::nullopt) -> void;
     auto finish(RequestOutcome outcome, unsigned status, std::string_view reason) -> void;
     auto logEnd(RequestOutcome outcome, unsigned status, std::string_view reason) -> void;
-    auto timeLeft() const -> Duration;
+    auto timeLeft() const -> Duration { return deadline_ - steadyNow(); }
+    auto isHead() const -> bool { return message_.method() == boost::beast::http::verb::head; }
 
     Relay& relay_;
     CallerConnection* caller_;
@@ -108,9 +109,7 @@
     bool startedTold_ = false;
     std::optional<PlacementInputs> placement_;
 
-    std::optional<platform::EngineAnswer> answer_;
-    std::optional<std::chrono::seconds> idleTimeout_;
-    std::optional<AnswerRelay> relayed_;
+    AnswerIntake answer_;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/requestrecord.cpp
+++ b/src/camphorshuntrouter/requestrecord.cpp
@@ -1,5 +1,8 @@
 #include "requestrecord.h"
 
+#include <algorithm>
+#include <iterator>
+
 #include "clock.h"
 
 namespace camphorshunt::router {
@@ -32,6 +35,8 @@
         { "end-ms", since(ended) } };
 }
 
+namespace {
+
 auto placementFields(const std::optional<PlacementInputs>& inputs) -> std::vector<LogField>
 {
     if (!inputs)
@@ -41,4 +46,21 @@
         { "placer-waiting", std::to_string(inputs->waiting) } };
 }
 
+} // namespace
+
+auto EndedRequest::fields(const RequestTimes& times, const std::optional<PlacementInputs>& placement) const
+    -> std::vector<LogField>
+{
+    auto fields = std::vector<LogField> { { "id", std::string(attempt) },
+        { "outcome", std::string(outcomeName(outcome)) }, { "status", std::to_string(status) },
+        { "route", std::string(route) }, { "organisation", std::string(organisation) },
+        { "upstream", std::string(upstream) }, { "sends", std::to_string(sends) },
+        { "configuration", std::to_string(configuration) } };
+    std::ranges::move(times.fields(), std::back_inserter(fields));
+    std::ranges::move(placementFields(placement), std::back_inserter(fields));
+    if (!reason.empty())
+        fields.push_back({ "reason", std::string(reason) });
+    return fields;
+}
+
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -39,7 +40,21 @@
     auto fields() const -> std::vector<LogField>;
 };
 
-/** What the placer knew of the request, for the log; none if it was not asked. */
-auto placementFields(const std::optional<PlacementInputs>& inputs) -> std::vector<LogField>;
+/** What is told of a request at its end. Names are "-" where it did not come to one. */
+struct EndedRequest {
+    std::string_view attempt;
+    RequestOutcome outcome {};
+    unsigned status = 0;
+    std::string_view route;
+    std::string_view organisation;
+    std::string_view upstream;
+    std::uint32_t sends = 0;
+    std::uint64_t configuration = 0;
+    std::string_view reason;
+
+    /** `placement`: what the placer knew of it; none if it was not asked. */
+    auto fields(const RequestTimes& times, const std::optional<PlacementInputs>& placement) const
+        -> std::vector<LogField>;
+};
 
 } // namespace camphorshunt::router
--- /dev/null
+++ b/tests/unit/answerintaketest.cpp
@@ -0,0 +1,98 @@
+#include "answerintake.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+
+namespace {
+
+using Head = AnswerIntake::Head;
+
+auto header(unsigned status, std::string_view attempt = "a1") -> platform::ResponseHeader
+{
+    auto made = platform::ResponseHeader {};
+    made.result(status);
+    made.set("X-Attempt-Id", std::string(attempt));
+    made.set("X-Response-Signature", "s");
+    return made;
+}
+
+auto streamRoute(bool resumable) -> Route
+{
+    auto route = Route {};
+    route.kind = RequestKind::Stream;
+    route.resumable = resumable;
+    return route;
+}
+
+} // namespace
+
+TEST_CASE("An answer for another request is not this one's, and nothing of it is kept")
+{
+    const auto route = streamRoute(true);
+    auto intake = AnswerIntake {};
+    CHECK(intake.takeHead(header(200, "other"), { "a1", route }) == Head::Foreign);
+    CHECK(!intake.hasHead());
+    CHECK(intake.takeBody("id: 1\n\n").empty());
+}
+
+TEST_CASE("A proof that nothing ran is taken as one, and its body is not passed on")
+{
+    const auto route = streamRoute(false);
+    auto intake = AnswerIntake {};
+    auto refusal = header(503, "");
+    refusal.set("X-Not-Executed", "1");
+    CHECK(intake.takeHead(refusal, { "a1", route }) == Head::NotRun);
+    CHECK(intake.notRun());
+    CHECK(intake.takeBody("full").empty());
+}
+
+TEST_CASE("An answer without an upstream's signature is not passed on")
+{
+    const auto route = streamRoute(false);
+    auto intake = AnswerIntake {};
+    auto unsigned_ = header(200);
+    unsigned_.erase("X-Response-Signature");
+    CHECK(intake.takeHead(unsigned_, { "a1", route }) == Head::NotGenuine);
+    CHECK(!intake.hasBegun());
+}
+
+TEST_CASE("A resumable stream goes on with another upstream's events, and with nothing else")
+{
+    const auto route = streamRoute(true);
+    auto intake = AnswerIntake {};
+    REQUIRE(intake.takeHead(header(200), { "a1", route }) == Head::Accepted);
+    CHECK(!intake.isFinalStream());
+    CHECK(!intake.takeBody("id: 1\ndata: x\n\nid: 2\nda").empty());
+    CHECK(intake.hasBegun());
+    CHECK(intake.lastEvent() == "1");
+
+    intake.dropUnsent();
+    intake.beginTry();
+    CHECK(!intake.hasHead());
+    CHECK(intake.takeHead(header(500), { "a1", route }) == Head::NotResumed);
+    intake.beginTry();
+    CHECK(intake.takeHead(header(200), { "a1", route }) == Head::Accepted);
+    const auto rest = intake.takeBody("id: 2\ndata: y\n\n");
+    CHECK(rest.find("id: 2\ndata: y") != std::string::npos);
+    CHECK(rest.find("HTTP/1.1") == std::string::npos);
+    CHECK(intake.begunStatus() == 200);
+}
+
+TEST_CASE("A failure of which the caller has nothing can be replaced by another answer")
+{
+    auto route = Route {};
+    route.kind = RequestKind::Idempotent;
+    auto intake = AnswerIntake {};
+    REQUIRE(intake.takeHead(header(500), { "a1", route }) == Head::Accepted);
+    CHECK(intake.takeBody("broken").empty());
+    CHECK(!intake.hasBegun());
+    intake.dropUnsent();
+    intake.beginTry();
+    REQUIRE(intake.takeHead(header(200), { "a1", route }) == Head::Accepted);
+    intake.takeBody("good");
+    const auto answer = intake.finish();
+    CHECK(answer.find("200") != std::string::npos);
+    CHECK(answer.ends_with("good"));
+}
