Send prompts ahead to engines from which news come late

An engine's queue is kept at 20 ms of unread prompt, but the news of a first token are 60 ms old and the next request is on its way for 40 ms; the engine is idle meanwhile. Change: EngineModel learns the lag from placing to the first token, beyond what it expected; past 40 ms it counts as distance, and twice the distance is added to the queue that an engine may have.

--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -13,8 +13,16 @@
 constexpr auto fastestReading = 400.0;
 /** Shorter prompts say more of the engine's steps than of its reading. */
 constexpr auto leastTokensToLearn = 1000U;
-/** From placing to the first token of an empty prompt: the way there and back and two steps. */
-constexpr auto fixedFirstToken = Duration(std::chrono::milliseconds(15));
+/** From placing to the news of the first token of an empty prompt: the ways and two steps, before it is
+ * learnt. */
+constexpr auto firstLag = Duration(std::chrono::milliseconds(15));
+/** A lag up to this is that of an engine close by. */
+constexpr auto usualLag = Duration(std::chrono::milliseconds(40));
+constexpr auto longestLag = Duration(std::chrono::milliseconds(250));
+/** Prompts are sent ahead for the way of a request and for that of the news of those before it. */
+constexpr auto waysAhead = 2;
+/** Weight of a new sample in the learnt lag. */
+constexpr auto lagGain = 0.1;
 /** Part of the memory that running requests may fill; estimates of output are often off. */
 constexpr auto usableMemory = 0.92;
 /** A first token is overdue after this many times its predicted time, and this much more. */
@@ -55,6 +63,7 @@
     : entry_(std::move(entry))
     , traits_(traits)
     , readRate_(std::clamp(tokensReadPerMs, slowestReading, fastestReading))
+    , lag_(firstLag)
 {
 }
 
@@ -121,7 +130,7 @@
         return false;
     if (isOnProbation())
         return false;
-    if (!unread_.empty() && (fraction_ < 1.0 || backlog(now) > backlogLimit))
+    if (!unread_.empty() && (fraction_ < 1.0 || backlog(now) > backlogLimit + waysAhead * distance()))
         return false;
     if (traits_.memoryTokens == 0 || running_.empty())
         return true;
@@ -147,7 +156,7 @@
     privateTokens_ += running.privateTokens;
     if (traits_.memoryTokens > privateTokens_)
         cache_.shrink(traits_.memoryTokens - privateTokens_);
-    unread_.push_back({ key, unread, now, now });
+    unread_.push_back({ key, unread, now, now, backlog(now) + readingTime(double(unread)) });
     unreadTokens_ += unread;
     running_.insert_or_assign(key, std::move(running));
 }
@@ -164,14 +173,19 @@
     removeUnread(now, key);
 }
 
-auto EngineModel::learnRate(Time now, const Unread& read) -> void
+auto EngineModel::distance() const -> Duration { return std::max(lag_ - usualLag, Duration {}); }
+
+auto EngineModel::learn(Time now, const Unread& read) -> void
 {
-    if (read.tokens < leastTokensToLearn)
+    const auto elapsed = now - read.begun;
+    const auto wasAlone = read.begun == read.placed;
+    if (read.tokens < leastTokensToLearn) {
+        const auto sample = std::clamp(now - read.placed - read.expected, Duration {}, longestLag);
+        lag_ += Duration(static_cast<Duration::rep>(double((sample - lag_).count()) * lagGain));
         return;
-    auto elapsed = now - read.begun;
-    if (read.begun == read.placed)
-        elapsed -= fixedFirstToken;
-    const auto milliseconds = std::max(1.0, double(elapsed.count()) / 1000.0);
+    }
+    const auto reading = wasAlone ? elapsed - lag_ : elapsed;
+    const auto milliseconds = std::max(1.0, double(reading.count()) / 1000.0);
     const auto sample = std::clamp(double(read.tokens) / milliseconds, slowestReading, fastestReading);
     // In the logarithm, so that a slow sample weighs as much as a fast one.
     readRate_ = std::exp(std::log(readRate_) * (1 - rateGain) + std::log(sample) * rateGain);
@@ -199,7 +213,7 @@
     failures_ = 0;
     suspendedUntil_ = now;
     if (!unread_.empty() && unread_.front().key == key)
-        learnRate(now, unread_.front());
+        learn(now, unread_.front());
     removeUnread(now, key);
 }
 
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -44,7 +44,10 @@
         -> std::uint32_t;
     /** `kept`: tokens of the prompt that need not be read there. */
     auto estimate(Time now, const Prompt& prompt, std::uint32_t kept) const -> PlacementEstimate;
-    /** There is a slot and memory, and the unread prompts take at most `backlogLimit`. */
+    /**
+     * There is a slot and memory, and the unread prompts take at most `backlogLimit`, and the time that it
+     * takes to hear of them.
+     */
     auto admits(Time now, const Prompt& prompt, std::span<const PromptCache::Chain> chains,
         Duration backlogLimit) const -> bool;
     /** Could never hold this prompt, however idle it is. */
@@ -71,6 +74,8 @@
     auto running() const -> std::size_t { return running_.size(); }
     auto slots() const -> std::size_t;
     auto tokensReadPerMs() const -> double { return readRate_; }
+    /** By how much news from the engine come later than from one close by. */
+    auto distance() const -> Duration;
 
 private:
     struct Running {
@@ -84,11 +89,13 @@
         Time placed;
         /** When the engine can have begun to read it. */
         Time begun;
+        /** From placing until it is read, as far as was known then. */
+        Duration expected {};
     };
 
     auto readingTime(double tokens) const -> Duration;
     auto backlog(Time now) const -> Duration;
-    auto learnRate(Time now, const Unread& read) -> void;
+    auto learn(Time now, const Unread& read) -> void;
     auto removeUnread(Time now, const PlacementKey& key) -> void;
     auto remove(Time now, absl::flat_hash_map<PlacementKey, Running>::iterator found) -> void;
     auto suspend(Time now, Duration shortest) -> void;
@@ -97,6 +104,8 @@
     EngineTraits traits_;
     double fraction_ = 1.0;
     double readRate_;
+    /** From placing to the news of the first token, besides reading. */
+    Duration lag_;
     PromptCache cache_;
     absl::flat_hash_map<PlacementKey, Running> running_;
     /** In the order in which they were placed, which is the order in which engines read. */
--- a/tests/unit/placertest.cpp
+++ b/tests/unit/placertest.cpp
@@ -61,6 +61,23 @@
     }
 }
 
+TEST_CASE("An engine from which news come late gets more prompts ahead, so that it is not idle meanwhile")
+{
+    for (const auto lag : { 20ms, 120ms }) {
+        auto fixture = PlacerFixture(1);
+        for (auto round = 0; round < 40; ++round) {
+            const auto key = fixture.submit(fixture.request("acme", 500));
+            fixture.now += lag + 10ms;
+            fixture.start(key);
+            fixture.end(key);
+        }
+        // 60 ms to read.
+        fixture.submit(fixture.request("acme", 3000));
+        const auto next = fixture.submit(fixture.request("acme", 500));
+        CHECK(fixture.placed.contains(next) == (lag > 60ms));
+    }
+}
+
 TEST_CASE("A request that a free engine can begin is not held for the busy one that keeps its prompt")
 {
     auto fixture = PlacerFixture(2);
