Number the tests' temporary files without a race

Cause: the test of two operators who publish at once failed once in a full run: "the file cannot be read". Both threads wrote their edit to the same file, since the counter in its name was a plain int, and the first to end removed it. Ruled out: the daemons, which never got that edit. Change: the counter is atomic. The test's check is as it was.

--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <filesystem>
@@ -74,7 +75,8 @@
 public:
     explicit TemporaryFile(std::string_view content)
     {
-        static auto number = 0;
+        // Two operators publish at once.
+        static auto number = std::atomic<int> { 0 };
         path_ = std::filesystem::temp_directory_path()
             / ("camphorshunt-" + std::to_string(::getpid()) + "-" + std::to_string(++number) + ".json");
         std::ofstream(path_) << content;
