--- a/tests/fuzz/parsersfuzz.cpp
+++ b/tests/fuzz/parsersfuzz.cpp
@@ -8,12 +8,22 @@
 #include <string>
 #include <vector>
 
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
 #include "camphorshunt/document.h"
 #include "camphorshunt/logrecord.h"
 
+#include "answerintake.h"
 #include "framecodec.h"
+#include "peerframe.h"
 #include "tracejson.h"
 
+#include "platform/callerwire.h"
+#include "platform/configuration.h"
+#include "platform/directoryentry.h"
+#include "platform/storeformat.h"
+
 // Feeds randomly changed valid inputs to the parsers of what comes from outside. A parser may refuse or take
 // an input; a crash, an abort or a sanitizer's report fails the run. Arguments: seed, rounds for each input.
 
@@ -21,7 +31,8 @@
 
 using namespace camphorshunt;
 
-using Parser = std::function<void(const std::string&)>;
+/** True if the input was taken. */
+using Parser = std::function<bool(const std::string&)>;
 
 struct Input {
     std::string valid;
@@ -76,26 +87,120 @@
         ClaimsTransfer { "claims-0", {}, "snapshot" } };
 }
 
-auto parseFrame(const std::string& bytes) -> void
+auto parseFrame(const std::string& bytes) -> bool
 {
     const auto* const begin = reinterpret_cast<const std::uint8_t*>(bytes.data());
     const auto message = decodeMessage(std::span(begin, bytes.size()));
     if (message)
         encodeMessage(message.value());
+    return static_cast<bool>(message);
+}
+
+auto parseCallerRequest(const std::string& text) -> bool
+{
+    namespace http = boost::beast::http;
+    auto parser = http::request_parser<http::string_body> {};
+    parser.eager(true);
+    auto error = boost::beast::error_code {};
+    parser.put(boost::asio::buffer(text), error);
+    if (error || !parser.is_done())
+        return false;
+    const auto message = parser.release();
+    return !platform::readCallerRequest(message.base()).attempt.empty();
+}
+
+/** An upstream's answer as it is relayed, its body in two pieces. */
+auto parseAnswer(const std::string& text) -> bool
+{
+    namespace http = boost::beast::http;
+    auto parser = http::response_parser<http::string_body> {};
+    parser.eager(true);
+    auto error = boost::beast::error_code {};
+    parser.put(boost::asio::buffer(text), error);
+    if (error || !parser.is_done())
+        return false;
+    const auto message = parser.release();
+    auto route = Route {};
+    route.kind = RequestKind::Stream;
+    route.resumable = true;
+    auto intake = router::AnswerIntake {};
+    const auto head = intake.takeHead(message.base(), { "a1", route });
+    if (head != router::AnswerIntake::Head::Accepted)
+        return false;
+    const auto body = std::string_view(message.body());
+    intake.takeBody(body.substr(0, body.size() / 2));
+    intake.takeBody(body.substr(body.size() / 2));
+    intake.finish();
+    return intake.hasBegun();
+}
+
+auto parsePeerFrame(const std::string& bytes) -> bool
+{
+    const auto* const begin = reinterpret_cast<const std::uint8_t*>(bytes.data());
+    const auto frame = router::decodePeerFrame(std::span(begin, bytes.size()));
+    if (frame)
+        router::encodePeerFrame(frame.value());
+    return static_cast<bool>(frame);
+}
+
+auto peerFrame() -> std::string
+{
+    auto frame = router::PeerFrame {};
+    frame.members = { "10.0.0.1:80", "10.0.0.2:80" };
+    frame.places.emplace_back();
+    frame.places.back().request.prompt.parts = { { 7, 300 }, { 8, 20 } };
+    frame.verdicts.emplace_back();
+    frame.reports.emplace_back();
+    frame.directory
+        = router::DirectoryPage { true, 3, 5, { { "i-1", "{}", 3 }, { "i-2", std::nullopt, 4 } } };
+    frame.configuration = "{}";
+    const auto bytes = router::encodePeerFrame(frame);
+    return { bytes.begin(), bytes.end() };
+}
+
+/** What the platform, callers, upstreams and other routers send to a router. */
+auto routerInputs() -> std::vector<Input>
+{
+    const auto read = std::string("\0\0\0\0\0\0\0\7\0\0\0\0\0\0\0\0", 16)
+        + platform::encodeKeyed("config", "{}") + platform::encodeKeyed("i-1", "");
+    return {
+        { R"({"version":7,"routes":[{"name":"r1","host":"h","path_prefix":"/a/","kind":"stream",
+            "timeout_ms":15000,"latency_goal_ms":800,"priority":1,"traffic_split":[{"service":"s1","weight":9}],
+            "attempts":1,"public":false,"resumable":true}],"services":[{"name":"s1","max_connections":290,
+            "engine":{"slots":48,"kv_capacity":676342,"kv_token_bytes":163840,"link_mbps":740000.0}}],
+            "limits":{"max_header_bytes":100},"tenants":[{"name":"t","api_keys":["k1"],"priority":0}]})",
+            [](const std::string& text) { return static_cast<bool>(platform::decodeConfiguration(text)); } },
+        { R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":48,"state":"ready","born":17905})",
+            [](const std::string& text) {
+                return static_cast<bool>(platform::decodeDirectoryEntry("i-1", text));
+            } },
+        { read, [](const std::string& text) { return static_cast<bool>(platform::decodeRead(text, 3)); } },
+        { R"({"end":9,"has_more":true,"items":[{"key":"config","offset":4,"value":"e30="}]})",
+            [](const std::string& text) { return static_cast<bool>(platform::decodeNewest(text)); } },
+        { "POST /a/b?x=1 HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: a1\r\n"
+          "X-Deadline-Ms: 900\r\nX-Token-Count: 320,40\r\nX-Prompt-Prefix: 7f:300,8:20\r\n"
+          "X-Length-Hint: 30\r\nContent-Length: 2\r\n\r\nab",
+            parseCallerRequest },
+        { "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\nKeep-Alive: timeout=5\r\n"
+          "Content-Length: 41\r\n\r\nid: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\nid: 3\nda",
+            parseAnswer },
+        { peerFrame(), parsePeerFrame },
+    };
 }
 
 auto inputs() -> std::vector<Input>
 {
-    auto all = std::vector<Input> {};
+    auto all = routerInputs();
     for (const auto& message : frames()) {
         const auto bytes = encodeMessage(message);
         all.push_back({ std::string(bytes.begin(), bytes.end()), parseFrame });
     }
-    const auto parseDocument = [](const std::string& text) { static_cast<void>(Document::parse(text)); };
+    const auto parseDocument
+        = [](const std::string& text) { return static_cast<bool>(Document::parse(text)); };
     for (const auto* const name : { "demo-assistant.json", "demo-booking.json" })
         all.push_back({ readFile(std::string(CAMPHORSHUNT_SAMPLES) + "/" + name), parseDocument });
     all.push_back({ R"({"time":1,"event":{"Tick":{}},"actions":[{"SetReady":{"ready":true}}]})",
-        [](const std::string& text) { static_cast<void>(parseTraceLine(text)); } });
+        [](const std::string& text) { return static_cast<bool>(parseTraceLine(text)); } });
     return all;
 }
 
@@ -111,8 +216,8 @@
     const auto rounds = std::stoull(argv[2]);
     auto tried = std::uint64_t {};
     for (const auto& input : inputs()) {
-        if (input.valid.empty()) {
-            std::cerr << "a valid input is missing\n";
+        if (!input.parse(input.valid)) {
+            std::cerr << "a valid input is missing or refused: " << input.valid.substr(0, 60) << "\n";
             return 1;
         }
         for (auto round = std::uint64_t {}; round < rounds; ++round, ++tried)
