--- a/tests/unit/answerintaketest.cpp
+++ b/tests/unit/answerintaketest.cpp
@@ -52,9 +52,9 @@
 {
     const auto route = streamRoute(false);
     auto intake = AnswerIntake {};
-    auto unsigned_ = header(200);
-    unsigned_.erase("X-Response-Signature");
-    CHECK(intake.takeHead(unsigned_, { "a1", route }) == Head::NotGenuine);
+    auto withoutSignature = header(200);
+    withoutSignature.erase("X-Response-Signature");
+    CHECK(intake.takeHead(withoutSignature, { "a1", route }) == Head::NotGenuine);
     CHECK(!intake.hasBegun());
 }
 
