--- a/include/camphorshunt/prompt.h
+++ b/include/camphorshunt/prompt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <span>
 #include <vector>
 
 namespace camphorshunt {
@@ -22,4 +23,10 @@
     std::vector<PromptPart> parts;
 };
 
+/** Tokens of output to reckon with: the caller's estimate within the limit, or the limit. */
+auto expectedOutput(const Prompt& prompt) -> std::uint32_t;
+auto tokensOf(std::span<const PromptPart> parts) -> std::uint64_t;
+/** Tokens of the prompt besides its parts. */
+auto tokensBesideParts(const Prompt& prompt) -> std::uint64_t;
+
 } // namespace camphorshunt
--- a/include/camphorshunt/time.h
+++ b/include/camphorshunt/time.h
@@ -11,4 +11,15 @@
 
 using namespace std::chrono_literals;
 
+/** The part of a microsecond is cut off. */
+constexpr auto fromMilliseconds(double milliseconds) -> Duration
+{
+    return Duration(static_cast<Duration::rep>(milliseconds * 1000.0));
+}
+
+constexpr auto scaled(Duration time, double factor) -> Duration
+{
+    return Duration(static_cast<Duration::rep>(double(time.count()) * factor));
+}
+
 } // namespace camphorshunt
--- a/src/camphorshuntd/peertransport.cpp
+++ b/src/camphorshuntd/peertransport.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "framecodec.h"
+#include "listening.h"
 #include "peerlink.h"
 
 namespace camphorshunt {
@@ -28,15 +29,6 @@
 constexpr auto logInterval = 1s;
 constexpr auto acceptPause = 100ms;
 
-auto tcpEndpoint(const Endpoint& endpoint) -> Result<tcp::endpoint>
-{
-    auto code = boost::system::error_code {};
-    const auto address = boost::asio::ip::make_address(endpoint.address, code);
-    if (code)
-        return failure(Error::Code::Invalid, "endpoint", endpoint.text() + " is not an IP number and a port");
-    return tcp::endpoint { address, endpoint.port };
-}
-
 auto eventName(Error::Code code) -> std::string
 {
     if (code == Error::Code::Malformed)
@@ -133,19 +125,9 @@
 
 auto TcpPeerTransport::open() -> Result<void>
 {
-    const auto local = tcpEndpoint(settings_.listen);
-    if (!local)
-        return local.error();
-    auto code = boost::system::error_code {};
-    acceptor_.open(local.value().protocol(), code);
-    if (!code)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), code);
-    if (!code)
-        acceptor_.bind(local.value(), code);
-    if (!code)
-        acceptor_.listen(tcp::acceptor::max_listen_connections, code);
-    if (code)
-        return failure(Error::Code::Io, "listen", settings_.listen.text() + ": " + code.message());
+    const auto opened = net::listenOn(acceptor_, settings_.listen, "listen");
+    if (!opened)
+        return opened.error();
     accept();
     return boost::outcome_v2::success();
 }
@@ -224,7 +206,7 @@
 {
     auto& peer = peers_.at(router);
     peer.redial.cancel();
-    const auto remote = tcpEndpoint(peer.endpoint);
+    const auto remote = net::tcpEndpointOf(peer.endpoint, "endpoint");
     if (!remote) {
         log(LogLevel::Error, "peer-endpoint-invalid", { { "error", remote.error().text() } });
         return;
--- a/src/camphorshuntd/settings.cpp
+++ b/src/camphorshuntd/settings.cpp
@@ -1,35 +1,19 @@
 #include "settings.h"
 
 #include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <optional>
 
-#include "settingsreader.h"
+#include "settingsfile.h"
 
 namespace camphorshunt {
 
 namespace {
 
 constexpr auto shortestSharedKey = std::size_t { 16 };
+constexpr auto shortestTimeoutMs = std::uint64_t { 10 };
+constexpr auto longestTimeoutMs = std::uint64_t { 3'600'000 };
 constexpr auto kibibyte = std::uint64_t { 1024 };
 constexpr auto mebibyte = 1024 * kibibyte;
 
-auto readFile(const std::filesystem::path& path) -> std::optional<std::string>
-{
-    auto stream = std::ifstream(path, std::ios::binary);
-    if (!stream)
-        return std::nullopt;
-    return std::string(std::istreambuf_iterator<char>(stream), {});
-}
-
-auto milliseconds(SettingsReader& reader, std::string_view name, std::chrono::milliseconds fallback)
-    -> std::chrono::milliseconds
-{
-    const auto count = reader.number(name, static_cast<std::uint64_t>(fallback.count()), 10, 3'600'000);
-    return std::chrono::milliseconds(count);
-}
-
 auto readCallers(SettingsReader reader, Settings& settings) -> void
 {
     auto& limits = settings.callersLimits;
@@ -37,9 +21,12 @@
     limits.connections = reader.number("maxConnections", limits.connections, 1, 100'000);
     limits.headerBytes = reader.number("headerBytes", limits.headerBytes, kibibyte, mebibyte);
     limits.bodyBytes = reader.number("bodyBytes", limits.bodyBytes, kibibyte, 64 * mebibyte);
-    limits.requestTimeout = milliseconds(reader, "requestTimeoutMs", limits.requestTimeout);
-    limits.idleTimeout = milliseconds(reader, "idleTimeoutMs", limits.idleTimeout);
-    limits.writeTimeout = milliseconds(reader, "writeTimeoutMs", limits.writeTimeout);
+    limits.requestTimeout
+        = reader.milliseconds("requestTimeoutMs", limits.requestTimeout, shortestTimeoutMs, longestTimeoutMs);
+    limits.idleTimeout
+        = reader.milliseconds("idleTimeoutMs", limits.idleTimeout, shortestTimeoutMs, longestTimeoutMs);
+    limits.writeTimeout
+        = reader.milliseconds("writeTimeoutMs", limits.writeTimeout, shortestTimeoutMs, longestTimeoutMs);
     reader.finish();
 }
 
@@ -88,37 +75,24 @@
 
 auto Settings::parse(std::string_view text, std::string_view file) -> Result<Settings>
 {
-    const auto document = parseSettingsObject(text, file);
-    if (!document)
-        return document.error();
-
-    auto settings = Settings {};
-    auto error = std::optional<Error> {};
     const auto folder = std::filesystem::path(file).parent_path();
-    auto reader = SettingsReader(document.value(), {}, error);
-    settings.name = reader.text("name");
-    settings.failureDomain = reader.text("failureDomain");
-    readCallers(reader.object("callers"), settings);
-    auto admin = reader.object("admin");
-    settings.adminListen = admin.endpoint("listen");
-    admin.finish();
-    readPeers(reader.object("peers"), folder, settings);
-    readPlatform(reader.object("platform"), settings);
-    readBoundedFile(reader.optionalObject("record"), settings.recordFile, settings.recordLimitBytes);
-    readBoundedFile(reader.optionalObject("trace"), settings.traceFile, settings.traceLimitBytes);
-    reader.finish();
-
-    if (error)
-        return failure(error->code, std::string(file) + ": " + error->field, std::move(error->message));
-    return settings;
+    return parseSettings<Settings>(text, file, [&folder](SettingsReader& reader) {
+        auto settings = Settings {};
+        settings.name = reader.text("name");
+        settings.failureDomain = reader.text("failureDomain");
+        readCallers(reader.object("callers"), settings);
+        auto admin = reader.object("admin");
+        settings.adminListen = admin.endpoint("listen");
+        admin.finish();
+        readPeers(reader.object("peers"), folder, settings);
+        readPlatform(reader.object("platform"), settings);
+        readBoundedFile(reader.optionalObject("record"), settings.recordFile, settings.recordLimitBytes);
+        readBoundedFile(reader.optionalObject("trace"), settings.traceFile, settings.traceLimitBytes);
+        reader.finish();
+        return settings;
+    });
 }
 
-auto Settings::load(const std::string& file) -> Result<Settings>
-{
-    const auto text = readFile(file);
-    if (!text)
-        return failure(Error::Code::Io, file, "cannot be read");
-    return parse(*text, file);
-}
+auto Settings::load(const std::string& file) -> Result<Settings> { return loadSettings(file, parse); }
 
 } // namespace camphorshunt
--- a/src/camphorshuntload/placingplan.cpp
+++ b/src/camphorshuntload/placingplan.cpp
@@ -2,8 +2,7 @@
 
 #include <map>
 
-#include "planfile.h"
-#include "settingsreader.h"
+#include "settingsfile.h"
 
 namespace camphorshunt::load {
 
@@ -21,7 +20,7 @@
 
 auto readMilliseconds(SettingsReader& reader, std::string_view name, milliseconds fallback) -> milliseconds
 {
-    return milliseconds(reader.number(name, static_cast<std::uint64_t>(fallback.count()), 0, longestRunMs));
+    return reader.milliseconds(name, fallback, 0, longestRunMs);
 }
 
 /** The value that a text stands for; a text that is missing stands for the first one. */
@@ -164,12 +163,9 @@
 
 auto PlacingPlan::parse(std::string_view text, std::string_view file) -> Result<PlacingPlan>
 {
-    return parsePlan<PlacingPlan>(text, file, readPlan);
+    return parseSettings<PlacingPlan>(text, file, readPlan);
 }
 
-auto PlacingPlan::load(const std::string& file) -> Result<PlacingPlan>
-{
-    return loadPlan<PlacingPlan>(file, readPlan);
-}
+auto PlacingPlan::load(const std::string& file) -> Result<PlacingPlan> { return loadSettings(file, parse); }
 
 } // namespace camphorshunt::load
--- a/src/camphorshuntload/placingrun.cpp
+++ b/src/camphorshuntload/placingrun.cpp
@@ -17,11 +17,6 @@
 /** Numbers of requests that come again are above those of the source. */
 constexpr auto firstReturn = std::uint64_t { 1 } << 40U;
 
-auto milliTime(double milliseconds) -> Duration
-{
-    return Duration(static_cast<Duration::rep>(milliseconds * 1000.0));
-}
-
 } // namespace
 
 PlacingRun::PlacingRun(const PlacingPlan& plan)
@@ -71,7 +66,7 @@
 auto PlacingRun::hop(std::size_t domain, std::size_t other) const -> Duration
 {
     const auto same = domain % plan_.failureDomains == other % plan_.failureDomains;
-    return milliTime(same ? plan_.hopMs : plan_.otherDomainHopMs);
+    return fromMilliseconds(same ? plan_.hopMs : plan_.otherDomainHopMs);
 }
 
 auto PlacingRun::placerOf(const SimulatedRequest& request) const -> std::size_t
--- a/src/camphorshuntload/plan.cpp
+++ b/src/camphorshuntload/plan.cpp
@@ -2,8 +2,7 @@
 
 #include <algorithm>
 
-#include "planfile.h"
-#include "settingsreader.h"
+#include "settingsfile.h"
 
 namespace camphorshunt::load {
 
@@ -15,7 +14,7 @@
 
 auto milliseconds(SettingsReader& reader, std::string_view name) -> Milliseconds
 {
-    return Milliseconds(reader.number(name, 0, 0, longestRunMs));
+    return reader.milliseconds(name, Milliseconds(0), 0, longestRunMs);
 }
 
 auto readEntries(SettingsReader& reader, const Plan& plan) -> std::vector<Entry>
@@ -73,7 +72,7 @@
     auto plan = Plan {};
     plan.service = reader.text("service");
     plan.seed = reader.number("seed", 1, 0, ~std::uint64_t {});
-    plan.duration = Milliseconds(reader.number("durationMs", 8000, 100, longestRunMs));
+    plan.duration = reader.milliseconds("durationMs", Milliseconds(8000), 100, longestRunMs);
     plan.warmUp = milliseconds(reader, "warmUpMs");
     if (plan.warmUp >= plan.duration)
         reader.refuse("warmUpMs", "must be less than durationMs");
@@ -102,9 +101,9 @@
 
 auto Plan::parse(std::string_view text, std::string_view file) -> Result<Plan>
 {
-    return parsePlan<Plan>(text, file, readPlan);
+    return parseSettings<Plan>(text, file, readPlan);
 }
 
-auto Plan::load(const std::string& file) -> Result<Plan> { return loadPlan<Plan>(file, readPlan); }
+auto Plan::load(const std::string& file) -> Result<Plan> { return loadSettings(file, parse); }
 
 } // namespace camphorshunt::load
--- a/src/camphorshuntrouter/attemptclock.cpp
+++ b/src/camphorshuntrouter/attemptclock.cpp
@@ -22,7 +22,7 @@
 {
     if (times.answering)
         return streamSilence;
-    return std::max(shortestSilence, Duration(Duration::rep(double(times.goal.count()) * silenceGoals)));
+    return std::max(shortestSilence, scaled(times.goal, silenceGoals));
 }
 
 } // namespace
--- a/src/camphorshuntrouter/placementduty.cpp
+++ b/src/camphorshuntrouter/placementduty.cpp
@@ -203,10 +203,15 @@
         }
         return;
     }
+    tellRelay(found, verdict);
+}
+
+auto PlacementDuty::tellRelay(OwnRequests::iterator own, const PeerVerdict& verdict) -> void
+{
     if (verdict.upstream)
-        found->second.upstream = verdict.upstream;
+        own->second.upstream = verdict.upstream;
     else
-        own_.erase(found);
+        own_.erase(own);
     outputs_.verdicts.push_back(verdict);
 }
 
@@ -234,13 +239,8 @@
         return;
     }
     const auto found = own_.find(key.number);
-    if (found == own_.end())
-        return;
-    if (packed.upstream)
-        found->second.upstream = packed.upstream;
-    else
-        own_.erase(found);
-    outputs_.verdicts.push_back(packed);
+    if (found != own_.end())
+        tellRelay(found, packed);
 }
 
 auto PlacementDuty::pump(Time now) -> void
--- a/src/camphorshuntrouter/placementduty.h
+++ b/src/camphorshuntrouter/placementduty.h
@@ -70,6 +70,7 @@
         std::optional<UpstreamId> upstream;
         bool started = false;
     };
+    using OwnRequests = std::map<std::uint64_t, Own>;
     struct Service {
         std::unique_ptr<Placer> placer;
         RouterId owner;
@@ -82,6 +83,8 @@
     auto withdraw(Time now, const Own& own) -> void;
     auto applyReport(Time now, const PlacementKey& key, const PeerReport& report) -> void;
     auto takeVerdict(RouterId peer, const PeerVerdict& verdict) -> void;
+    /** The verdict on a request of this router. */
+    auto tellRelay(OwnRequests::iterator own, const PeerVerdict& verdict) -> void;
     auto deliver(ServiceId service, const PlacementVerdict& verdict) -> void;
 
     RouterId self_;
@@ -89,7 +92,7 @@
     std::vector<LiveRouter> live_;
     double fraction_ = 1;
     std::map<ServiceId, Service> services_;
-    std::map<std::uint64_t, Own> own_;
+    OwnRequests own_;
     Outputs outputs_;
 };
 
--- a/src/camphorshuntrouter/routersettings.cpp
+++ b/src/camphorshuntrouter/routersettings.cpp
@@ -1,11 +1,8 @@
 #include "routersettings.h"
 
 #include <cmath>
-#include <fstream>
-#include <iterator>
-#include <optional>
 
-#include "settingsreader.h"
+#include "settingsfile.h"
 
 namespace camphorshunt::router {
 
@@ -24,15 +21,8 @@
     return retries;
 }
 
-} // namespace
-
-auto RouterSettings::parse(std::string_view text, std::string_view file) -> Result<RouterSettings>
+auto readSettings(SettingsReader& reader) -> RouterSettings
 {
-    const auto object = parseSettingsObject(text, file);
-    if (!object)
-        return object.error();
-    auto error = std::optional<Error> {};
-    auto reader = SettingsReader(object.value(), {}, error);
     auto settings = RouterSettings {};
     settings.name = reader.text("name");
     settings.failureDomain = reader.text("failureDomain");
@@ -52,18 +42,19 @@
     limits.finish();
     settings.retries = readRetries(reader.object("bounds"));
     reader.finish();
-    if (error)
-        return failure(error->code, std::string(file) + ": " + error->field, std::move(error->message));
     return settings;
 }
 
+} // namespace
+
+auto RouterSettings::parse(std::string_view text, std::string_view file) -> Result<RouterSettings>
+{
+    return parseSettings<RouterSettings>(text, file, readSettings);
+}
+
 auto RouterSettings::load(const std::string& file) -> Result<RouterSettings>
 {
-    auto stream = std::ifstream(file);
-    if (!stream)
-        return failure(Error::Code::Io, file, "can't be read");
-    const auto text = std::string(std::istreambuf_iterator<char>(stream), std::istreambuf_iterator<char>());
-    return parse(text, file);
+    return loadSettings(file, parse);
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -123,11 +123,16 @@
     armTick();
 }
 
+auto Scheduler::beat() const -> PeerBeat
+{
+    return { fleet_.version(), fleet_.directoryEnd().value_or(0), pacer_.isReachable(), draining_ };
+}
+
 auto Scheduler::sendBeat() -> void
 {
     nextBeat_ = steadyNow() + beatInterval;
     auto frame = PeerFrame {};
-    frame.beat = { fleet_.version(), fleet_.directoryEnd().value_or(0), pacer_.isReachable(), draining_ };
+    frame.beat = beat();
     mesh_->broadcast(frame);
     metrics_.setWaiting(placement_->waiting());
 }
@@ -178,7 +183,7 @@
             { "peers", std::to_string(peers_.size()) } });
     auto frame = PeerFrame {};
     frame.members = mesh_->members();
-    frame.beat = { fleet_.version(), fleet_.directoryEnd().value_or(0), pacer_.isReachable(), draining_ };
+    frame.beat = beat();
     mesh_->send(router, frame);
     routersChanged(now);
     settle();
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -64,6 +64,7 @@
     auto open() -> Result<void>;
     auto tick() -> void;
     auto armTick() -> void;
+    auto beat() const -> PeerBeat;
     auto sendBeat() -> void;
     auto callStore(Time now) -> void;
 
--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -27,10 +27,7 @@
 
 auto costOf(const Prompt& prompt) -> double
 {
-    auto output = prompt.outputLimit;
-    if (prompt.outputHint != 0)
-        output = output == 0 ? prompt.outputHint : std::min(output, prompt.outputHint);
-    return prompt.tokens + generatedTokenCost * output;
+    return prompt.tokens + generatedTokenCost * expectedOutput(prompt);
 }
 
 auto OrganisationQueues::serviceOf(Time now, const Account& account) const -> double
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -33,13 +33,6 @@
 constexpr auto readRateFactor = 1.5;
 constexpr auto fallbackReadRate = 50.0;
 
-auto scaled(Duration time, double factor) -> Duration
-{
-    return Duration(static_cast<Duration::rep>(double(time.count()) * factor));
-}
-
-auto milliTime(double time) -> Duration { return Duration(static_cast<Duration::rep>(time * 1000.0)); }
-
 } // namespace
 
 Placer::Placer(const Settings& settings)
@@ -96,7 +89,7 @@
     // The last part is the request's own; those before it are mostly kept.
     const auto own
         = request.prompt.parts.empty() ? request.prompt.tokens : request.prompt.parts.back().tokens;
-    return fixedFirstToken + milliTime(own / rate);
+    return fixedFirstToken + fromMilliseconds(own / rate);
 }
 
 auto Placer::expectedWait(Time now, const WaitingRequest& waiting) const -> Duration
@@ -203,13 +196,15 @@
             continue;
         const auto kept = engine.keptTokens(request.prompt, waiting.chains);
         const auto copies = keeper.tokens >= kept + leastCopied;
-        const auto estimate = engine.estimate(now, request.prompt, copies ? keeper.tokens : kept);
+        const auto spared = copies ? keeper.tokens : kept;
+        const auto estimate = engine.estimate(now, request.prompt, spared);
         const auto fill = double(engine.running()) / double(engine.slots());
         auto cost = estimate.backlog + scaled(estimate.reading, settings_.rereadWeight)
             + scaled(fullBatchCost, fill);
         if (copies)
             cost += copySetup
-                + milliTime(double(keeper.tokens - kept) / traits_.copiedTokensPerMs * settings_.copyWeight);
+                + fromMilliseconds(
+                    double(keeper.tokens - kept) / traits_.copiedTokensPerMs * settings_.copyWeight);
         if (hashName(engine.entry().failureDomain) != request.failureDomain)
             cost += otherDomainCost;
         if (cost < bestFreeCost
@@ -218,6 +213,8 @@
             bestFree.engine = &engine;
             bestFree.copyFrom = copies ? std::optional(keeper.upstream) : std::nullopt;
             bestFree.copied = copies ? keeper.tokens : 0;
+            bestFree.kept = spared;
+            bestFree.backlog = estimate.backlog;
         }
     }
     return bestFree;
@@ -227,10 +224,8 @@
 {
     const auto& key = waiting.request.key;
     auto& engine = *choice.engine;
-    const auto kept = std::max(engine.keptTokens(waiting.request.prompt, waiting.chains), choice.copied);
-    const auto estimate = engine.estimate(now, waiting.request.prompt, kept);
-    const auto inputs = PlacementInputs { std::chrono::duration_cast<milliseconds>(estimate.backlog), kept,
-        static_cast<std::uint32_t>(queues_.size()) };
+    const auto inputs = PlacementInputs { std::chrono::duration_cast<milliseconds>(choice.backlog),
+        choice.kept, static_cast<std::uint32_t>(queues_.size()) };
     engine.begin(now, key, waiting.request.prompt, std::move(waiting.chains), choice.copied);
     upstreamOf_[key] = engine.entry().id();
     queues_.charge(now, waiting.request.organisation, waiting.cost);
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -70,6 +70,10 @@
         /** Engine to copy the beginning of the prompt from, and how many tokens that spares. */
         std::optional<UpstreamId> copyFrom;
         std::uint32_t copied = 0;
+        /** Tokens that the engine need not read, those copied among them. */
+        std::uint32_t kept = 0;
+        /** Until it has read the prompts before. */
+        Duration backlog {};
     };
 
     /** The engine that keeps most of a prompt. */
--- a/src/libcamphorshunt/settingsreader.cpp
+++ b/src/libcamphorshunt/settingsreader.cpp
@@ -130,6 +130,12 @@
     return fallback;
 }
 
+auto SettingsReader::milliseconds(std::string_view name, std::chrono::milliseconds fallback,
+    std::uint64_t least, std::uint64_t most) -> std::chrono::milliseconds
+{
+    return std::chrono::milliseconds(number(name, static_cast<std::uint64_t>(fallback.count()), least, most));
+}
+
 auto SettingsReader::real(std::string_view name, double fallback, double least, double most) -> double
 {
     const auto* const found = value(name);
--- a/src/libcamphorshunt/settingsreader.h
+++ b/src/libcamphorshunt/settingsreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -37,6 +38,8 @@
     /** The number as given, or `fallback` when the field is missing. */
     auto number(std::string_view name, std::uint64_t fallback, std::uint64_t least, std::uint64_t most)
         -> std::uint64_t;
+    auto milliseconds(std::string_view name, std::chrono::milliseconds fallback, std::uint64_t least,
+        std::uint64_t most) -> std::chrono::milliseconds;
     auto real(std::string_view name, double fallback, double least, double most) -> double;
     auto refuse(std::string_view name, std::string message) -> void;
     auto finish() -> void;
--- a/src/libcamphorshunt/simulatedengine.cpp
+++ b/src/libcamphorshunt/simulatedengine.cpp
@@ -4,23 +4,6 @@
 
 namespace camphorshunt {
 
-namespace {
-
-auto milliTime(double milliseconds) -> Duration
-{
-    return Duration(static_cast<Duration::rep>(milliseconds * 1000.0));
-}
-
-auto sharedTokens(const Prompt& prompt) -> std::uint64_t
-{
-    auto tokens = std::uint64_t { 0 };
-    for (const auto& part : prompt.parts)
-        tokens += part.tokens;
-    return tokens;
-}
-
-} // namespace
-
 auto SimulatedEngine::submit(Time now, const PlacementKey& key, const Prompt& prompt, std::uint32_t output,
     std::uint32_t copied) -> bool
 {
@@ -33,9 +16,10 @@
     job.output = std::max(output, 1U);
     job.copied = copied;
     job.readyAt = now;
-    const auto kept = keptTokens(prompt);
+    const auto kept = keptTokens(prompt, job.chains);
     if (copied > kept && traits_.copiedTokensPerMs > 0)
-        job.readyAt += milliTime(times_.copySetupMs + double(copied - kept) / traits_.copiedTokensPerMs);
+        job.readyAt
+            += fromMilliseconds(times_.copySetupMs + double(copied - kept) / traits_.copiedTokensPerMs);
     waiting_.push_back(std::move(job));
     if (!stepEnd_)
         beginStep(now);
@@ -44,7 +28,12 @@
 
 auto SimulatedEngine::keptTokens(const Prompt& prompt) const -> std::uint32_t
 {
-    const auto chains = PromptCache::chainsOf(prompt.parts);
+    return keptTokens(prompt, PromptCache::chainsOf(prompt.parts));
+}
+
+auto SimulatedEngine::keptTokens(const Prompt& prompt, std::span<const PromptCache::Chain> chains) const
+    -> std::uint32_t
+{
     return std::min(cache_.readTokens(prompt.parts, chains), prompt.tokens);
 }
 
@@ -62,12 +51,12 @@
         auto& next = waiting_.front();
         if (next.readyAt > now)
             return;
-        const auto shared = sharedTokens(next.prompt);
-        next.privateTokens = next.prompt.tokens > shared ? next.prompt.tokens - shared : 0;
+        next.privateTokens = tokensBesideParts(next.prompt);
         const auto needed = cache_.newlyPinnedTokens(next.prompt.parts, next.chains) + next.privateTokens;
         if (!running_.empty() && memoryInUse() + needed > traits_.memoryTokens)
             return;
-        const auto kept = std::max(keptTokens(next.prompt), std::min(next.copied, next.prompt.tokens));
+        const auto kept
+            = std::max(keptTokens(next.prompt, next.chains), std::min(next.copied, next.prompt.tokens));
         // What a preempted request had generated is read again as well.
         next.unread = next.prompt.tokens - kept + next.generated;
         cache_.pin(next.prompt.parts, next.chains);
@@ -95,7 +84,7 @@
     const auto read = double(times_.chunkTokens - chunk);
     const auto length = times_.stepMs + times_.stepMsPerRequest * double(running_.size())
         + times_.stepMsPerThousandTokens * context / 1000.0 + read / times_.readTokensPerMs;
-    stepEnd_ = now + milliTime(length * slowness_);
+    stepEnd_ = now + fromMilliseconds(length * slowness_);
 }
 
 auto SimulatedEngine::endStep(Time now) -> std::vector<EngineEvent>
@@ -112,7 +101,7 @@
             continue;
         }
         const auto isFirst = job.generated++ == 0;
-        const auto at = isFirst ? now + milliTime(times_.firstTokenMs * slowness_) : now;
+        const auto at = isFirst ? now + fromMilliseconds(times_.firstTokenMs * slowness_) : now;
         if (isFirst) {
             cache_.markRead(job.chains);
             events.push_back({ job.key, EngineEvent::Kind::Started, at });
--- a/src/libcamphorshunt/simulatedengine.h
+++ b/src/libcamphorshunt/simulatedengine.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -93,6 +94,7 @@
         std::uint64_t privateTokens = 0;
     };
 
+    auto keptTokens(const Prompt& prompt, std::span<const PromptCache::Chain> chains) const -> std::uint32_t;
     auto admit(Time now) -> void;
     auto beginStep(Time now) -> void;
     auto memoryInUse() const -> std::uint64_t;
--- a/src/libnet/httpserver.cpp
+++ b/src/libnet/httpserver.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "httpserverconnection.h"
+#include "listening.h"
 
 namespace camphorshunt::net {
 
@@ -36,13 +37,7 @@
         const auto address = asio::ip::make_address(endpoint.address, error);
         const auto local = Tcp::endpoint(address, endpoint.port);
         if (!error)
-            acceptor_.open(local.protocol(), error);
-        if (!error)
-            acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-        if (!error)
-            acceptor_.bind(local, error);
-        if (!error)
-            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+            error = openAcceptor(acceptor_, local);
         if (!error)
             bound_ = acceptor_.local_endpoint(error);
         return error;
--- a/src/libnet/listening.cpp
+++ b/src/libnet/listening.cpp
@@ -14,20 +14,25 @@
     return tcp::endpoint { address, endpoint.port };
 }
 
-auto listenOn(tcp::acceptor& acceptor, const Endpoint& endpoint, std::string_view field) -> Result<void>
+auto openAcceptor(tcp::acceptor& acceptor, const tcp::endpoint& local) -> boost::system::error_code
 {
-    const auto local = tcpEndpointOf(endpoint, field);
-    if (!local)
-        return local.error();
     auto code = boost::system::error_code {};
-    acceptor.open(local.value().protocol(), code);
+    acceptor.open(local.protocol(), code);
     if (!code)
         acceptor.set_option(tcp::acceptor::reuse_address(true), code);
     if (!code)
-        acceptor.bind(local.value(), code);
+        acceptor.bind(local, code);
     if (!code)
         acceptor.listen(tcp::acceptor::max_listen_connections, code);
-    if (code)
+    return code;
+}
+
+auto listenOn(tcp::acceptor& acceptor, const Endpoint& endpoint, std::string_view field) -> Result<void>
+{
+    const auto local = tcpEndpointOf(endpoint, field);
+    if (!local)
+        return local.error();
+    if (const auto code = openAcceptor(acceptor, local.value()))
         return failure(Error::Code::Io, std::string(field), endpoint.text() + ": " + code.message());
     return boost::outcome_v2::success();
 }
--- a/src/libnet/listening.h
+++ b/src/libnet/listening.h
@@ -13,7 +13,11 @@
 auto tcpEndpointOf(const Endpoint& endpoint, std::string_view field)
     -> Result<boost::asio::ip::tcp::endpoint>;
 
-/** Opens the acceptor, binds it and listens; the error names `field` and the end point. */
+/** Opens the acceptor, binds it and listens; without an error it does. */
+auto openAcceptor(boost::asio::ip::tcp::acceptor& acceptor, const boost::asio::ip::tcp::endpoint& local)
+    -> boost::system::error_code;
+
+/** The same for an end point as settings give it; the error names `field` and the end point. */
 auto listenOn(boost::asio::ip::tcp::acceptor& acceptor, const Endpoint& endpoint, std::string_view field)
     -> Result<void>;
 
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -253,4 +253,18 @@
     return at == std::string::npos ? -1 : std::strtod(text.c_str() + at + line.size() + 2, nullptr);
 }
 
+auto withHeader(net::HttpRequest request, std::string name, std::string value) -> net::HttpRequest
+{
+    for (auto& header : request.headers) {
+        if (header.name == name) {
+            header.value = value;
+            return request;
+        }
+    }
+    request.headers.push_back({ std::move(name), std::move(value) });
+    return request;
+}
+
+auto isOwn(const Answer& answer) -> bool { return answer.header("X-Response-Signature").empty(); }
+
 } // namespace camphorshunt::test
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -90,4 +90,8 @@
     std::vector<Router> routers_;
 };
 
+auto withHeader(net::HttpRequest request, std::string name, std::string value) -> net::HttpRequest;
+/** A router gave the answer itself. */
+auto isOwn(const Answer& answer) -> bool;
+
 } // namespace camphorshunt::test
