--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -22,9 +22,6 @@
 constexpr auto flushInterval = Duration(4ms);
 /** A longer time between ticks means that this process was paused. */
 constexpr auto maxTickDelay = Duration(300ms);
-/** Minimum time between queries to peers for a newer configuration or directory. */
-constexpr auto queryInterval = Duration(150ms);
-constexpr auto staleDirectory = Duration(700ms);
 const auto readerRole = idOf<ServiceId>("store reader");
 
 template <typename Item> auto append(std::vector<Item>& to, std::vector<Item>& from) -> void
@@ -43,8 +40,17 @@
     , metrics_(metrics)
     , ready_(ready)
     , timer_(context)
-    , fleet_(log)
-    , pacer_(settings.listen.text())
+    , sync_(settings.listen.text(),
+          { .send = [this](RouterId router, const PeerFrame& frame) { mesh_->send(router, frame); },
+              .broadcast = [this](const PeerFrame& frame) { mesh_->broadcast(frame); },
+              .callStore = [this](SchedulerToStore call) { rings_.toStore.push(std::move(call)); },
+              .onFleetChanged = [this] { fleetChanged(steadyNow()); },
+              .onStoreReachabilityChanged =
+                  [this] {
+                      sendHeartbeat();
+                      routersChanged(steadyNow());
+                  } },
+          log, metrics)
 {
 }
 
@@ -116,16 +122,15 @@
     if (now >= nextHeartbeat_)
         sendHeartbeat();
     checkLiveness(now);
-    if (fleet_.removeExpired(now))
-        fleetChanged(now);
-    callStore(now);
+    sync_.tick(now, peers_.size() > 0);
     placeAndSend();
     armTick();
 }
 
 auto Scheduler::heartbeat() const -> PeerHeartbeat
 {
-    return { fleet_.version(), fleet_.directoryEnd().value_or(0), pacer_.isReachable(), draining_ };
+    const auto& fleet = sync_.fleet();
+    return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_ };
 }
 
 auto Scheduler::sendHeartbeat() -> void
@@ -137,14 +142,6 @@
     metrics_.setWaiting(placement_->waiting());
 }
 
-auto Scheduler::callStore(Time now) -> void
-{
-    const auto state = StorePacer::RouterState { fleet_.directoryEnd(), fleet_.table() != nullptr, isReader(),
-        peers_.size() > 0 };
-    for (auto& call : pacer_.dueCalls(now, state))
-        rings_.toStore.push(std::move(call));
-}
-
 auto Scheduler::liveRouters() const -> std::vector<LiveRouter>
 {
     auto live = peers_.live();
@@ -161,12 +158,13 @@
 
     auto readers = std::vector<LiveRouter> {};
     std::ranges::copy_if(live, std::back_inserter(readers), [this](const LiveRouter& candidate) {
-        return candidate.router == mesh_->self() ? pacer_.isReachable()
+        return candidate.router == mesh_->self() ? sync_.isStoreReachable()
                                                  : peers_.reachesStore(candidate.router);
     });
     const auto reader = readers.empty() ? mesh_->self() : placerOf(readerRole, readers);
     if (reader != reader_) {
         reader_ = reader;
+        sync_.setReader(reader, isReader());
         log_.write(LogLevel::Info, "store-reader",
             { { "router", std::to_string(reader.value) }, { "self", isReader() ? "true" : "false" },
                 { "live", std::to_string(live.size()) } });
@@ -221,47 +219,12 @@
         mesh_->addPeer(member);
     if (changed)
         routersChanged(now);
-    if (frame.configuration)
-        applyConfiguration(std::move(*frame.configuration), "peer");
-    if (frame.directory)
-        applyDirectoryPage(now, *frame.directory, router);
-    if (frame.heartbeat)
-        compareHeartbeat(now, router, *frame.heartbeat);
-    answerPeer(router, frame);
+    sync_.handleFrame(now, router, frame);
     if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty())
         placement_->handleFrame(now, router, frame);
     placeAndSend();
 }
 
-auto Scheduler::answerPeer(RouterId router, const PeerFrame& frame) -> void
-{
-    if (!frame.wantsConfiguration && !frame.wantsDirectory)
-        return;
-    auto answer = PeerFrame {};
-    if (frame.wantsConfiguration && fleet_.table())
-        answer.configuration = fleet_.configuration();
-    if (frame.wantsDirectory && fleet_.directoryEnd())
-        answer.directory = fleet_.directorySnapshot();
-    mesh_->send(router, answer);
-}
-
-auto Scheduler::compareHeartbeat(Time now, RouterId router, const PeerHeartbeat& heartbeat) -> void
-{
-    const auto upToDate = heartbeat.configurationVersion <= fleet_.version();
-    if (router == reader_ && heartbeat.storeReachable && upToDate)
-        pacer_.configurationConfirmed(now);
-    if (now < nextQuery_)
-        return;
-    auto query = PeerFrame {};
-    query.wantsConfiguration = !upToDate;
-    query.wantsDirectory = heartbeat.directoryEnd > fleet_.directoryEnd().value_or(0)
-        && now - pacer_.lastDirectoryUpdate() > staleDirectory;
-    if (!query.wantsConfiguration && !query.wantsDirectory)
-        return;
-    nextQuery_ = now + queryInterval;
-    mesh_->send(router, query);
-}
-
 auto Scheduler::handleMessage(RelayToScheduler message) -> void
 {
     std::visit([this](auto& item) { handle(std::move(item)); }, message);
@@ -281,95 +244,30 @@
 
 auto Scheduler::handle(const PeerReport& report) -> void { placement_->report(steadyNow(), report); }
 
-auto Scheduler::handle(DirectoryRead read) -> void
-{
-    const auto now = steadyNow();
-    const auto wasReachable = pacer_.isReachable();
-    pacer_.directoryRead(now, read.page);
-    metrics_.storeCall(static_cast<bool>(read.page));
-    handleStoreReachability(wasReachable);
-    if (!read.page)
-        return;
-    applyDirectoryPage(now, read.page.value(), std::nullopt);
-    if (!isReader())
-        return;
-    auto frame = PeerFrame {};
-    frame.directory = std::move(read.page.value());
-    mesh_->broadcast(frame);
-}
+auto Scheduler::handle(DirectoryRead read) -> void { sync_.handle(steadyNow(), std::move(read)); }
 
-auto Scheduler::handle(ConfigurationRead read) -> void
-{
-    const auto wasReachable = pacer_.isReachable();
-    pacer_.configurationRead(steadyNow(), read.content);
-    metrics_.storeCall(static_cast<bool>(read.content));
-    handleStoreReachability(wasReachable);
-    if (read.content && read.content.value().configuration)
-        applyConfiguration(std::move(*read.content.value().configuration), "store");
-}
+auto Scheduler::handle(ConfigurationRead read) -> void { sync_.handle(steadyNow(), std::move(read)); }
 
 auto Scheduler::handle(const FleetJoined& joined) -> void
 {
-    pacer_.fleetJoined(steadyNow(), static_cast<bool>(joined.endpoints));
-    metrics_.storeCall(static_cast<bool>(joined.endpoints));
+    sync_.fleetJoined(steadyNow(), static_cast<bool>(joined.endpoints));
     if (!joined.endpoints)
         return;
     for (const auto& endpoint : joined.endpoints.value())
         mesh_->addPeer(endpoint);
 }
 
-auto Scheduler::handleStoreReachability(bool wasReachable) -> void
-{
-    if (wasReachable == pacer_.isReachable())
-        return;
-    log_.write(pacer_.isReachable() ? LogLevel::Info : LogLevel::Warning,
-        pacer_.isReachable() ? "store-regained" : "store-lost",
-        { { "directory-end", std::to_string(fleet_.directoryEnd().value_or(0)) },
-            { "configuration", std::to_string(fleet_.version()) } });
-    sendHeartbeat();
-    routersChanged(steadyNow());
-}
-
-auto Scheduler::applyConfiguration(std::string json, std::string_view source) -> void
-{
-    if (!fleet_.applyConfiguration(std::move(json), source))
-        return;
-    metrics_.setConfiguration(fleet_.version());
-    if (isReader()) {
-        auto frame = PeerFrame {};
-        frame.configuration = fleet_.configuration();
-        mesh_->broadcast(frame);
-    }
-    fleetChanged(steadyNow());
-}
-
-auto Scheduler::applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from) -> void
-{
-    const auto result = fleet_.applyDirectoryPage(now, page);
-    if (result == FleetState::PageResult::Gap) {
-        if (from && now >= nextQuery_) {
-            nextQuery_ = now + queryInterval;
-            auto query = PeerFrame {};
-            query.wantsDirectory = true;
-            mesh_->send(*from, query);
-        }
-        return;
-    }
-    pacer_.directoryUpdated(now);
-    if (result == FleetState::PageResult::Changed)
-        fleetChanged(now);
-}
-
 auto Scheduler::fleetChanged(Time now) -> void
 {
-    if (!fleet_.table())
+    const auto& fleet = sync_.fleet();
+    if (!fleet.table())
         return;
-    const auto upstreams = fleet_.upstreams();
-    placement_->setFleet(now, *fleet_.table(), *upstreams);
+    const auto upstreams = fleet.upstreams();
+    placement_->setFleet(now, *fleet.table(), *upstreams);
     const auto routers = liveRouters().size();
-    rings_.toRelay.push(FleetChanged { fleet_.table(), upstreams, routers });
-    if (fleet_.directoryEnd() && !draining_ && !ready_.exchange(true))
-        log_.write(LogLevel::Info, "ready", { { "configuration", std::to_string(fleet_.version()) } });
+    rings_.toRelay.push(FleetChanged { fleet.table(), upstreams, routers });
+    if (fleet.directoryEnd() && !draining_ && !ready_.exchange(true))
+        log_.write(LogLevel::Info, "ready", { { "configuration", std::to_string(fleet.version()) } });
 }
 
 /** Places waiting requests, and sends the decisions to the relay and to peers. */
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -15,7 +15,7 @@
 #include "camphorshunt/result.h"
 #include "camphorshunt/ring.h"
 
-#include "fleetstate.h"
+#include "fleetsync.h"
 #include "peermesh.h"
 #include "peertable.h"
 #include "placementcoordinator.h"
@@ -23,7 +23,6 @@
 #include "routerlog.h"
 #include "routermetrics.h"
 #include "storegateway.h"
-#include "storepacer.h"
 
 namespace camphorshunt::router {
 
@@ -67,13 +66,10 @@
     auto armTick() -> void;
     auto heartbeat() const -> PeerHeartbeat;
     auto sendHeartbeat() -> void;
-    auto callStore(Time now) -> void;
 
     auto connected(RouterId router, const PeerHello& hello) -> void;
     auto disconnected(RouterId router, std::string_view reason) -> void;
     auto frameArrived(RouterId router, PeerFrame frame) -> void;
-    auto answerPeer(RouterId router, const PeerFrame& frame) -> void;
-    auto compareHeartbeat(Time now, RouterId router, const PeerHeartbeat& heartbeat) -> void;
     auto checkLiveness(Time now) -> void;
     auto routersChanged(Time now) -> void;
     auto liveRouters() const -> std::vector<LiveRouter>;
@@ -85,10 +81,7 @@
     auto handle(ConfigurationRead read) -> void;
     auto handle(const FleetJoined& joined) -> void;
 
-    auto applyConfiguration(std::string json, std::string_view source) -> void;
-    auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from) -> void;
     auto fleetChanged(Time now) -> void;
-    auto handleStoreReachability(bool wasReachable) -> void;
     auto placeAndSend() -> void;
     auto flushFrames() -> void;
 
@@ -99,8 +92,7 @@
     RouterMetrics& metrics_;
     std::atomic<bool>& ready_;
     boost::asio::steady_timer timer_;
-    FleetState fleet_;
-    StorePacer pacer_;
+    FleetSync sync_;
     std::unique_ptr<PeerMesh> mesh_;
     std::unique_ptr<PlacementCoordinator> placement_;
     PeerTable peers_;
@@ -110,7 +102,6 @@
     Time lastTick_ {};
     Time nextHeartbeat_ {};
     Time nextFlush_ {};
-    Time nextQuery_ {};
     bool ticksOften_ = false;
     bool draining_ = false;
 };
