Log and count how far the scheduler is behind, which router places, and how old the directory is

New: scheduler-load, placer and configuration-in-use lines; processor time in stood-still; the deciding router and the directory's age in request-end; four metrics, which outlast the lines of a busy router.

Ruled out: counting in the relay too, whose delay the lines give.

--- a/include/camphorshunt/placement.h
+++ b/include/camphorshunt/placement.h
@@ -78,6 +78,8 @@
     std::uint32_t cachedTokens = 0;
     /** Requests waiting at the placer. */
     std::uint32_t waiting = 0;
+    /** The router that decided. */
+    RouterId placer {};
 };
 
 /** The request may be sent to this engine now. */
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -141,6 +141,7 @@
     upstream_ = upstream;
     state_ = State::Sent;
     times_.sent = steadyNow();
+    directoryAge_ = times_.sent - relay_.directoryReadAt();
     lastByteAt_ = times_.sent;
     startReported_ = false;
     answer_.beginAttempt();
@@ -392,6 +393,7 @@
         .upstream = upstream_ ? std::string_view(upstream_->name) : "-",
         .sends = sends_,
         .configuration = table_ == nullptr ? 0 : table_->version(),
+        .directoryAge = directoryAge_,
         .reason = reason };
     const auto isGood = outcome == RequestOutcome::Served || outcome == RequestOutcome::Passed;
     relay_.log(
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -116,6 +116,7 @@
     bool mayHaveRun_ = false;
     bool startReported_ = false;
     std::optional<PlacementInputs> placementInputs_;
+    std::optional<Duration> directoryAge_;
 
     AnswerIntake answer_;
 };
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -44,6 +44,8 @@
     auto handle(Time now, ConfigurationRead read) -> void;
     auto fleetJoined(Time now, bool succeeded) -> void;
 
+    /** When a read of the directory was last applied, this router's own or a peer's. */
+    auto directoryReadAt() const -> Time { return pacer_.lastDirectoryUpdate(); }
     auto fleet() const -> const FleetState& { return fleet_; }
     auto isStoreReachable() const -> bool { return pacer_.isReachable(); }
 
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -50,6 +50,7 @@
         service.placer = std::make_unique<Placer>(settings_);
         service.placer->setFraction(fraction_);
         service.owner = placerOf(id, live_);
+        outputs_.placerChanges.push_back({ id, {}, service.owner });
     }
     return service;
 }
@@ -78,6 +79,7 @@
         const auto owner = placerOf(id, live_);
         if (owner == service.owner)
             continue;
+        outputs_.placerChanges.push_back({ id, service.owner, owner });
         service.owner = owner;
         if (owner == self_ && live_.size() > 1)
             service.handoverEnd = now + handoverTime;
@@ -210,11 +212,13 @@
 auto PlacementCoordinator::reportToRelay(OwnRequests::iterator own, const PeerPlacementDecision& decision)
     -> void
 {
+    const auto placer = own->second.placer;
     if (decision.upstream)
         own->second.upstream = decision.upstream;
     else
         ownRequests_.erase(own);
     outputs_.placementDecisions.push_back(decision);
+    outputs_.placementDecisions.back().inputs.placer = placer;
 }
 
 auto PlacementCoordinator::routeDecision(ServiceId service, const PlacementDecision& decision) -> void
@@ -263,4 +267,11 @@
     return count;
 }
 
+auto PlacementCoordinator::ownedServices() const -> std::size_t
+{
+    const auto owned
+        = std::ranges::count_if(services_, [this](const auto& entry) { return entry.second.owner == self_; });
+    return static_cast<std::size_t>(owned);
+}
+
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -35,10 +35,16 @@
  */
 class PlacementCoordinator {
 public:
+    struct PlacerChange {
+        ServiceId service;
+        RouterId before;
+        RouterId now;
+    };
     struct Outputs {
         /** Decisions on requests of this router, for its relay. */
         std::vector<PeerPlacementDecision> placementDecisions;
         std::map<RouterId, PeerFrame> frames;
+        std::vector<PlacerChange> placerChanges;
         /** A frame contains something that a request waits for. */
         bool urgent = false;
     };
@@ -64,6 +70,8 @@
     auto takeOutputs() -> Outputs { return std::exchange(outputs_, {}); }
     /** Number of requests that wait at this router's placers. */
     auto waiting() const -> std::size_t;
+    /** Number of services whose requests this router places. */
+    auto ownedServices() const -> std::size_t;
 
 private:
     /** A request of this router, from its placement request to its end. */
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -24,13 +24,14 @@
 } // namespace
 
 Relay::Relay(boost::asio::io_context& context, const Settings& settings, Ring<RelayToScheduler>& toScheduler,
-    RouterLog& log, RouterMetrics& metrics)
+    RouterLog& log, RouterMetrics& metrics, const SharedState& state)
     : context_(context)
     , settings_(settings)
     , failureDomain_(hashName(settings.failureDomain))
     , toScheduler_(toScheduler)
     , log_(log)
     , metrics_(metrics)
+    , state_(state)
     , acceptor_(context)
     , timer_(context)
     , pool_(context)
@@ -39,10 +40,10 @@
 }
 
 auto Relay::listen(boost::asio::io_context& context, const Settings& settings,
-    Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics)
+    Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, const SharedState& state)
     -> Result<std::unique_ptr<Relay>>
 {
-    auto relay = std::unique_ptr<Relay>(new Relay(context, settings, toScheduler, log, metrics));
+    auto relay = std::unique_ptr<Relay>(new Relay(context, settings, toScheduler, log, metrics, state));
     const auto opened = net::listenOn(relay->acceptor_, settings.listen, "listen.callers");
     if (!opened)
         return opened.error();
@@ -163,6 +164,11 @@
 
 auto Relay::handle(const FleetChanged& changed) -> void
 {
+    if (changed.table && (!table_ || changed.table->version() != table_->version())) {
+        log(LogLevel::Info, "configuration-in-use",
+            { { "version", std::to_string(changed.table->version()) },
+                { "after-ms", std::to_string(inMilliseconds(steadyNow() - changed.appliedAt).count()) } });
+    }
     table_ = changed.table;
     upstreams_ = changed.upstreams;
     routers_ = std::max<std::size_t>(1, changed.routers);
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -26,6 +26,7 @@
 #include "routerlog.h"
 #include "routermetrics.h"
 #include "servicebalancer.h"
+#include "sharedstate.h"
 #include "upstreampool.h"
 
 namespace camphorshunt::router {
@@ -45,7 +46,7 @@
     };
 
     static auto listen(boost::asio::io_context& context, const Settings& settings,
-        Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics)
+        Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, const SharedState& state)
         -> Result<std::unique_ptr<Relay>>;
 
     /** Handles a message from the scheduler. */
@@ -73,6 +74,8 @@
     auto pool() -> UpstreamPool& { return pool_; }
     auto metrics() -> RouterMetrics& { return metrics_; }
     auto failureDomain() const -> std::uint64_t { return failureDomain_; }
+    /** When a read of the directory of upstreams was last applied. */
+    auto directoryReadAt() const -> Time { return state_.directoryReadAt.load(std::memory_order_relaxed); }
     auto isDraining() const -> bool { return draining_; }
     /** Whether connections are kept after an answer: no drain, and fewer than half of `maxCallers` open. */
     auto keepsCallersAlive() const -> bool
@@ -90,7 +93,7 @@
     using Tcp = boost::asio::ip::tcp;
 
     Relay(boost::asio::io_context& context, const Settings& settings, Ring<RelayToScheduler>& toScheduler,
-        RouterLog& log, RouterMetrics& metrics);
+        RouterLog& log, RouterMetrics& metrics, const SharedState& state);
 
     auto accept() -> void;
     auto tick() -> void;
@@ -106,6 +109,7 @@
     Ring<RelayToScheduler>& toScheduler_;
     RouterLog& log_;
     RouterMetrics& metrics_;
+    const SharedState& state_;
     Tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<const RouteTable> table_;
--- a/src/camphorshuntrouter/relaymessages.h
+++ b/src/camphorshuntrouter/relaymessages.h
@@ -32,6 +32,8 @@
     std::shared_ptr<const UpstreamList> upstreams;
     /** Number of reachable routers, including this one. */
     std::size_t routers = 1;
+    /** When the scheduler applied the change. */
+    Time appliedAt {};
 };
 
 /** Starts a drain: requests in progress are completed, new connections and streams soon refused. */
--- a/src/camphorshuntrouter/requestrecord.cpp
+++ b/src/camphorshuntrouter/requestrecord.cpp
@@ -43,7 +43,8 @@
         return {};
     return { { "placer-wait-ms", std::to_string(inputs->wait.count()) },
         { "placer-kept", std::to_string(inputs->cachedTokens) },
-        { "placer-waiting", std::to_string(inputs->waiting) } };
+        { "placer-waiting", std::to_string(inputs->waiting) },
+        { "placer", std::to_string(inputs->placer.value) } };
 }
 
 } // namespace
@@ -57,6 +58,8 @@
         { "upstream", std::string(upstream) }, { "sends", std::to_string(sends) },
         { "configuration", std::to_string(configuration) } };
     std::ranges::move(times.fields(), std::back_inserter(fields));
+    if (directoryAge)
+        fields.push_back({ "directory-age-ms", std::to_string(inMilliseconds(*directoryAge).count()) });
     std::ranges::move(placementFields(placement), std::back_inserter(fields));
     if (!reason.empty())
         fields.push_back({ "reason", std::string(reason) });
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -50,6 +50,8 @@
     std::string_view upstream;
     std::uint32_t sends = 0;
     std::uint64_t configuration = 0;
+    /** Age of the directory of upstreams when the request was last sent; empty if it was not sent. */
+    std::optional<Duration> directoryAge;
     std::string_view reason;
 
     /** `placement`: the figures on which the placer based its decision; none if it made none. */
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -80,7 +80,8 @@
     relaySettings.retries = settings_.retries;
     relaySettings.maxCallers = callersLimit(settings_.descriptors);
     relaySettings.seed = seed;
-    auto relay = Relay::listen(relayThread_.context(), relaySettings, relayToScheduler_, log_, metrics_);
+    auto relay
+        = Relay::listen(relayThread_.context(), relaySettings, relayToScheduler_, log_, metrics_, state_);
     if (!relay)
         return relay.error();
     relay_ = std::move(relay.value());
@@ -92,14 +93,14 @@
     schedulerSettings.incarnation = seed;
     schedulerSettings.placing.seed = seed + 1;
     auto scheduler = Scheduler::create(schedulerThread_.context(), schedulerSettings,
-        { schedulerToRelay_, schedulerToStore_ }, log_, metrics_, ready_);
+        { schedulerToRelay_, schedulerToStore_ }, log_, metrics_, state_);
     if (!scheduler)
         return scheduler.error();
     scheduler_ = std::move(scheduler.value());
 
     store_ = std::make_unique<StoreGateway>(storeThread_.context(), settings_.store, storeToScheduler_);
-    auto telemetry = TelemetryServer::listen(
-        telemetryThread_.context(), { settings_.readiness, settings_.metrics }, ready_, registry_, log_);
+    auto telemetry = TelemetryServer::listen(telemetryThread_.context(),
+        { settings_.readiness, settings_.metrics }, state_.ready, registry_, log_);
     if (!telemetry)
         return telemetry.error();
     telemetry_ = std::move(telemetry.value());
@@ -189,7 +190,7 @@
     if (std::exchange(draining_, true))
         return;
     log_.write(LogLevel::Info, "drain", { { "name", settings_.name } });
-    ready_ = false;
+    state_.ready = false;
     drainBegan_ = std::chrono::steady_clock::now();
     boost::asio::post(schedulerThread_.context(), [this] { scheduler_->startDrain(); });
     boost::asio::post(relayThread_.context(), [this] { relay_->handleMessage(StartDrain {}); });
--- a/src/camphorshuntrouter/router.h
+++ b/src/camphorshuntrouter/router.h
@@ -17,6 +17,7 @@
 #include "routermetrics.h"
 #include "routersettings.h"
 #include "scheduler.h"
+#include "sharedstate.h"
 #include "storegateway.h"
 #include "telemetryserver.h"
 #include "worker.h"
@@ -68,7 +69,7 @@
     prometheus::Registry registry_;
     RouterMetrics metrics_ { registry_ };
     RouterLog log_;
-    std::atomic<bool> ready_ = false;
+    SharedState state_;
     /** Requests in progress, as last counted by the relay during a drain. */
     std::atomic<std::size_t> busy_ = 0;
 
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -6,12 +6,17 @@
 
 using prometheus::Registry;
 
+using Buckets = prometheus::Histogram::BucketBoundaries;
+
 /** Upper bounds in seconds, from a fast plain call to the longest stream. */
-auto timeBuckets() -> prometheus::Histogram::BucketBoundaries
+auto timeBuckets() -> Buckets
 {
     return { 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 3, 5, 8, 15 };
 }
 
+/** Upper bounds in seconds, from one step of the scheduler to a stall of several heartbeats. */
+auto stepBuckets() -> Buckets { return { 0.0002, 0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 3 }; }
+
 auto counters(Registry& registry, const char* name, const char* help)
     -> prometheus::Family<prometheus::Counter>*
 {
@@ -23,9 +28,10 @@
     return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
 }
 
-auto histogram(Registry& registry, const char* name, const char* help) -> prometheus::Histogram*
+auto histogram(Registry& registry, const char* name, const char* help, const Buckets& buckets)
+    -> prometheus::Histogram*
 {
-    return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, timeBuckets());
+    return &prometheus::BuildHistogram().Name(name).Help(help).Register(registry).Add({}, buckets);
 }
 
 auto seconds(Duration time) -> double { return std::chrono::duration<double>(time).count(); }
@@ -42,14 +48,22 @@
     , refusals_(counters(registry, "router_refusals_total", "Requests refused by the placer, by reason"))
     , attempts_(counters(registry, "router_attempts_total", "Requests sent to upstreams, by how they ended"))
     , storeCalls_(counters(registry, "router_store_calls_total", "Calls to the platform's store, by result"))
-    , requestTime_(histogram(registry, "router_request_seconds", "From a request to the end of its answer"))
-    , firstByteTime_(
-          histogram(registry, "router_first_byte_seconds", "From a request to the first byte of its answer"))
+    , requestTime_(histogram(
+          registry, "router_request_seconds", "From a request to the end of its answer", timeBuckets()))
+    , firstByteTime_(histogram(registry, "router_first_byte_seconds",
+          "From a request to the first byte of its answer", timeBuckets()))
     , connectionsOpened_(
           gauge(registry, "router_upstream_connections_opened", "Connections made to upstreams"))
     , routers_(gauge(registry, "router_routers_in_touch", "Routers in touch, this one among them"))
     , configuration_(gauge(registry, "router_configuration_version", "Version of the configuration in force"))
     , waiting_(gauge(registry, "router_requests_waiting", "Requests that wait at this router's placers"))
+    , ownedServices_(gauge(registry, "router_services_placed", "Services whose requests this router places"))
+    , directoryAge_(gauge(registry, "router_directory_age_seconds",
+          "Time since a read of the upstream directory was applied"))
+    , schedulerLateTime_(histogram(
+          registry, "router_scheduler_late_seconds", "Delay of the scheduler's ticks", stepBuckets()))
+    , placingPassTime_(histogram(
+          registry, "router_placing_pass_seconds", "Time of one pass that places requests", stepBuckets()))
 {
 }
 
@@ -76,4 +90,10 @@
     storeCalls_->Add(label("result", succeeded ? "ok" : "failed")).Increment();
 }
 
+auto RouterMetrics::setDirectoryAge(Duration age) -> void { directoryAge_->Set(seconds(age)); }
+
+auto RouterMetrics::schedulerTick(Duration late) -> void { schedulerLateTime_->Observe(seconds(late)); }
+
+auto RouterMetrics::placingPass(Duration time) -> void { placingPassTime_->Observe(seconds(time)); }
+
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -28,6 +28,11 @@
     auto setRouters(std::size_t count) -> void { routers_->Set(double(count)); }
     auto setConfiguration(std::uint64_t version) -> void { configuration_->Set(double(version)); }
     auto setWaiting(std::size_t count) -> void { waiting_->Set(double(count)); }
+    auto setOwnedServices(std::size_t count) -> void { ownedServices_->Set(double(count)); }
+    auto setDirectoryAge(Duration age) -> void;
+    /** `late`: time from when a tick of the scheduler was due. */
+    auto schedulerTick(Duration late) -> void;
+    auto placingPass(Duration time) -> void;
 
 private:
     prometheus::Family<prometheus::Counter>* requests_;
@@ -40,6 +45,10 @@
     prometheus::Gauge* routers_;
     prometheus::Gauge* configuration_;
     prometheus::Gauge* waiting_;
+    prometheus::Gauge* ownedServices_;
+    prometheus::Gauge* directoryAge_;
+    prometheus::Histogram* schedulerLateTime_;
+    prometheus::Histogram* placingPassTime_;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduler.h"
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -24,6 +25,11 @@
 constexpr auto maxTickDelay = Duration(300ms);
 const auto readerRole = idOf<ServiceId>("store reader");
 
+/** A scheduler whose ticks are delayed by less is not reported while no request waits. */
+constexpr auto reportedDelay = Duration(50ms);
+
+auto milliseconds(Duration time) -> std::string { return std::to_string(inMilliseconds(time).count()); }
+
 template <typename Item> auto append(std::vector<Item>& to, std::vector<Item>& from) -> void
 {
     std::ranges::move(from, std::back_inserter(to));
@@ -32,13 +38,13 @@
 } // namespace
 
 Scheduler::Scheduler(boost::asio::io_context& context, const Settings& settings, const Rings& rings,
-    RouterLog& log, RouterMetrics& metrics, std::atomic<bool>& ready)
+    RouterLog& log, RouterMetrics& metrics, SharedState& state)
     : context_(context)
     , settings_(settings)
     , rings_(rings)
     , log_(log)
     , metrics_(metrics)
-    , ready_(ready)
+    , state_(state)
     , timer_(context)
     , sync_(settings.listen.text(),
           { .send = [this](RouterId router, const PeerFrame& frame) { mesh_->send(router, frame); },
@@ -55,9 +61,9 @@
 }
 
 auto Scheduler::create(boost::asio::io_context& context, const Settings& settings, const Rings& rings,
-    RouterLog& log, RouterMetrics& metrics, std::atomic<bool>& ready) -> Result<std::unique_ptr<Scheduler>>
+    RouterLog& log, RouterMetrics& metrics, SharedState& state) -> Result<std::unique_ptr<Scheduler>>
 {
-    auto scheduler = std::unique_ptr<Scheduler>(new Scheduler(context, settings, rings, log, metrics, ready));
+    auto scheduler = std::unique_ptr<Scheduler>(new Scheduler(context, settings, rings, log, metrics, state));
     const auto opened = scheduler->open();
     if (!opened)
         return opened.error();
@@ -94,7 +100,7 @@
 auto Scheduler::startDrain() -> void
 {
     draining_ = true;
-    ready_ = false;
+    state_.ready = false;
     routersChanged(steadyNow());
     sendHeartbeat();
     placeAndSend();
@@ -115,9 +121,12 @@
     const auto now = steadyNow();
     if (lastTick_ != Time {} && now - lastTick_ > maxTickDelay) {
         log_.write(LogLevel::Warning, "stood-still",
-            { { "ms", std::to_string(inMilliseconds(now - lastTick_).count()) } });
+            { { "ms", milliseconds(now - lastTick_) },
+                { "processor-ms", milliseconds(load_.processorSinceTick()) },
+                { "waiting", std::to_string(placement_->waiting()) } });
         peers_.resetSilence(now);
     }
+    reportLoad(now);
     lastTick_ = now;
     if (now >= nextHeartbeat_)
         sendHeartbeat();
@@ -127,6 +136,29 @@
     armTick();
 }
 
+auto Scheduler::reportLoad(Time now) -> void
+{
+    const auto due = timer_.expiry();
+    const auto late = lastTick_ == Time {}
+        ? Duration {}
+        : std::max(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - due), Duration {});
+    metrics_.schedulerTick(late);
+    const auto report = load_.tick(now, late);
+    if (!report)
+        return;
+    const auto directoryReadAt = state_.directoryReadAt.load();
+    if (directoryReadAt != Time {})
+        metrics_.setDirectoryAge(now - directoryReadAt);
+    metrics_.setOwnedServices(placement_->ownedServices());
+    if (placement_->waiting() == 0 && report->late < reportedDelay)
+        return;
+    log_.write(LogLevel::Info, "scheduler-load",
+        { { "late-ms", milliseconds(report->late) }, { "processor-ms", milliseconds(report->processor) },
+            { "placing-ms", milliseconds(report->placing) }, { "passes", std::to_string(report->passes) },
+            { "frames", std::to_string(report->frames) },
+            { "waiting", std::to_string(placement_->waiting()) } });
+}
+
 auto Scheduler::heartbeat() const -> PeerHeartbeat
 {
     const auto& fleet = sync_.fleet();
@@ -177,8 +209,8 @@
     const auto now = steadyNow();
     peers_.connected(now, router, hello);
     log_.write(LogLevel::Info, "peer-connected",
-        { { "peer", hello.endpoint }, { "run", std::to_string(hello.incarnation) },
-            { "peers", std::to_string(peers_.size()) } });
+        { { "peer", hello.endpoint }, { "router", std::to_string(router.value) },
+            { "run", std::to_string(hello.incarnation) }, { "peers", std::to_string(peers_.size()) } });
     auto frame = PeerFrame {};
     frame.members = mesh_->members();
     frame.heartbeat = heartbeat();
@@ -214,12 +246,14 @@
 auto Scheduler::frameArrived(RouterId router, PeerFrame frame) -> void
 {
     const auto now = steadyNow();
+    load_.frameHandled();
     const auto changed = peers_.updateLastSeen(now, router, frame.heartbeat);
     for (const auto& member : frame.members)
         mesh_->addPeer(member);
     if (changed)
         routersChanged(now);
     sync_.handleFrame(now, router, frame);
+    state_.directoryReadAt = sync_.directoryReadAt();
     if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty())
         placement_->handleFrame(now, router, frame);
     placeAndSend();
@@ -244,7 +278,11 @@
 
 auto Scheduler::handle(const PeerReport& report) -> void { placement_->report(steadyNow(), report); }
 
-auto Scheduler::handle(DirectoryRead read) -> void { sync_.handle(steadyNow(), std::move(read)); }
+auto Scheduler::handle(DirectoryRead read) -> void
+{
+    sync_.handle(steadyNow(), std::move(read));
+    state_.directoryReadAt = sync_.directoryReadAt();
+}
 
 auto Scheduler::handle(ConfigurationRead read) -> void { sync_.handle(steadyNow(), std::move(read)); }
 
@@ -265,17 +303,33 @@
     const auto upstreams = fleet.upstreams();
     placement_->setFleet(now, *fleet.table(), *upstreams);
     const auto routers = liveRouters().size();
-    rings_.toRelay.push(FleetChanged { fleet.table(), upstreams, routers });
-    if (fleet.directoryEnd() && !draining_ && !ready_.exchange(true))
+    rings_.toRelay.push(FleetChanged { fleet.table(), upstreams, routers, now });
+    if (fleet.directoryEnd() && !draining_ && !state_.ready.exchange(true))
         log_.write(LogLevel::Info, "ready", { { "configuration", std::to_string(fleet.version()) } });
 }
 
+auto Scheduler::logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void
+{
+    for (const auto& change : changes) {
+        log_.write(LogLevel::Info, "placer",
+            { { "service", std::to_string(change.service.value) },
+                { "router", std::to_string(change.now.value) },
+                { "before", std::to_string(change.before.value) },
+                { "self", change.now == mesh_->self() ? "true" : "false" } });
+    }
+}
+
 /** Places waiting requests, and sends the decisions to the relay and to peers. */
 auto Scheduler::placeAndSend() -> void
 {
     const auto now = steadyNow();
     placement_->placeWaiting(now);
+    const auto passTime = steadyNow() - now;
+    load_.passDone(passTime);
+    if (placement_->ownedServices() > 0)
+        metrics_.placingPass(passTime);
     auto outputs = placement_->takeOutputs();
+    logPlacerChanges(outputs.placerChanges);
     for (auto& decision : outputs.placementDecisions)
         rings_.toRelay.push(PlacementDecided { decision });
     for (auto& [router, frame] : outputs.frames) {
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -22,6 +21,8 @@
 #include "relaymessages.h"
 #include "routerlog.h"
 #include "routermetrics.h"
+#include "schedulerload.h"
+#include "sharedstate.h"
 #include "storegateway.h"
 
 namespace camphorshunt::router {
@@ -48,8 +49,7 @@
     };
 
     static auto create(boost::asio::io_context& context, const Settings& settings, const Rings& rings,
-        RouterLog& log, RouterMetrics& metrics, std::atomic<bool>& ready)
-        -> Result<std::unique_ptr<Scheduler>>;
+        RouterLog& log, RouterMetrics& metrics, SharedState& state) -> Result<std::unique_ptr<Scheduler>>;
 
     auto handleMessage(RelayToScheduler message) -> void;
     auto handleMessage(StoreToScheduler message) -> void;
@@ -59,7 +59,7 @@
 
 private:
     Scheduler(boost::asio::io_context& context, const Settings& settings, const Rings& rings, RouterLog& log,
-        RouterMetrics& metrics, std::atomic<bool>& ready);
+        RouterMetrics& metrics, SharedState& state);
 
     auto open() -> Result<void>;
     auto tick() -> void;
@@ -82,6 +82,8 @@
     auto handle(const FleetJoined& joined) -> void;
 
     auto fleetChanged(Time now) -> void;
+    auto logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void;
+    auto reportLoad(Time now) -> void;
     auto placeAndSend() -> void;
     auto flushFrames() -> void;
 
@@ -90,7 +92,7 @@
     Rings rings_;
     RouterLog& log_;
     RouterMetrics& metrics_;
-    std::atomic<bool>& ready_;
+    SharedState& state_;
     boost::asio::steady_timer timer_;
     FleetSync sync_;
     std::unique_ptr<PeerMesh> mesh_;
@@ -99,6 +101,7 @@
     /** Non-urgent frames; sent with the next urgent one, or after the flush interval. */
     std::map<RouterId, PeerFrame> unsent_;
     RouterId reader_;
+    SchedulerLoad load_;
     Time lastTick_ {};
     Time nextHeartbeat_ {};
     Time nextFlush_ {};
