Search only engines with room, and the holders of a prompt part by an index, when placing

Cause: a pass of the placer searched all engines of the service, twice, for each of up to 192 waiting requests, whether or not any engine had room, and ran for each frame that arrived: 0.5 to 0.8 ms a frame with 140 engines. Class: work for an event that grows with the backlog, so that a late thread gets later. The scheduler of the placing router fell seconds behind, and the directory, the configuration and its heartbeats waited behind frames of requests.

Change: a pass lists the engines with room once and ends when there are none; the holder of the longest prefilled beginning of a prompt comes from an index that the engines' caches keep; accounts of service compare without decaying each; late requests are looked for when the first is due; a request is removed by its organisation and place.

Ruled out: a smaller limit of scans (24 of 140 engines' requests would wait unseen), and passes at intervals (the cost of one would stay).

Election and silence of late routers are still as they were.

--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -46,11 +46,14 @@
 
 } // namespace
 
-EngineModel::EngineModel(UpstreamEntry entry, const EngineTraits& traits, double prefillTokensPerMs)
+EngineModel::EngineModel(
+    UpstreamEntry entry, const EngineTraits& traits, double prefillTokensPerMs, PromptCacheIndex& index)
     : entry_(std::move(entry))
+    , failureDomain_(hashName(entry_.failureDomain))
     , traits_(traits)
     , prefillRate_(std::clamp(prefillTokensPerMs, minPrefillRate, maxPrefillRate))
     , lag_(initialLag)
+    , cache_(index, entry_.id())
 {
 }
 
@@ -58,6 +61,7 @@
 {
     const auto restarted = entry.startedAt != entry_.startedAt || entry.endpoint != entry_.endpoint;
     entry_ = std::move(entry);
+    failureDomain_ = hashName(entry_.failureDomain);
     if (!restarted)
         return;
     running_.clear();
@@ -111,16 +115,16 @@
     return { backlog(now), prefillTime(double(prompt.tokens - cached)) };
 }
 
-auto EngineModel::admits(Time now, const Prompt& prompt, std::span<const PromptCache::Chain> chains,
-    Duration backlogLimit) const -> bool
+auto EngineModel::hasRoom(Time now, Duration backlogLimit) const -> bool
 {
-    if (entry_.draining || isSuspended(now) || running_.size() >= slots())
-        return false;
-    if (isOnProbation())
-        return false;
-    if (!pendingPrefills_.empty()
-        && (fraction_ < 1.0 || backlog(now) > backlogLimit + tripsAhead * extraLag()))
+    if (entry_.draining || isSuspended(now) || isOnProbation() || running_.size() >= slots())
         return false;
+    return pendingPrefills_.empty()
+        || (fraction_ >= 1.0 && backlog(now) <= backlogLimit + tripsAhead * extraLag());
+}
+
+auto EngineModel::hasMemoryFor(const Prompt& prompt, std::span<const PromptCache::Chain> chains) const -> bool
+{
     if (traits_.memoryTokens == 0 || running_.empty())
         return true;
     const auto needed = cache_.pinnedTokens() + cache_.newlyPinnedTokens(prompt.parts, chains)
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -29,7 +29,9 @@
  */
 class EngineModel {
 public:
-    EngineModel(UpstreamEntry entry, const EngineTraits& traits, double prefillTokensPerMs);
+    /** `index` lists the engine's prefilled parts; it must outlive the model. */
+    EngineModel(
+        UpstreamEntry entry, const EngineTraits& traits, double prefillTokensPerMs, PromptCacheIndex& index);
 
     auto entry() const -> const UpstreamEntry& { return entry_; }
     auto setEntry(Time now, UpstreamEntry entry) -> void;
@@ -48,11 +50,12 @@
     /** `cached`: tokens of the prompt that need no prefill on this engine. */
     auto estimate(Time now, const Prompt& prompt, std::uint32_t cached) const -> PlacementEstimate;
     /**
-     * True if a slot and memory are free and the pending prefills take at most `backlogLimit`, plus the extra
-     * time that a request to the engine and the reports from it are in flight.
+     * True if the engine may be used, a slot is free and the pending prefills take at most `backlogLimit`,
+     * plus the extra time that a request to the engine and the reports from it are in flight.
      */
-    auto admits(Time now, const Prompt& prompt, std::span<const PromptCache::Chain> chains,
-        Duration backlogLimit) const -> bool;
+    auto hasRoom(Time now, Duration backlogLimit) const -> bool;
+    /** True if the prompt fits the free memory. */
+    auto hasMemoryFor(const Prompt& prompt, std::span<const PromptCache::Chain> chains) const -> bool;
     /** True if the prompt exceeds the engine's memory even when the engine is idle. */
     auto isTooSmallFor(const Prompt& prompt) const -> bool;
 
@@ -78,6 +81,10 @@
      * it did. */
     auto checkOverdue(Time now) -> bool;
 
+    /** Empties the cache, also in the index. Call it before the model is destroyed. */
+    auto clearCache() -> void { cache_.clear(); }
+
+    auto failureDomain() const -> std::uint64_t { return failureDomain_; }
     auto running() const -> std::size_t { return running_.size(); }
     auto slots() const -> std::size_t;
     auto prefillTokensPerMs() const -> double { return prefillRate_; }
@@ -109,6 +116,8 @@
     auto suspend(Time now, Duration minLength) -> void;
 
     UpstreamEntry entry_;
+    /** Hash of the entry's failure domain. */
+    std::uint64_t failureDomain_;
     EngineTraits traits_;
     double fraction_ = 1.0;
     double prefillRate_;
--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -19,6 +19,11 @@
  * fair down to one half; the difference leaves room for one large request. */
 constexpr auto underservedShare = 0.7;
 
+/** Accounts are kept in units that grow with time; they are restarted after this many windows. */
+constexpr auto maxEpochWindows = 8;
+/** Accounts with less service, in tokens, are dropped. */
+constexpr auto minService = 1.0;
+
 auto urgency(const WaitingRequest& waiting) -> std::tuple<std::uint32_t, Time>
 {
     return { waiting.request.priority, waiting.request.goal };
@@ -31,55 +36,89 @@
     return prompt.tokens + generatedTokenCost * expectedOutput(prompt);
 }
 
-auto OrganisationQueues::recentServiceOf(Time now, const Account& account) const -> double
+auto OrganisationQueues::unit(Time now) const -> double
 {
-    const auto age = std::chrono::duration<double>(now - account.chargedAt);
-    return account.service * std::exp(-age / std::chrono::duration<double>(window_));
+    return std::exp(std::chrono::duration<double>(now - epoch_) / std::chrono::duration<double>(window_));
+}
+
+auto OrganisationQueues::rebase(Time now) -> void
+{
+    const auto factor = 1.0 / unit(now);
+    epoch_ = now;
+    for (auto& [id, account] : accounts_)
+        account.service *= factor;
+    absl::erase_if(accounts_,
+        [](const auto& entry) { return entry.second.waiting.empty() && entry.second.service < minService; });
+}
+
+auto OrganisationQueues::bestService() const -> double
+{
+    auto best = 0.0;
+    for (const auto& [id, account] : accounts_)
+        best = std::max(best, account.service);
+    return best;
 }
 
 auto OrganisationQueues::add(Time now, WaitingRequest waiting) -> void
 {
     waiting.queuedAt = now;
+    organisationOf_[waiting.request.key] = waiting.request.organisation;
     auto& account = accounts_[waiting.request.organisation];
     account.waitingCost += waiting.cost;
     const auto place = std::ranges::upper_bound(account.waiting, urgency(waiting), {}, urgency);
     account.waiting.insert(place, std::move(waiting));
-    ++size_;
 }
 
 auto OrganisationQueues::remove(const PlacementKey& key) -> std::optional<WaitingRequest>
 {
-    auto removed = removeIf([&key](const WaitingRequest& waiting) { return waiting.request.key == key; });
-    if (removed.empty())
+    const auto found = organisationOf_.find(key);
+    if (found == organisationOf_.end())
         return std::nullopt;
-    return std::move(removed.front());
+    const auto organisation = found->second;
+    const auto& waiting = accounts_[organisation].waiting;
+    const auto place = std::ranges::find_if(
+        waiting, [&key](const WaitingRequest& candidate) { return candidate.request.key == key; });
+    return take(organisation, static_cast<std::size_t>(place - waiting.begin()));
+}
+
+auto OrganisationQueues::take(OrganisationId organisation, std::size_t position) -> WaitingRequest
+{
+    auto& account = accounts_[organisation];
+    const auto place = account.waiting.begin() + static_cast<std::ptrdiff_t>(position);
+    auto taken = std::move(*place);
+    account.waiting.erase(place);
+    account.waitingCost = account.waiting.empty() ? 0 : account.waitingCost - taken.cost;
+    organisationOf_.erase(taken.request.key);
+    return taken;
 }
 
 auto OrganisationQueues::charge(Time now, OrganisationId organisation, double cost) -> void
 {
+    if (now - epoch_ > maxEpochWindows * window_)
+        rebase(now);
     auto best = 0.0;
     for (const auto& [id, other] : accounts_) {
         if (id != organisation)
-            best = std::max(best, recentServiceOf(now, other));
+            best = std::max(best, other.service);
     }
-    auto& account = accounts_[organisation];
-    const auto before = recentServiceOf(now, account);
-    account.service = std::max(before, std::min(before + cost, maxAdvance * best + cost));
-    account.chargedAt = now;
+    const auto charged = cost * unit(now);
+    auto& service = accounts_[organisation].service;
+    service = std::max(service, std::min(service + charged, maxAdvance * best + charged));
 }
 
-auto OrganisationQueues::leastServedFirst(Time now) -> std::vector<OrganisationId>
+auto OrganisationQueues::leastServedFirst() const -> std::vector<Backlogged>
 {
-    auto backlogged = std::vector<std::pair<double, OrganisationId>> {};
+    auto byService = std::vector<std::pair<double, OrganisationId>> {};
     for (const auto& [id, account] : accounts_) {
         if (!account.waiting.empty())
-            backlogged.emplace_back(recentServiceOf(now, account), id);
+            byService.emplace_back(account.service, id);
     }
-    std::ranges::sort(backlogged);
-    auto order = std::vector<OrganisationId> {};
-    order.reserve(backlogged.size());
-    for (const auto& [service, id] : backlogged)
-        order.push_back(id);
+    std::ranges::sort(byService);
+    const auto limit = underservedShare * bestService();
+    auto order = std::vector<Backlogged> {};
+    order.reserve(byService.size());
+    for (const auto& [service, id] : byService)
+        order.push_back({ id, service < limit });
     return order;
 }
 
@@ -91,6 +130,7 @@
 auto OrganisationQueues::costAhead(Time now, const WaitingRequest& waiting) const -> double
 {
     const auto organisation = waiting.request.organisation;
+    const auto perToken = unit(now);
     auto ahead = 0.0;
     auto level = waiting.cost;
     const auto found = accounts_.find(organisation);
@@ -99,45 +139,29 @@
             if (urgency(other) <= urgency(waiting))
                 ahead += other.cost;
         }
-        level += recentServiceOf(now, found->second) + ahead;
+        level += found->second.service / perToken + ahead;
     }
     for (const auto& [id, account] : accounts_) {
         if (id != organisation && !account.waiting.empty())
-            ahead += std::clamp(level - recentServiceOf(now, account), 0.0, account.waitingCost);
+            ahead += std::clamp(level - account.service / perToken, 0.0, account.waitingCost);
     }
     return ahead;
 }
 
-auto OrganisationQueues::isUnderserved(Time now, OrganisationId organisation) const -> bool
+auto OrganisationQueues::isUnderserved(OrganisationId organisation) const -> bool
 {
-    auto best = 0.0;
-    for (const auto& [id, account] : accounts_)
-        best = std::max(best, recentServiceOf(now, account));
     const auto found = accounts_.find(organisation);
-    return found == accounts_.end() || recentServiceOf(now, found->second) < underservedShare * best;
+    return found == accounts_.end() || found->second.service < underservedShare * bestService();
 }
 
-auto OrganisationQueues::removeIf(const std::function<bool(const WaitingRequest&)>& matches) -> WaitingList
+auto OrganisationQueues::firstRefusal() const -> std::optional<Time>
 {
-    auto removed = WaitingList {};
-    for (auto& [id, account] : accounts_) {
-        auto kept = account.waiting.begin();
-        for (auto next = account.waiting.begin(); next != account.waiting.end(); ++next) {
-            if (matches(*next)) {
-                account.waitingCost -= next->cost;
-                removed.push_back(std::move(*next));
-                continue;
-            }
-            if (kept != next)
-                *kept = std::move(*next);
-            ++kept;
-        }
-        account.waiting.erase(kept, account.waiting.end());
-        if (account.waiting.empty())
-            account.waitingCost = 0;
+    auto first = std::optional<Time> {};
+    for (const auto& [id, account] : accounts_) {
+        for (const auto& waiting : account.waiting)
+            first = std::min(first.value_or(waiting.refuseAt), waiting.refuseAt);
     }
-    size_ -= removed.size();
-    return removed;
+    return first;
 }
 
 } // namespace camphorshunt
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include <concepts>
 #include <cstdint>
-#include <functional>
 #include <optional>
 #include <vector>
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 
 #include "camphorshunt/placement.h"
 
@@ -22,6 +23,8 @@
     Time queuedAt;
     /** Latest time of placement at which the request can still be on time. */
     Time latestStart;
+    /** Time at which the request is refused if it still waits. */
+    Time refuseAt;
 };
 
 /** Cost of a request: its prompt tokens plus twice its expected output tokens. */
@@ -44,10 +47,17 @@
 
     auto add(Time now, WaitingRequest waiting) -> void;
     auto remove(const PlacementKey& key) -> std::optional<WaitingRequest>;
+    /** Removes a request by its position in `waitingOf(organisation)`. */
+    auto take(OrganisationId organisation, std::size_t position) -> WaitingRequest;
     auto charge(Time now, OrganisationId organisation, double cost) -> void;
 
+    struct Backlogged {
+        OrganisationId organisation;
+        /** Its recent service is well below that of the best served one. */
+        bool underserved = false;
+    };
     /** Organisations with waiting requests, least recent service first. */
-    auto leastServedFirst(Time now) -> std::vector<OrganisationId>;
+    auto leastServedFirst() const -> std::vector<Backlogged>;
     auto waitingOf(OrganisationId organisation) -> WaitingList&;
     /**
      * Cost of the requests to be served, at equal shares, before a new request: those of its organisation
@@ -57,25 +67,55 @@
     auto costAhead(Time now, const WaitingRequest& waiting) const -> double;
 
     /** True if the organisation's recent service is well below that of the best served one. */
-    auto isUnderserved(Time now, OrganisationId organisation) const -> bool;
+    auto isUnderserved(OrganisationId organisation) const -> bool;
 
-    auto size() const -> std::size_t { return size_; }
-    auto removeIf(const std::function<bool(const WaitingRequest&)>& matches) -> WaitingList;
+    auto size() const -> std::size_t { return organisationOf_.size(); }
+    template <std::predicate<const WaitingRequest&> Matches> auto removeIf(Matches matches) -> WaitingList;
+    /** The earliest `refuseAt` of the waiting requests; none if none wait. */
+    auto firstRefusal() const -> std::optional<Time>;
 
 private:
     struct Account {
         WaitingList waiting;
         double waitingCost = 0;
-        /** Service as of `chargedAt`. */
+        /** Recent service, in units of `unit`, so that accounts compare without decaying each. */
         double service = 0;
-        Time chargedAt {};
     };
 
-    auto recentServiceOf(Time now, const Account& account) const -> double;
+    /** Value of one token of service at `now` in the units of the accounts; doubles every `window * ln 2`. */
+    auto unit(Time now) const -> double;
+    /** Restarts the units at `now` and drops accounts without service. */
+    auto rebase(Time now) -> void;
+    auto bestService() const -> double;
 
     Duration window_;
     absl::btree_map<OrganisationId, Account> accounts_;
-    std::size_t size_ = 0;
+    absl::flat_hash_map<PlacementKey, OrganisationId> organisationOf_;
+    Time epoch_ {};
 };
 
+template <std::predicate<const WaitingRequest&> Matches>
+auto OrganisationQueues::removeIf(Matches matches) -> WaitingList
+{
+    auto removed = WaitingList {};
+    for (auto& [id, account] : accounts_) {
+        auto kept = account.waiting.begin();
+        for (auto next = account.waiting.begin(); next != account.waiting.end(); ++next) {
+            if (matches(*next)) {
+                account.waitingCost -= next->cost;
+                organisationOf_.erase(next->request.key);
+                removed.push_back(std::move(*next));
+                continue;
+            }
+            if (kept != next)
+                *kept = std::move(*next);
+            ++kept;
+        }
+        account.waiting.erase(kept, account.waiting.end());
+        if (account.waiting.empty())
+            account.waitingCost = 0;
+    }
+    return removed;
+}
+
 } // namespace camphorshunt
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -34,6 +34,13 @@
 /** Tokens per millisecond, used if the throughput of the service is not configured. */
 constexpr auto fallbackPrefillRate = 50.0;
 
+/** An attempt of the request has failed at the engine. */
+auto isAvoided(const PlacementRequest& request, const EngineModel& engine) -> bool
+{
+    return !request.avoid.empty()
+        && std::ranges::find(request.avoid, engine.entry().id()) != request.avoid.end();
+}
+
 } // namespace
 
 Placer::Placer(const Settings& settings)
@@ -63,12 +70,17 @@
     auto listed = absl::flat_hash_set<UpstreamId> {};
     for (const auto& entry : entries)
         listed.insert(entry.id());
-    absl::erase_if(engines_, [&listed](const auto& engine) { return !listed.contains(engine.first); });
+    absl::erase_if(engines_, [&listed](auto& engine) {
+        if (listed.contains(engine.first))
+            return false;
+        engine.second.clearCache();
+        return true;
+    });
     absl::erase_if(upstreamOf_, [this](const auto& placed) { return !engines_.contains(placed.second); });
 
     const auto rate = initialPrefillRate(listed.size());
     for (const auto& entry : entries) {
-        auto& engine = engines_.try_emplace(entry.id(), entry, traits_, rate).first->second;
+        auto& engine = engines_.try_emplace(entry.id(), entry, traits_, rate, *cacheIndex_).first->second;
         engine.setEntry(now, entry);
         engine.setFraction(fraction_);
     }
@@ -121,13 +133,15 @@
     waiting.latestStart = waiting.request.goal - firstTokenTimeOf(waiting.request);
     const auto wait = expectedWait(now, waiting);
     // A request of an underserved organisation is not refused merely because it will be late.
-    const auto latest = queues_.isUnderserved(now, waiting.request.organisation)
+    const auto latest = queues_.isUnderserved(waiting.request.organisation)
         ? std::max(waiting.latestStart, now) + settings_.maxLateness
         : waiting.latestStart;
     if (wait > Duration {} && now + wait > latest) {
         refuse(now, waiting, RefusalReason::OverShare);
         return;
     }
+    waiting.refuseAt = std::max(waiting.request.goal, now) + settings_.maxLateness;
+    nextRefusal_ = std::min(nextRefusal_, waiting.refuseAt);
     queues_.add(now, std::move(waiting));
 }
 
@@ -172,15 +186,26 @@
 
 auto Placer::findCacheHolder(Time now, const WaitingRequest& waiting) const -> CacheHolder
 {
-    auto holder = CacheHolder {};
-    for (const auto& [id, engine] : engines_) {
-        if (engine.isSuspended(now))
-            continue;
-        const auto tokens = engine.copyableTokens(waiting.request.prompt, waiting.chains);
-        if (tokens > holder.tokens)
-            holder = { id, tokens };
+    const auto& chains = waiting.chains;
+    for (auto chain = chains.rbegin(); chain != chains.rend(); ++chain) {
+        for (const auto id : cacheIndex_->holdersOf(*chain)) {
+            const auto& engine = engines_.at(id);
+            const auto tokens
+                = engine.isSuspended(now) ? 0 : engine.copyableTokens(waiting.request.prompt, chains);
+            if (tokens > 0)
+                return { id, tokens };
+        }
+    }
+    return {};
+}
+
+auto Placer::findOpenEngines(Time now) -> void
+{
+    openEngines_.clear();
+    for (auto& [id, engine] : engines_) {
+        if (engine.hasRoom(now, settings_.backlogLimit))
+            openEngines_.push_back(&engine);
     }
-    return holder;
 }
 
 auto Placer::chooseEngine(Time now, const WaitingRequest& waiting) -> Choice
@@ -189,11 +214,9 @@
     const auto holder = findCacheHolder(now, waiting);
     auto bestFree = Choice {};
     auto bestFreeCost = Duration::max();
-    for (auto& [id, engine] : engines_) {
-        if (engine.entry().draining || engine.isSuspended(now) || engine.isOnProbation())
-            continue;
-        if (std::ranges::find(request.avoid, id) != request.avoid.end()
-            || engine.isTooSmallFor(request.prompt))
+    for (auto* const candidate : openEngines_) {
+        auto& engine = *candidate;
+        if (engine.isTooSmallFor(request.prompt) || isAvoided(request, engine))
             continue;
         const auto cached = engine.cachedTokens(request.prompt, waiting.chains);
         const auto worthCopying = holder.tokens >= cached + minCopiedTokens;
@@ -206,10 +229,9 @@
             cost += copySetup
                 + fromMilliseconds(
                     double(holder.tokens - cached) / traits_.copiedTokensPerMs * settings_.copyWeight);
-        if (hashName(engine.entry().failureDomain) != request.failureDomain)
+        if (engine.failureDomain() != request.failureDomain)
             cost += otherDomainCost;
-        if (cost < bestFreeCost
-            && engine.admits(now, request.prompt, waiting.chains, settings_.backlogLimit)) {
+        if (cost < bestFreeCost && engine.hasMemoryFor(request.prompt, waiting.chains)) {
             bestFreeCost = cost;
             bestFree.engine = &engine;
             bestFree.copyFrom = worthCopying ? std::optional(holder.upstream) : std::nullopt;
@@ -232,6 +254,8 @@
     queues_.charge(now, waiting.request.organisation, waiting.cost);
     recordThroughput(now, waiting.cost);
     decisions_.emplace_back(PlacementAccepted { key, engine.entry().id(), choice.copyFrom, inputs });
+    if (!engine.hasRoom(now, settings_.backlogLimit))
+        std::erase(openEngines_, choice.engine);
 }
 
 auto Placer::decayedCost(Time now) const -> double
@@ -259,7 +283,7 @@
         const auto choice = chooseEngine(now, waiting[index]);
         if (choice.engine == nullptr)
             continue;
-        placeRequest(now, *queues_.remove(waiting[index].request.key), choice);
+        placeRequest(now, queues_.take(organisation, index), choice);
         return true;
     }
     return false;
@@ -284,9 +308,11 @@
 
 auto Placer::refuseLate(Time now) -> void
 {
-    const auto late = queues_.removeIf([this, now](const WaitingRequest& waiting) {
-        return now >= std::max(waiting.request.goal, waiting.queuedAt) + settings_.maxLateness;
-    });
+    if (now < nextRefusal_)
+        return;
+    const auto late
+        = queues_.removeIf([now](const WaitingRequest& waiting) { return now >= waiting.refuseAt; });
+    nextRefusal_ = queues_.firstRefusal().value_or(Time::max());
     for (const auto& waiting : late)
         refuse(now, waiting, RefusalReason::Waited);
 }
@@ -295,6 +321,8 @@
 {
     for (auto& [id, engine] : engines_)
         engine.checkOverdue(now);
+    if (queues_.size() > 0)
+        findOpenEngines(now);
     for (const auto filter : { OrganisationFilter::Underserved, OrganisationFilter::All }) {
         placeAll(now, filter, Timeliness::OnTime);
         placeAll(now, filter, Timeliness::Late);
@@ -307,10 +335,10 @@
 {
     auto scansLeft = maxScannedPerPass;
     auto progress = true;
-    while (progress && scansLeft > 0 && queues_.size() > 0) {
+    while (progress && scansLeft > 0 && queues_.size() > 0 && !openEngines_.empty()) {
         progress = false;
-        for (const auto organisation : queues_.leastServedFirst(now)) {
-            if (filter == OrganisationFilter::Underserved && !queues_.isUnderserved(now, organisation))
+        for (const auto& [organisation, underserved] : queues_.leastServedFirst()) {
+            if (filter == OrganisationFilter::Underserved && !underserved)
                 continue;
             if (placeOneOf(now, organisation, timeliness, scansLeft)) {
                 progress = true;
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <random>
 #include <span>
 #include <vector>
@@ -103,6 +104,8 @@
     /** Selects organisations with markedly less recent service than the best served one, or all. */
     enum class OrganisationFilter : std::uint8_t { Underserved, All };
 
+    /** Finds the engines that may get a request now. */
+    auto findOpenEngines(Time now) -> void;
     auto placeAll(Time now, OrganisationFilter filter, Timeliness timeliness) -> void;
     auto placeOneOf(Time now, OrganisationId organisation, Timeliness timeliness, std::size_t& scansLeft)
         -> bool;
@@ -121,13 +124,19 @@
     EngineTraits traits_;
     double serviceTokensPerSecond_ = 0;
     double fraction_ = 1.0;
+    /** Outlives the engines, whose caches refer to it. */
+    std::unique_ptr<PromptCacheIndex> cacheIndex_ = std::make_unique<PromptCacheIndex>();
     EngineModels engines_;
+    /** Used within a pass only. */
+    std::vector<EngineModel*> openEngines_;
     absl::flat_hash_map<PlacementKey, UpstreamId> upstreamOf_;
     OrganisationQueues queues_;
     std::vector<PlacementDecision> decisions_;
     /** Cost of recently placed requests as of `recentCostAt_`; decays over `throughputWindow`. */
     double recentCost_ = 0;
     Time recentCostAt_ {};
+    /** The earliest `WaitingRequest::refuseAt` may be later than this, but not earlier. */
+    Time nextRefusal_ { Time::max() };
     std::mt19937_64 random_;
 };
 
--- a/src/libcamphorshunt/promptcache.cpp
+++ b/src/libcamphorshunt/promptcache.cpp
@@ -49,11 +49,20 @@
 {
     for (const auto chain : chains) {
         const auto found = entries_.find(chain);
-        if (found != entries_.end())
-            found->second.isPrefilled = true;
+        if (found == entries_.end() || found->second.isPrefilled)
+            continue;
+        found->second.isPrefilled = true;
+        if (index_ != nullptr)
+            index_->add(chain, engine_);
     }
 }
 
+auto PromptCache::removeFromIndex(Chain chain, const Entry& entry) -> void
+{
+    if (index_ != nullptr && entry.isPrefilled)
+        index_->remove(chain, engine_);
+}
+
 auto PromptCache::newlyPinnedTokens(std::span<const PromptPart> parts, std::span<const Chain> chains) const
     -> std::uint64_t
 {
@@ -101,6 +110,7 @@
     while (tokens_ > maxTokens && !idle_.empty()) {
         const auto found = entries_.find(idle_.front());
         tokens_ -= found->second.tokens;
+        removeFromIndex(found->first, found->second);
         entries_.erase(found);
         idle_.pop_front();
     }
@@ -108,6 +118,8 @@
 
 auto PromptCache::clear() -> void
 {
+    for (const auto& [chain, entry] : entries_)
+        removeFromIndex(chain, entry);
     entries_.clear();
     idle_.clear();
     tokens_ = 0;
--- a/src/libcamphorshunt/promptcache.h
+++ b/src/libcamphorshunt/promptcache.h
@@ -7,8 +7,11 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include "camphorshunt/ids.h"
 #include "camphorshunt/prompt.h"
 
+#include "promptcacheindex.h"
+
 namespace camphorshunt {
 
 /**
@@ -18,7 +21,15 @@
 class PromptCache {
 public:
     /** Hash that identifies a part together with all parts before it. */
-    using Chain = std::uint64_t;
+    using Chain = PromptCacheIndex::Chain;
+
+    PromptCache() = default;
+    /** `index` must outlive this cache; call `clear` before the engine is removed. */
+    PromptCache(PromptCacheIndex& index, UpstreamId engine)
+        : index_(&index)
+        , engine_(engine)
+    {
+    }
 
     static auto chainsOf(std::span<const PromptPart> parts) -> std::vector<Chain>;
 
@@ -56,6 +67,11 @@
     auto prefixTokens(std::span<const PromptPart> parts, std::span<const Chain> chains, Counts counts) const
         -> std::uint32_t;
 
+    auto removeFromIndex(Chain chain, const Entry& entry) -> void;
+
+    /** Null if no index is kept. */
+    PromptCacheIndex* index_ = nullptr;
+    UpstreamId engine_;
     absl::flat_hash_map<Chain, Entry> entries_;
     /** Unpinned parts, least recently used first. */
     std::list<Chain> idle_;
--- a/tests/unit/placertest.cpp
+++ b/tests/unit/placertest.cpp
@@ -293,3 +293,42 @@
     CHECK(after < 15);
     CHECK(after > 7);
 }
+
+TEST_CASE("Prompt parts are not copied from an engine that has left the directory or has restarted")
+{
+    auto fixture = PlacerFixture(3);
+    const auto first = fixture.submit(fixture.request("a", 100, 7, 5000));
+    fixture.now += 120ms;
+    fixture.start(first);
+    const auto holder = fixture.upstreamOf(first);
+    const auto isHolder = [holder](const UpstreamEntry& entry) { return entry.id() == holder; };
+    SECTION("it has left") { std::erase_if(fixture.entries, isHolder); }
+    SECTION("it has restarted") { std::ranges::find_if(fixture.entries, isHolder)->startedAt += 1ms; }
+    fixture.placer.setUpstreams(fixture.now, fixture.entries);
+    const auto next = fixture.submit(fixture.request("a", 100, 7, 5000));
+    REQUIRE(fixture.placed.contains(next));
+    CHECK(!fixture.placed.at(next).copyFrom);
+    CHECK(fixture.placed.at(next).inputs.cachedTokens == 0);
+}
+
+TEST_CASE("A copy comes from the engine that has prefilled the longest beginning of the prompt")
+{
+    auto fixture = PlacerFixture(3);
+    auto shorter = fixture.request("a", 100, 7, 3000);
+    auto longer = fixture.request("a", 100, 7, 3000);
+    longer.prompt.parts.insert(longer.prompt.parts.begin() + 1, { 8, 3000 });
+    longer.prompt.tokens += 3000;
+    const auto first = fixture.submit(shorter);
+    const auto second = fixture.submit(longer);
+    REQUIRE(fixture.upstreamOf(first) != fixture.upstreamOf(second));
+    fixture.now += 150ms;
+    fixture.start(first);
+    fixture.start(second);
+    auto next = longer;
+    next.key.number = ++fixture.number;
+    next.avoid = { fixture.upstreamOf(second) };
+    const auto last = fixture.submit(next);
+    REQUIRE(fixture.placed.contains(last));
+    CHECK(fixture.placed.at(last).copyFrom == fixture.upstreamOf(second));
+    CHECK(fixture.placed.at(last).inputs.cachedTokens >= 6000);
+}
