Let only routers with at least half of the largest processor share place requests

Class: a duty given out by lot where capacity decides. Placing for a service is one duty that can't be divided; a weight makes a small VM less likely, not able.

Change: only routers with at least half of the largest share that is live take part; among them the weights stay. Equal routers, as on the two smaller sites, elect as before, and small ones do when no large one is left.

Ruled out: squared weights (8 x 0.25 against 65 x 0.0144 leaves a third on small VMs).

Conclusion: the placer of a grown deployment is one of its eight large VMs.

--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -15,14 +15,23 @@
 
 /** Time for the other routers to report their running requests to a new placer. */
 constexpr auto handoverTime = Duration(milliseconds(40));
+/** Routers with a smaller share of the processor, compared with the largest share, place no requests: placing
+ * for a whole service takes more than a small router has.
+ */
+constexpr auto minShareOfLargest = 0.5;
 
 } // namespace
 
 auto placerOf(ServiceId service, std::span<const LiveRouter> routers) -> RouterId
 {
+    auto largestShare = 0.0;
+    for (const auto& candidate : routers)
+        largestShare = std::max(largestShare, candidate.processorShare);
     auto best = RouterId {};
     auto bestScore = std::numeric_limits<double>::infinity();
     for (const auto& candidate : routers) {
+        if (candidate.processorShare < minShareOfLargest * largestShare)
+            continue;
         const auto key = std::array { service.value, candidate.router.value };
         // Uniform in (0, 1]. The smallest exponential variate wins; its rate is the router's weight.
         constexpr auto range = 1.0 / 18446744073709551616.0;
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -23,7 +23,10 @@
     double processorShare = 1;
 };
 
-/** The router that places the requests of a service, by weighted rendezvous hashing over `routers`. */
+/**
+ * The router that places the requests of a service, by weighted rendezvous hashing over those of `routers`
+ * that have at least half of the largest share of the processor.
+ */
 auto placerOf(ServiceId service, std::span<const LiveRouter> routers) -> RouterId;
 
 /**
