Keep a router that was silent out of the fleet's roles until it is heard regularly again

Cause: a router whose heartbeats stop for 420 ms loses its roles and gets them back with the next heartbeat. One that is late again and again loses and regains them by turns, and each change sends every open request to another placer, whose account of service starts with what runs. Class: failure detection without hysteresis; the takeover adds load to what is late already.

Change: after a silence a router takes no role until it has been heard for 2 s without one; a process that itself stood still for as long as the others take for silence stays out as long, so that both sides agree. If less than half of the reachable routers are left, this router was rather cut off itself, and all count. A new incarnation counts at once. Requests for engines and the retry budget go by the number of reachable routers as before.

Ruled out: a longer silence (a killed placer would be missed later), and telling the others that one is late (they see it as soon as it matters).

--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -9,8 +9,6 @@
 
 using namespace std::chrono_literals;
 
-/** A peer that is silent for this long holds no role: three heartbeats and an allowance for the network. */
-constexpr auto silenceLimit = Duration(420ms);
 /** A router lost for longer is not expected to return, and no part of the engines is reserved for it. */
 constexpr auto recentWindow = Duration(10s);
 
@@ -19,8 +17,11 @@
 auto PeerTable::connected(Time now, RouterId router, const PeerHello& hello) -> void
 {
     auto& peer = peers_[router];
+    if (std::exchange(peer.incarnation, hello.incarnation) != hello.incarnation)
+        peer.isSteady = true;
     peer.processorShare = hello.processorShare;
     peer.lastSeenAt = now;
+    peer.liveSince = now;
     peer.isLive = true;
     peer.heartbeat = {};
     peer.heartbeat.storeReachable = true;
@@ -31,7 +32,10 @@
 {
     auto& peer = peers_[router];
     peer.lastSeenAt = now;
-    auto changed = !std::exchange(peer.isLive, true);
+    const auto returned = !std::exchange(peer.isLive, true);
+    if (returned)
+        peer.liveSince = now;
+    auto changed = returned;
     if (heartbeat) {
         changed = changed || heartbeat->leaving != peer.heartbeat.leaving
             || heartbeat->storeReachable != peer.heartbeat.storeReachable;
@@ -50,25 +54,43 @@
 {
     auto change = Change {};
     for (auto& [router, peer] : peers_) {
-        if (!peer.isLive || now - peer.lastSeenAt < silenceLimit)
+        if (!peer.isLive)
             continue;
-        peer.isLive = false;
-        change.silent.emplace_back(router, now - peer.lastSeenAt);
+        if (now - peer.lastSeenAt >= silenceLimit) {
+            peer.isLive = false;
+            peer.isSteady = false;
+            change.silent.emplace_back(router, now - peer.lastSeenAt);
+        } else if (!peer.isSteady && now - peer.liveSince >= rejoinTime) {
+            peer.isSteady = true;
+            change.others = true;
+        }
     }
-    change.removed = std::erase_if(peers_, [now](const auto& entry) {
+    const auto removed = std::erase_if(peers_, [now](const auto& entry) {
         return !entry.second.isLive && now - entry.second.lastSeenAt > recentWindow;
-    }) > 0;
+    });
+    change.others = change.others || removed > 0;
     return change;
 }
 
 auto PeerTable::live() const -> std::vector<LiveRouter>
 {
     auto live = std::vector<LiveRouter> {};
+    auto steady = std::vector<LiveRouter> {};
     for (const auto& [router, peer] : peers_) {
-        if (peer.isLive && !peer.heartbeat.leaving)
-            live.push_back({ router, peer.processorShare });
+        if (!takesPart(peer))
+            continue;
+        live.push_back({ router, peer.processorShare });
+        if (peer.isSteady)
+            steady.push_back(live.back());
     }
-    return live;
+    return steady.size() * 2 < live.size() ? live : steady;
+}
+
+auto PeerTable::liveCount() const -> std::size_t
+{
+    const auto count
+        = std::ranges::count_if(peers_, [](const auto& entry) { return takesPart(entry.second); });
+    return static_cast<std::size_t>(count);
 }
 
 auto PeerTable::reachesStore(RouterId router) const -> bool
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -48,7 +48,7 @@
 PlacementCoordinator::PlacementCoordinator(RouterId self, const Placer::Settings& settings)
     : self_(self)
     , settings_(settings)
-    , live_ { { self, 1 } }
+    , candidates_ { { self, 1 } }
 {
 }
 
@@ -58,7 +58,7 @@
     if (!service.placer) {
         service.placer = std::make_unique<Placer>(settings_);
         service.placer->setFraction(fraction_);
-        service.owner = placerOf(id, live_);
+        service.owner = placerOf(id, candidates_);
         outputs_.placerChanges.push_back({ id, {}, service.owner });
     }
     return service;
@@ -79,18 +79,18 @@
     }
 }
 
-auto PlacementCoordinator::setRouters(Time now, std::vector<LiveRouter> live, std::size_t recentCount) -> void
+auto PlacementCoordinator::setRouters(Time now, Routers routers) -> void
 {
-    live_ = std::move(live);
-    fraction_ = double(live_.size()) / double(std::max(recentCount, live_.size()));
+    candidates_ = std::move(routers.candidates);
+    fraction_ = double(routers.live) / double(std::max(routers.recent, routers.live));
     for (auto& [id, service] : services_) {
         service.placer->setFraction(fraction_);
-        const auto owner = placerOf(id, live_);
+        const auto owner = placerOf(id, candidates_);
         if (owner == service.owner)
             continue;
         outputs_.placerChanges.push_back({ id, service.owner, owner });
         service.owner = owner;
-        if (owner == self_ && live_.size() > 1)
+        if (owner == self_ && routers.live > 1)
             service.handoverEnd = now + handoverTime;
     }
     for (auto& [number, own] : ownRequests_) {
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -55,11 +55,16 @@
     PlacementCoordinator(RouterId self, const Placer::Settings& settings);
 
     auto setFleet(Time now, const RouteTable& table, const UpstreamList& upstreams) -> void;
-    /**
-     * `live`: reachable routers, including this one. `recentCount`: routers seen recently, reachable or not;
-     * the placers use only the reachable routers' fraction of each engine.
-     */
-    auto setRouters(Time now, std::vector<LiveRouter> live, std::size_t recentCount) -> void;
+    struct Routers {
+        /** Those that may place requests; not empty. */
+        std::vector<LiveRouter> candidates;
+        /** Number of reachable routers, this one included. */
+        std::size_t live = 1;
+        /** Number of routers seen recently, reachable or not. */
+        std::size_t recent = 1;
+    };
+    /** The placers use only the reachable routers' fraction of each engine. */
+    auto setRouters(Time now, Routers routers) -> void;
     /** Ends all requests of a disconnected router that run or wait here. */
     auto removeRouter(Time now, RouterId router) -> void;
 
@@ -104,7 +109,7 @@
 
     RouterId self_;
     Placer::Settings settings_;
-    std::vector<LiveRouter> live_;
+    std::vector<LiveRouter> candidates_;
     double fraction_ = 1;
     std::map<ServiceId, Service> services_;
     OwnRequests ownRequests_;
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -125,11 +125,19 @@
                 { "processor-ms", milliseconds(load_.processorSinceTick()) },
                 { "waiting", std::to_string(placement_->waiting()) } });
         peers_.resetSilence(now);
+        if (now - lastTick_ > PeerTable::silenceLimit) {
+            rejoinAt_ = now + PeerTable::rejoinTime;
+            routersChanged(now);
+        }
     }
     reportLoad(now);
     lastTick_ = now;
     if (now >= nextHeartbeat_)
         sendHeartbeat();
+    if (rejoinAt_ != Time {} && now >= rejoinAt_) {
+        rejoinAt_ = {};
+        routersChanged(now);
+    }
     checkLiveness(now);
     sync_.tick(now, peers_.size() > 0);
     placeAndSend();
@@ -174,22 +182,23 @@
     metrics_.setWaiting(placement_->waiting());
 }
 
-auto Scheduler::liveRouters() const -> std::vector<LiveRouter>
+auto Scheduler::roleCandidates(Time now) const -> std::vector<LiveRouter>
 {
-    auto live = peers_.live();
-    if (!draining_ || live.empty())
-        live.push_back({ mesh_->self(), settings_.processorShare });
-    return live;
+    auto candidates = peers_.live();
+    if ((!draining_ && now >= rejoinAt_) || candidates.empty())
+        candidates.push_back({ mesh_->self(), settings_.processorShare });
+    return candidates;
 }
 
 auto Scheduler::routersChanged(Time now) -> void
 {
-    const auto live = liveRouters();
-    placement_->setRouters(now, live, peers_.recentCount(now) + 1);
-    metrics_.setRouters(live.size());
+    const auto candidates = roleCandidates(now);
+    const auto live = std::max<std::size_t>(liveCount(), 1);
+    placement_->setRouters(now, { candidates, live, peers_.recentCount(now) + 1 });
+    metrics_.setRouters(live);
 
     auto readers = std::vector<LiveRouter> {};
-    std::ranges::copy_if(live, std::back_inserter(readers), [this](const LiveRouter& candidate) {
+    std::ranges::copy_if(candidates, std::back_inserter(readers), [this](const LiveRouter& candidate) {
         return candidate.router == mesh_->self() ? sync_.isStoreReachable()
                                                  : peers_.reachesStore(candidate.router);
     });
@@ -199,7 +208,7 @@
         sync_.setReader(reader, isReader());
         log_.write(LogLevel::Info, "store-reader",
             { { "router", std::to_string(reader.value) }, { "self", isReader() ? "true" : "false" },
-                { "live", std::to_string(live.size()) } });
+                { "live", std::to_string(live) } });
     }
     fleetChanged(now);
 }
@@ -239,7 +248,7 @@
             { { "router", std::to_string(router.value) },
                 { "ms", std::to_string(inMilliseconds(silence).count()) } });
     }
-    if (change.removed || !change.silent.empty())
+    if (change.others || !change.silent.empty())
         routersChanged(now);
 }
 
@@ -302,8 +311,7 @@
         return;
     const auto upstreams = fleet.upstreams();
     placement_->setFleet(now, *fleet.table(), *upstreams);
-    const auto routers = liveRouters().size();
-    rings_.toRelay.push(FleetChanged { fleet.table(), upstreams, routers, now });
+    rings_.toRelay.push(FleetChanged { fleet.table(), upstreams, liveCount(), now });
     if (fleet.directoryEnd() && !draining_ && !state_.ready.exchange(true))
         log_.write(LogLevel::Info, "ready", { { "configuration", std::to_string(fleet.version()) } });
 }
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -72,7 +72,10 @@
     auto frameArrived(RouterId router, PeerFrame frame) -> void;
     auto checkLiveness(Time now) -> void;
     auto routersChanged(Time now) -> void;
-    auto liveRouters() const -> std::vector<LiveRouter>;
+    /** Routers that may hold roles for the fleet; not empty. */
+    auto roleCandidates(Time now) const -> std::vector<LiveRouter>;
+    /** Number of reachable routers, this one included unless it is leaving. */
+    auto liveCount() const -> std::size_t { return peers_.liveCount() + (draining_ ? 0 : 1); }
     auto isReader() const -> bool { return reader_ == mesh_->self(); }
 
     auto handle(RequestPlacement request) -> void;
@@ -103,6 +106,8 @@
     RouterId reader_;
     SchedulerLoad load_;
     Time lastTick_ {};
+    /** This router takes no role until then, as the others took it for silent. */
+    Time rejoinAt_ {};
     Time nextHeartbeat_ {};
     Time nextFlush_ {};
     bool ticksOften_ = false;
--- a/tests/unit/placementcoordinatortest.cpp
+++ b/tests/unit/placementcoordinatortest.cpp
@@ -48,7 +48,7 @@
     auto setLive(const std::vector<LiveRouter>& live) -> void
     {
         for (auto& [id, coordinator] : coordinators)
-            coordinator.setRouters(now, live, routerCount);
+            coordinator.setRouters(now, { live, live.size(), routerCount });
         now += 100ms;
         deliverAll();
     }
