Measure the relay's delay like the scheduler's, and count callers and accepted connections

Change: ThreadLoad (of SchedulerLoad) measures late ticks of both threads; the relay writes relay-load lines while it is late or full, and serves two metrics.

--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -20,6 +20,8 @@
 /** Streams that begin later into a drain than this are refused: they might not end before the process. */
 constexpr auto streamsInDrain = Duration(2400ms);
 constexpr auto acceptPause = 50ms;
+/** A relay whose ticks are delayed by less is not reported. */
+constexpr auto reportedDelay = Duration(100ms);
 
 } // namespace
 
@@ -64,6 +66,7 @@
             pause->async_wait([this, pause](const boost::system::error_code&) { accept(); });
             return;
         }
+        ++accepted_;
         if (callers_.size() < settings_.maxCallers) {
             const auto caller = std::make_shared<CallerConnection>(std::move(socket), *this);
             callers_.emplace(caller.get(), caller);
@@ -199,11 +202,13 @@
 
 auto Relay::tick() -> void
 {
+    tickDue_ = steadyNow() + tickInterval;
     timer_.expires_after(tickInterval);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (error)
             return;
         const auto now = steadyNow();
+        reportLoad(now);
         checkExchanges(now);
         if (now >= nextSweep_)
             sweep(now);
@@ -211,6 +216,23 @@
     });
 }
 
+auto Relay::reportLoad(Time now) -> void
+{
+    const auto report = load_.tick(now, tickDue_);
+    metrics_.relayTick(load_.late());
+    if (!report)
+        return;
+    metrics_.setCallers(callers_.size());
+    const auto accepted = std::exchange(accepted_, 0);
+    if (report->late < reportedDelay && callers_.size() < settings_.maxCallers)
+        return;
+    const auto milliseconds = [](Duration time) { return std::to_string(inMilliseconds(time).count()); };
+    log(LogLevel::Warning, "relay-load",
+        { { "late-ms", milliseconds(report->late) }, { "processor-ms", milliseconds(report->processor) },
+            { "callers", std::to_string(callers_.size()) }, { "limit", std::to_string(settings_.maxCallers) },
+            { "accepted", std::to_string(accepted) }, { "requests", std::to_string(exchanges_.size()) } });
+}
+
 auto Relay::checkExchanges(Time now) -> void
 {
     while (!checks_.empty() && checks_.begin()->first <= now) {
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -27,6 +27,7 @@
 #include "routermetrics.h"
 #include "servicebalancer.h"
 #include "sharedstate.h"
+#include "threadload.h"
 #include "upstreampool.h"
 
 namespace camphorshunt::router {
@@ -97,6 +98,7 @@
 
     auto accept() -> void;
     auto tick() -> void;
+    auto reportLoad(Time now) -> void;
     auto checkExchanges(Time now) -> void;
     auto sweep(Time now) -> void;
     auto handle(const PlacementDecided& decided) -> void;
@@ -124,6 +126,10 @@
     std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> callers_;
     std::array<char, std::size_t { 16 } * 1024> readBuffer_ {};
     std::uint64_t nextNumber_ = 1;
+    ThreadLoad load_;
+    /** Connections accepted since the last report of the load. */
+    std::uint64_t accepted_ = 0;
+    Time tickDue_ {};
     Time nextSweep_ {};
     bool draining_ = false;
     Time drainBegan_ {};
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -64,6 +64,9 @@
           registry, "router_scheduler_late_seconds", "Delay of the scheduler's ticks", stepBuckets()))
     , placingPassTime_(histogram(
           registry, "router_placing_pass_seconds", "Time of one pass that places requests", stepBuckets()))
+    , relayLateTime_(
+          histogram(registry, "router_relay_late_seconds", "Delay of the relay's ticks", stepBuckets()))
+    , callers_(gauge(registry, "router_callers", "Callers' connections"))
 {
 }
 
@@ -94,6 +97,8 @@
 
 auto RouterMetrics::schedulerTick(Duration late) -> void { schedulerLateTime_->Observe(seconds(late)); }
 
+auto RouterMetrics::relayTick(Duration late) -> void { relayLateTime_->Observe(seconds(late)); }
+
 auto RouterMetrics::placingPass(Duration time) -> void { placingPassTime_->Observe(seconds(time)); }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -33,6 +33,9 @@
     /** `late`: time from when a tick of the scheduler was due. */
     auto schedulerTick(Duration late) -> void;
     auto placingPass(Duration time) -> void;
+    /** `late`: time from when a tick of the relay was due. */
+    auto relayTick(Duration late) -> void;
+    auto setCallers(std::size_t count) -> void { callers_->Set(double(count)); }
 
 private:
     prometheus::Family<prometheus::Counter>* requests_;
@@ -49,6 +52,8 @@
     prometheus::Gauge* directoryAge_;
     prometheus::Histogram* schedulerLateTime_;
     prometheus::Histogram* placingPassTime_;
+    prometheus::Histogram* relayLateTime_;
+    prometheus::Gauge* callers_;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -1,7 +1,6 @@
 #include "scheduler.h"
 
 #include <algorithm>
-#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -109,7 +108,9 @@
 auto Scheduler::armTick() -> void
 {
     ticksOften_ = placement_->waiting() > 0 || !unsent_.empty();
-    timer_.expires_after(ticksOften_ ? std::chrono::milliseconds(busyTick) : idleTick);
+    const auto period = Duration(ticksOften_ ? busyTick : idleTick);
+    tickDue_ = steadyNow() + period;
+    timer_.expires_after(period);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error)
             tick();
@@ -146,14 +147,11 @@
 
 auto Scheduler::reportLoad(Time now) -> void
 {
-    const auto due = timer_.expiry();
-    const auto late = lastTick_ == Time {}
-        ? Duration {}
-        : std::max(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - due), Duration {});
-    metrics_.schedulerTick(late);
-    const auto report = load_.tick(now, late);
+    const auto report = load_.tick(now, tickDue_ == Time {} ? now : tickDue_);
+    metrics_.schedulerTick(load_.late());
     if (!report)
         return;
+    const auto work = std::exchange(work_, {});
     const auto directoryReadAt = state_.directoryReadAt.load();
     if (directoryReadAt != Time {})
         metrics_.setDirectoryAge(now - directoryReadAt);
@@ -162,8 +160,8 @@
         return;
     log_.write(LogLevel::Info, "scheduler-load",
         { { "late-ms", milliseconds(report->late) }, { "processor-ms", milliseconds(report->processor) },
-            { "placing-ms", milliseconds(report->placing) }, { "passes", std::to_string(report->passes) },
-            { "frames", std::to_string(report->frames) },
+            { "placing-ms", milliseconds(work.placing) }, { "passes", std::to_string(work.passes) },
+            { "frames", std::to_string(work.frames) },
             { "waiting", std::to_string(placement_->waiting()) } });
 }
 
@@ -255,7 +253,7 @@
 auto Scheduler::frameArrived(RouterId router, PeerFrame frame) -> void
 {
     const auto now = steadyNow();
-    load_.frameHandled();
+    ++work_.frames;
     const auto changed = peers_.updateLastSeen(now, router, frame.heartbeat);
     for (const auto& member : frame.members)
         mesh_->addPeer(member);
@@ -333,7 +331,8 @@
     const auto now = steadyNow();
     placement_->placeWaiting(now);
     const auto passTime = steadyNow() - now;
-    load_.passDone(passTime);
+    ++work_.passes;
+    work_.placing += passTime;
     if (placement_->ownedServices() > 0)
         metrics_.placingPass(passTime);
     auto outputs = placement_->takeOutputs();
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -21,9 +21,9 @@
 #include "relaymessages.h"
 #include "routerlog.h"
 #include "routermetrics.h"
-#include "schedulerload.h"
 #include "sharedstate.h"
 #include "storegateway.h"
+#include "threadload.h"
 
 namespace camphorshunt::router {
 
@@ -104,7 +104,14 @@
     /** Non-urgent frames; sent with the next urgent one, or after the flush interval. */
     std::map<RouterId, PeerFrame> unsent_;
     RouterId reader_;
-    SchedulerLoad load_;
+    ThreadLoad load_;
+    /** Work since the last report of the load. */
+    struct {
+        Duration placing {};
+        std::uint64_t passes = 0;
+        std::uint64_t frames = 0;
+    } work_;
+    Time tickDue_ {};
     Time lastTick_ {};
     /** This router takes no role until then, as the others took it for silent. */
     Time rejoinAt_ {};
--- a/src/camphorshuntrouter/schedulerload.cpp
+++ b/src/camphorshuntrouter/threadload.cpp
@@ -1,4 +1,4 @@
-#include "schedulerload.h"
+#include "threadload.h"
 
 #include <algorithm>
 #include <ctime>
@@ -12,7 +12,7 @@
 
 } // namespace
 
-auto SchedulerLoad::threadProcessorTime() -> Duration
+auto ThreadLoad::threadProcessorTime() -> Duration
 {
     auto used = timespec {};
     if (::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used) != 0)
@@ -21,21 +21,13 @@
         std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec));
 }
 
-auto SchedulerLoad::processorSinceTick() const -> Duration
-{
-    return threadProcessorTime() - processorAtTick_;
-}
-
-auto SchedulerLoad::passDone(Duration time) -> void
-{
-    ++current_.passes;
-    current_.placing += time;
-}
+auto ThreadLoad::processorSinceTick() const -> Duration { return threadProcessorTime() - processorAtTick_; }
 
-auto SchedulerLoad::tick(Time now, Duration late) -> std::optional<Report>
+auto ThreadLoad::tick(Time now, Time due) -> std::optional<Report>
 {
     processorAtTick_ = threadProcessorTime();
-    current_.late = std::max(current_.late, late);
+    late_ = std::max(now - due, Duration {});
+    current_.late = std::max(current_.late, late_);
     if (now < reportAt_)
         return std::nullopt;
     reportAt_ = now + reportInterval;
--- a/src/camphorshuntrouter/schedulerload.h
+++ b/src/camphorshuntrouter/threadload.h
@@ -1,30 +1,25 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 
 #include "camphorshunt/time.h"
 
 namespace camphorshunt::router {
 
-/** Measures whether the scheduler thread keeps up with its work. Used on that thread only. */
-class SchedulerLoad {
+/** Measures whether a thread keeps up with its work. Used on that thread only. */
+class ThreadLoad {
 public:
     struct Report {
         /** Longest delay of a tick. */
         Duration late {};
         /** Processor time of the thread. */
         Duration processor {};
-        /** Time spent placing requests. */
-        Duration placing {};
-        std::uint64_t passes = 0;
-        std::uint64_t frames = 0;
     };
 
-    /** `late`: time from when the tick was due. Returns the figures of each complete reporting interval. */
-    auto tick(Time now, Duration late) -> std::optional<Report>;
-    auto passDone(Duration time) -> void;
-    auto frameHandled() -> void { ++current_.frames; }
+    /** `due`: when the tick should have run. Returns the figures of each complete reporting interval. */
+    auto tick(Time now, Time due) -> std::optional<Report>;
+    /** Delay of the last tick. */
+    auto late() const -> Duration { return late_; }
     /** Processor time of the thread since the last tick; tells a busy thread from a paused process. */
     auto processorSinceTick() const -> Duration;
 
@@ -32,6 +27,7 @@
     static auto threadProcessorTime() -> Duration;
 
     Report current_;
+    Duration late_ {};
     Time reportAt_ {};
     Duration processorAtTick_ {};
     Duration processorAtReport_ {};
