Log how the end of an upstream's answer was determined, and whether a stream ended inside an event

AnswerEnd tells a framed answer from one that ends with its connection; EventBoundary follows a stream's events over pieces of any size. `request-end` has answer-end, events and partial-event now. A plain answer too large to buffer is Mode::Unbuffered, since it has no events.

No decision changes: an end by connection counts as complete as before.

--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -73,6 +73,11 @@
     {
         return relay_ ? std::string_view(relay_->lastEventId()) : "";
     }
+    /** Figures of the stream that is passed on; empty for other answers. */
+    auto streamFigures() const -> std::optional<StreamFigures>
+    {
+        return relay_ ? relay_->streamFigures() : std::nullopt;
+    }
     /** The answer is a stream that can't be resumed at another upstream. */
     auto isFinalStream() const -> bool { return finalStream_; }
 
--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -74,9 +74,18 @@
     return events;
 }
 
+auto AnswerRelay::streamFigures() const -> std::optional<StreamFigures>
+{
+    if (!isStream())
+        return std::nullopt;
+    return StreamFigures { boundary_.events(), boundary_.isInsideEvent() };
+}
+
 auto AnswerRelay::consume(std::string_view bytes) -> std::string
 {
-    if (mode_ == Mode::Stream)
+    if (isStream())
+        boundary_.consume(bytes);
+    if (mode_ == Mode::Stream || mode_ == Mode::Unbuffered)
         return framed(bytes);
     if (mode_ == Mode::ResumableStream) {
         const auto events = completeEvents(bytes);
@@ -85,7 +94,7 @@
     pending_ += bytes;
     if (pending_.size() < maxBuffered)
         return {};
-    mode_ = Mode::Stream;
+    mode_ = Mode::Unbuffered;
     return framed(std::exchange(pending_, {}));
 }
 
--- a/src/camphorshuntrouter/answerrelay.h
+++ b/src/camphorshuntrouter/answerrelay.h
@@ -5,10 +5,18 @@
 #include <string>
 #include <string_view>
 
+#include "eventboundary.h"
+
 #include "platform/httpheaders.h"
 
 namespace camphorshunt::router {
 
+/** What has been received of a stream. */
+struct StreamFigures {
+    std::uint64_t events = 0;
+    bool endsInsideEvent = false;
+};
+
 /**
  * Converts an upstream's answer into bytes for the caller. A plain answer is buffered until it is complete or
  * reaches a size limit, a stream is passed on as it arrives. Of a resumable stream only complete events are
@@ -16,7 +24,13 @@
  */
 class AnswerRelay {
 public:
-    enum class Mode : std::uint8_t { Buffered, Stream, ResumableStream };
+    enum class Mode : std::uint8_t {
+        Buffered,
+        /** A plain answer that is too large to buffer. */
+        Unbuffered,
+        Stream,
+        ResumableStream
+    };
 
     AnswerRelay(const platform::ResponseHeader& header, Mode mode, bool isHead, bool lastAnswer);
 
@@ -25,15 +39,22 @@
     /** Ends a complete answer; returns the last bytes for the caller. */
     auto finish() -> std::string;
     /** Continues the stream with another engine's answer, without its head; drops a partial event. */
-    auto resume() -> void { pending_.clear(); }
+    auto resume() -> void
+    {
+        pending_.clear();
+        boundary_.discardPartial();
+    }
 
     /** Part of the answer has been passed on, so that no other one can replace it. */
     auto hasBegun() const -> bool { return begun_; }
     auto status() const -> unsigned { return status_; }
+    /** Empty unless the answer is a stream. */
+    auto streamFigures() const -> std::optional<StreamFigures>;
     /** Of a resumable stream: the id of the last event passed on; empty if there is none. */
     auto lastEventId() const -> const std::string& { return lastEventId_; }
 
 private:
+    auto isStream() const -> bool { return mode_ == Mode::Stream || mode_ == Mode::ResumableStream; }
     auto completeEvents(std::string_view bytes) -> std::string;
     auto framed(std::string_view body) -> std::string;
 
@@ -48,6 +69,7 @@
      */
     std::optional<std::uint64_t> length_;
     std::string pending_;
+    EventBoundary boundary_;
     std::string lastEventId_;
     bool begun_ = false;
 };
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -144,6 +144,7 @@
     directoryAge_ = times_.sent - relay_.directoryReadAt();
     lastByteAt_ = times_.sent;
     startReported_ = false;
+    answerEnd_.reset();
     answer_.beginAttempt();
     ++sends_;
     if (!onEngine_)
@@ -213,19 +214,20 @@
     caller_->write(std::move(text));
 }
 
-auto Exchange::answerEnded(bool complete) -> void
+auto Exchange::answerEnded(AnswerEnd end) -> void
 {
     const auto self = shared_from_this();
-    if (!complete || !answer_.hasHead()) {
+    answerEnd_ = end;
+    if (end == AnswerEnd::Broken || !answer_.hasHead()) {
         attemptFailed(PlacementEnd::Broken, true, answer_.hasHead() ? "the answer was cut" : "no answer");
         return;
     }
     relay_.pool().release(connection_, answer_.idleTimeout());
     if (answer_.notRun()) {
-        const auto end = answer_.misdirected() ? PlacementEnd::Misdirected : PlacementEnd::Full;
+        const auto refusal = answer_.misdirected() ? PlacementEnd::Misdirected : PlacementEnd::Full;
         if (answer_.misdirected())
             --sends_;
-        attemptFailed(end, false, placementEndName(end));
+        attemptFailed(refusal, false, placementEndName(refusal));
         return;
     }
     const auto status = answer_.status();
@@ -394,6 +396,8 @@
         .sends = sends_,
         .configuration = table_ == nullptr ? 0 : table_->version(),
         .directoryAge = directoryAge_,
+        .answerEnd = answerEnd_,
+        .stream = answer_.streamFigures(),
         .reason = reason };
     const auto isGood = outcome == RequestOutcome::Served || outcome == RequestOutcome::Passed;
     relay_.log(
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -54,7 +54,7 @@
     auto connectionFailed() -> void override;
     auto headArrived(const platform::ResponseHeader& header) -> bool override;
     auto bodyArrived(std::string_view bytes) -> void override;
-    auto answerEnded(bool complete) -> void override;
+    auto answerEnded(AnswerEnd end) -> void override;
 
 private:
     enum class State : std::uint8_t { Placing, Sent, Answering, Done };
@@ -117,6 +117,7 @@
     bool startReported_ = false;
     std::optional<PlacementInputs> placementInputs_;
     std::optional<Duration> directoryAge_;
+    std::optional<AnswerEnd> answerEnd_;
 
     AnswerIntake answer_;
 };
--- a/src/camphorshuntrouter/requestrecord.cpp
+++ b/src/camphorshuntrouter/requestrecord.cpp
@@ -49,6 +49,18 @@
 
 } // namespace
 
+auto EndedRequest::answerFields() const -> std::vector<LogField>
+{
+    auto fields = std::vector<LogField> {};
+    if (answerEnd)
+        fields.push_back({ "answer-end", std::string(answerEndName(*answerEnd)) });
+    if (stream) {
+        fields.push_back({ "events", std::to_string(stream->events) });
+        fields.push_back({ "partial-event", stream->endsInsideEvent ? "true" : "false" });
+    }
+    return fields;
+}
+
 auto EndedRequest::fields(const RequestTimes& times, const std::optional<PlacementInputs>& placement) const
     -> std::vector<LogField>
 {
@@ -60,6 +72,7 @@
     std::ranges::move(times.fields(), std::back_inserter(fields));
     if (directoryAge)
         fields.push_back({ "directory-age-ms", std::to_string(inMilliseconds(*directoryAge).count()) });
+    std::ranges::move(answerFields(), std::back_inserter(fields));
     std::ranges::move(placementFields(placement), std::back_inserter(fields));
     if (!reason.empty())
         fields.push_back({ "reason", std::string(reason) });
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -10,6 +10,9 @@
 #include "camphorshunt/placement.h"
 #include "camphorshunt/time.h"
 
+#include "answerrelay.h"
+#include "upstreamconnection.h"
+
 namespace camphorshunt::router {
 
 /** How a request ended for its caller. */
@@ -52,11 +55,18 @@
     std::uint64_t configuration = 0;
     /** Age of the directory of upstreams when the request was last sent; empty if it was not sent. */
     std::optional<Duration> directoryAge;
+    /** How the end of the upstream's last answer was determined; empty if it did not end. */
+    std::optional<AnswerEnd> answerEnd;
+    /** What the caller received of a stream; empty for other answers. */
+    std::optional<StreamFigures> stream;
     std::string_view reason;
 
     /** `placement`: the figures on which the placer based its decision; none if it made none. */
     auto fields(const RequestTimes& times, const std::optional<PlacementInputs>& placement) const
         -> std::vector<LogField>;
+
+private:
+    auto answerFields() const -> std::vector<LogField>;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -17,6 +17,19 @@
 
 } // namespace
 
+auto answerEndName(AnswerEnd end) -> std::string_view
+{
+    switch (end) {
+    case AnswerEnd::Framed:
+        return "framed";
+    case AnswerEnd::Connection:
+        return "connection";
+    case AnswerEnd::Broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, const UpstreamEntry& entry)
     : socket_(context)
     , upstream_(entry.id())
@@ -143,7 +156,7 @@
     else
         ended = error;
     if (open_ && notifyListener())
-        endAnswer(!ended && parser_->is_done() && !mismatched_);
+        endAnswer(!ended && parser_->is_done() && !mismatched_ ? AnswerEnd::Connection : AnswerEnd::Broken);
 }
 
 auto UpstreamConnection::handleBytes(std::string_view bytes) -> void
@@ -161,9 +174,9 @@
     } while (answered && skipMismatched());
     pending_ = std::string(bytes);
     if (malformed_)
-        endAnswer(false);
+        endAnswer(AnswerEnd::Broken);
     else if (answered)
-        endAnswer(true);
+        endAnswer(AnswerEnd::Framed);
 }
 
 /** After an answer to another request, prepares for the next one; false if it was for this request. */
@@ -212,14 +225,13 @@
     return listener_ != nullptr;
 }
 
-auto UpstreamConnection::endAnswer(bool complete) -> void
+auto UpstreamConnection::endAnswer(AnswerEnd end) -> void
 {
-    reusable_
-        = complete && output_.empty() && pending_.empty() && parser_->keep_alive() && !parser_->need_eof();
+    reusable_ = end == AnswerEnd::Framed && output_.empty() && pending_.empty() && parser_->keep_alive() && !parser_->need_eof();
     auto* const listener = std::exchange(listener_, nullptr);
     if (!reusable_)
         close();
-    listener->answerEnded(complete);
+    listener->answerEnded(end);
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -17,6 +17,19 @@
 
 namespace camphorshunt::router {
 
+/** How the end of an upstream's answer was determined. */
+enum class AnswerEnd : std::uint8_t {
+    /** By its length or its last chunk. */
+    Framed,
+    /** The answer has no framing of its own, and the upstream closed the connection. */
+    Connection,
+    /** The connection broke, or what came is not a valid answer. */
+    Broken,
+};
+
+/** As it stands in the log. */
+auto answerEndName(AnswerEnd end) -> std::string_view;
+
 /** Receives the events of one answer of an upstream. Each function may close the connection. */
 class AnswerListener {
 public:
@@ -27,8 +40,8 @@
     /** False if the answer belongs to another request: it is skipped, and the next one awaited. */
     virtual auto headArrived(const platform::ResponseHeader& header) -> bool = 0;
     virtual auto bodyArrived(std::string_view bytes) -> void = 0;
-    /** The last call for an answer. `complete`: the answer ended where its framing says so. */
-    virtual auto answerEnded(bool complete) -> void = 0;
+    /** The last call for an answer. */
+    virtual auto answerEnded(AnswerEnd end) -> void = 0;
 };
 
 /** A Beast body type that collects parsed bytes in a string, which the owner empties between reads. */
@@ -104,7 +117,7 @@
     auto handleBytes(std::string_view bytes) -> void;
     auto parse(std::string_view bytes) -> std::size_t;
     auto notifyListener() -> bool;
-    auto endAnswer(bool complete) -> void;
+    auto endAnswer(AnswerEnd end) -> void;
     auto beginAnswer() -> void;
     auto beginParser() -> void;
     auto skipMismatched() -> bool;
