--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -227,7 +227,8 @@
 
 auto UpstreamConnection::endAnswer(AnswerEnd end) -> void
 {
-    reusable_ = end == AnswerEnd::Framed && output_.empty() && pending_.empty() && parser_->keep_alive() && !parser_->need_eof();
+    reusable_ = end == AnswerEnd::Framed && output_.empty() && pending_.empty() && parser_->keep_alive()
+        && !parser_->need_eof();
     auto* const listener = std::exchange(listener_, nullptr);
     if (!reusable_)
         close();
--- a/src/libnet/httpserver.h
+++ b/src/libnet/httpserver.h
@@ -27,6 +27,13 @@
     std::chrono::milliseconds writeTimeout { 30000 };
 };
 
+/** How a caller recognises the end of a streamed answer. */
+enum class StreamFraming : std::uint8_t {
+    Chunks,
+    /** The answer ends with its connection. */
+    Connection,
+};
+
 /**
  * One request and its answer on a server connection. Used on the server's thread only. The answer
  * is either one `respond`, or `beginStream`, any number of `write`, then `finish` or `abort`.
@@ -36,10 +43,12 @@
     virtual ~HttpExchange() = default;
 
     virtual auto respond(std::uint16_t status, HttpHeaders headers, std::string body) -> void = 0;
-    virtual auto beginStream(std::uint16_t status, HttpHeaders headers) -> void = 0;
+    virtual auto beginStream(
+        std::uint16_t status, HttpHeaders headers, StreamFraming framing = StreamFraming::Chunks) -> void
+        = 0;
     /** Queues a chunk. `unwrittenBytes` includes it until it has been written to the socket. */
     virtual auto write(std::string chunk) -> void = 0;
-    /** Sends the final chunk. */
+    /** Sends the final chunk, or closes the connection if the answer ends with it. */
     virtual auto finish() -> void = 0;
     /** Closes the connection without a final chunk, so that the caller detects the truncation. */
     virtual auto abort() -> void = 0;
--- a/src/libnet/httpserverconnection.cpp
+++ b/src/libnet/httpserverconnection.cpp
@@ -225,10 +225,12 @@
     queueOutput(std::move(text), 0);
 }
 
-auto HttpServerConnection::beginStream(std::uint16_t status, const HttpHeaders& headers) -> void
+auto HttpServerConnection::beginStream(
+    std::uint16_t status, const HttpHeaders& headers, StreamFraming framing) -> void
 {
     bodyless_ = bodyless_ || !statusHasBody(status);
-    chunked_ = !isHttp10_ && statusHasBody(status);
+    keepAlive_ = keepAlive_ && framing == StreamFraming::Chunks;
+    chunked_ = !isHttp10_ && statusHasBody(status) && framing == StreamFraming::Chunks;
     queueOutput(responseHeadText(
                     status, headers, { .contentLength = {}, .chunked = chunked_, .keepAlive = keepAlive_ }),
         0);
--- a/src/libnet/httpserverconnection.h
+++ b/src/libnet/httpserverconnection.h
@@ -48,7 +48,7 @@
 
     auto isOpen() const -> bool { return socket_.is_open(); }
     auto respond(std::uint16_t status, const HttpHeaders& headers, std::string_view body) -> void;
-    auto beginStream(std::uint16_t status, const HttpHeaders& headers) -> void;
+    auto beginStream(std::uint16_t status, const HttpHeaders& headers, StreamFraming framing) -> void;
     auto write(std::string_view chunk) -> void;
     auto finish() -> void;
     auto abort() -> void;
--- a/src/libnet/httpserverexchange.cpp
+++ b/src/libnet/httpserverexchange.cpp
@@ -25,12 +25,12 @@
     connection_->respond(status, headers, body);
 }
 
-auto HttpServerExchange::beginStream(std::uint16_t status, HttpHeaders headers) -> void
+auto HttpServerExchange::beginStream(std::uint16_t status, HttpHeaders headers, StreamFraming framing) -> void
 {
     if (!answering() || streaming_)
         return;
     streaming_ = true;
-    connection_->beginStream(status, headers);
+    connection_->beginStream(status, headers, framing);
 }
 
 auto HttpServerExchange::write(std::string chunk) -> void
--- a/src/libnet/httpserverexchange.h
+++ b/src/libnet/httpserverexchange.h
@@ -15,7 +15,7 @@
     auto operator=(const HttpServerExchange&) -> HttpServerExchange& = delete;
 
     auto respond(std::uint16_t status, HttpHeaders headers, std::string body) -> void override;
-    auto beginStream(std::uint16_t status, HttpHeaders headers) -> void override;
+    auto beginStream(std::uint16_t status, HttpHeaders headers, StreamFraming framing) -> void override;
     auto write(std::string chunk) -> void override;
     auto finish() -> void override;
     auto abort() -> void override;
--- a/src/standins/faultswitch.cpp
+++ b/src/standins/faultswitch.cpp
@@ -27,6 +27,8 @@
         { "unsigned", FaultMode::Unsigned },
         { "error", FaultMode::Error },
         { "unproved", FaultMode::Unproved },
+        { "unframed", FaultMode::Unframed },
+        { "torn", FaultMode::Torn },
     });
     const auto* const found = std::ranges::find(modes, name, [](const auto& mode) { return mode.first; });
     return found == modes.end() ? std::nullopt : std::optional(found->second);
--- a/src/standins/faultswitch.h
+++ b/src/standins/faultswitch.h
@@ -19,6 +19,8 @@
  * - Unsigned (platform engine only): answers without a signature.
  * - Error (platform engine only): executes the request, then answers 500.
  * - Unproved (platform engine only): answers 503 without the proof that the request was not executed.
+ * - Unframed (platform engine only): streams without length and chunks, and closes the connection at the end.
+ * - Torn (platform engine only): as Unframed, but closes in the middle of the event that follows `afterEvents`.
  */
 enum class FaultMode {
     None,
@@ -31,7 +33,9 @@
     Crossed,
     Unsigned,
     Error,
-    Unproved
+    Unproved,
+    Unframed,
+    Torn
 };
 
 struct Fault {
--- a/src/standins/platformengine.cpp
+++ b/src/standins/platformengine.cpp
@@ -95,7 +95,9 @@
     }
     auto head = headers(request, fault);
     head.push_back({ "Content-Type", "text/event-stream" });
-    exchange->beginStream(statusOk, std::move(head));
+    const auto isUnframed = fault.mode == FaultMode::Unframed || fault.mode == FaultMode::Torn;
+    exchange->beginStream(
+        statusOk, std::move(head), isUnframed ? net::StreamFraming::Connection : net::StreamFraming::Chunks);
     after(options().tokenTime, [this, stream] { sendEvent(stream); });
 }
 
@@ -126,8 +128,9 @@
     if (stream->fault.mode == FaultMode::Silent && sent >= stream->fault.afterEvents)
         return;
     const auto id = std::to_string(stream->next++);
-    stream->exchange->write("id: " + id + "\ndata: token " + id + "\n\n");
-    if (stream->next > stream->last) {
+    const auto isTorn = stream->fault.mode == FaultMode::Torn && sent >= stream->fault.afterEvents;
+    stream->exchange->write("id: " + id + (isTorn ? "\nda" : "\ndata: token " + id + "\n\n"));
+    if (isTorn || stream->next > stream->last) {
         stream->ended = true;
         --working_;
         stream->exchange->finish();
