Take a stream that ends inside an event for broken off, whatever its framing

Cause: class "the end of a connection is taken for the end of a message". An answer with neither length nor chunks ends with its connection. The parser reports it as done at the end of the connection, so UpstreamConnection called it complete, and AnswerRelay::finish sent the partial event and the last chunk. Nothing looked at the stream itself, which alone tells that it was broken off.

Change: AnswerEnd (its own file) says how the end was determined; AnswerRelay decides with the stream's own bytes. A stream is complete if it ends between two events, however it is framed, and, if only its connection ended, after at least one event of this engine. Otherwise the attempt failed: a resumable stream is resumed elsewhere, another is cut for its caller, or answered with 502 if nothing of it was passed on. The last bytes of a declared length are held back if they end inside an event, so that the caller can tell as well.

Ruled out elsewhere: net::HttpClient, through which the daemon, its upstream kinds and the store client call, reports a body that ends with its connection as broken since it was written; the daemon's streams need their closing event; records and frames carry their lengths.

Test changed: "A streamed answer with a Content-Length keeps it" used "abc", which is no stream of events; it uses one event now and checks the same.

Not decidable: a stream without framing that is broken off exactly between two events.

--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -43,6 +43,13 @@
     return relay_->consume(bytes);
 }
 
+auto AnswerIntake::isComplete(AnswerEnd end) const -> bool
+{
+    if (!answer_ || end == AnswerEnd::Broken)
+        return false;
+    return answer_->notRun || !relay_ || relay_->isComplete(end);
+}
+
 auto AnswerIntake::discardUnsent() -> void
 {
     if (!hasBegun())
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -49,6 +49,8 @@
     auto consumeHead(const platform::ResponseHeader& header, const Expected& expected) -> Head;
     /** Bytes for the caller; empty if there are none yet. */
     auto consumeBody(std::string_view bytes) -> std::string;
+    /** Whether an answer that ended in this way has a head and all of its body. */
+    auto isComplete(AnswerEnd end) const -> bool;
     /** Ends a complete answer; returns the last bytes for the caller. */
     auto finish() -> std::string { return relay_->finish(); }
     /** Drops the current answer, unless part of it has been passed on. */
--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -74,6 +74,22 @@
     return events;
 }
 
+auto AnswerRelay::resume() -> void
+{
+    pending_.clear();
+    boundary_.discardPartial();
+    eventsBefore_ = boundary_.events();
+}
+
+auto AnswerRelay::isComplete(AnswerEnd end) const -> bool
+{
+    if (end == AnswerEnd::Broken)
+        return false;
+    if (!isStream() || isHead_)
+        return true;
+    return !boundary_.isInsideEvent() && (end == AnswerEnd::Framed || boundary_.events() > eventsBefore_);
+}
+
 auto AnswerRelay::streamFigures() const -> std::optional<StreamFigures>
 {
     if (!isStream())
@@ -85,6 +101,10 @@
 {
     if (isStream())
         boundary_.consume(bytes);
+    received_ += bytes.size();
+    // The caller takes an answer with all bytes of its length for a complete one.
+    if (mode_ == Mode::Stream && length_ && received_ >= *length_ && boundary_.isInsideEvent())
+        return {};
     if (mode_ == Mode::Stream || mode_ == Mode::Unbuffered)
         return framed(bytes);
     if (mode_ == Mode::ResumableStream) {
@@ -102,7 +122,6 @@
 {
     if (mode_ == Mode::Buffered && !isHead_)
         length_ = pending_.size();
-    // Bytes that an engine sent after its last complete event are part of the answer as well.
     auto text = framed(std::exchange(pending_, {}));
     if (!length_)
         text += lastChunk;
--- a/src/camphorshuntrouter/answerrelay.h
+++ b/src/camphorshuntrouter/answerrelay.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "answerend.h"
 #include "eventboundary.h"
 
 #include "platform/httpheaders.h"
@@ -39,11 +40,12 @@
     /** Ends a complete answer; returns the last bytes for the caller. */
     auto finish() -> std::string;
     /** Continues the stream with another engine's answer, without its head; drops a partial event. */
-    auto resume() -> void
-    {
-        pending_.clear();
-        boundary_.discardPartial();
-    }
+    auto resume() -> void;
+    /**
+     * Whether all of the answer has arrived. A stream that ends inside an event was broken off, however it is
+     * framed, and so was one that ends with its connection before its first event.
+     */
+    auto isComplete(AnswerEnd end) const -> bool;
 
     /** Part of the answer has been passed on, so that no other one can replace it. */
     auto hasBegun() const -> bool { return begun_; }
@@ -70,6 +72,9 @@
     std::optional<std::uint64_t> length_;
     std::string pending_;
     EventBoundary boundary_;
+    /** Number of events of the engines before the current one. */
+    std::uint64_t eventsBefore_ = 0;
+    std::uint64_t received_ = 0;
     std::string lastEventId_;
     bool begun_ = false;
 };
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -218,7 +218,8 @@
 {
     const auto self = shared_from_this();
     answerEnd_ = end;
-    if (end == AnswerEnd::Broken || !answer_.hasHead()) {
+    if (!answer_.isComplete(end)) {
+        connection_->close();
         attemptFailed(PlacementEnd::Broken, true, answer_.hasHead() ? "the answer was cut" : "no answer");
         return;
     }
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -10,8 +10,8 @@
 #include "camphorshunt/placement.h"
 #include "camphorshunt/time.h"
 
+#include "answerend.h"
 #include "answerrelay.h"
-#include "upstreamconnection.h"
 
 namespace camphorshunt::router {
 
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -17,19 +17,6 @@
 
 } // namespace
 
-auto answerEndName(AnswerEnd end) -> std::string_view
-{
-    switch (end) {
-    case AnswerEnd::Framed:
-        return "framed";
-    case AnswerEnd::Connection:
-        return "connection";
-    case AnswerEnd::Broken:
-        return "broken";
-    }
-    return "unknown";
-}
-
 UpstreamConnection::UpstreamConnection(boost::asio::io_context& context, const UpstreamEntry& entry)
     : socket_(context)
     , upstream_(entry.id())
--- a/tests/unit/answerrelaytest.cpp
+++ b/tests/unit/answerrelaytest.cpp
@@ -73,11 +73,55 @@
 TEST_CASE("A streamed answer with a Content-Length keeps it")
 {
     auto made = header();
-    made.set("Content-Length", "3");
+    made.set("Content-Length", "7");
     auto relay = AnswerRelay(made, AnswerRelay::Mode::Stream, false, true);
-    auto text = relay.consume("abc");
+    auto text = relay.consume("id: 1\n\n");
     text += relay.finish();
-    CHECK(text.find("Content-Length: 3\r\n") != std::string::npos);
+    CHECK(text.find("Content-Length: 7\r\n") != std::string::npos);
     CHECK(text.find("Connection: close\r\n") != std::string::npos);
-    CHECK(text.ends_with("\r\n\r\nabc"));
+    CHECK(text.ends_with("\r\n\r\nid: 1\n\n"));
+}
+
+TEST_CASE("A stream that ends inside an event is not complete, however it is framed")
+{
+    const auto mode = GENERATE(AnswerRelay::Mode::Stream, AnswerRelay::Mode::ResumableStream);
+    const auto end = GENERATE(AnswerEnd::Framed, AnswerEnd::Connection);
+    const auto events = std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    for (auto cut = std::size_t { 0 }; cut <= events.size(); ++cut) {
+        auto relay = AnswerRelay(header(), mode, false, false);
+        relay.consume(std::string_view(events).substr(0, cut));
+        const auto isBetweenEvents = cut == events.size() / 2 || cut == events.size();
+        CHECK(relay.isComplete(end) == (isBetweenEvents || (cut == 0 && end == AnswerEnd::Framed)));
+        CHECK(!relay.isComplete(AnswerEnd::Broken));
+    }
+}
+
+TEST_CASE("A resumed stream that ends with its connection before its next event is not complete")
+{
+    auto relay = AnswerRelay(header(), AnswerRelay::Mode::ResumableStream, false, false);
+    relay.consume("id: 1\n\nid: 2\nda");
+    relay.resume();
+    CHECK(!relay.isComplete(AnswerEnd::Connection));
+    relay.consume("id: 2\n\n");
+    CHECK(relay.isComplete(AnswerEnd::Connection));
+}
+
+TEST_CASE(
+    "A stream that ends inside an event at its declared length does not reach the caller with that length")
+{
+    auto made = header();
+    made.set("Content-Length", "12");
+    auto relay = AnswerRelay(made, AnswerRelay::Mode::Stream, false, false);
+    auto text = relay.consume("id: 1\n\n");
+    text += relay.consume("id: 2");
+    CHECK(text.ends_with("\r\n\r\nid: 1\n\n"));
+    CHECK(!relay.isComplete(AnswerEnd::Framed));
+}
+
+TEST_CASE("A plain answer without a length is complete when its connection is closed, and not when it breaks")
+{
+    auto relay = AnswerRelay(header(), AnswerRelay::Mode::Buffered, false, false);
+    relay.consume("ab");
+    CHECK(relay.isComplete(AnswerEnd::Connection));
+    CHECK(!relay.isComplete(AnswerEnd::Broken));
 }
