End requests in progress while the relay still exists when a router stops

What was seen: a router that was told to stop exited with 132 (SIGILL), twice in 184 runs of "A router that is told to stop ends before it would be killed, whatever still runs".

Cause: pending waits in the event loop hold the last references to connections of callers, and these to exchanges. The event loop outlives the relay, so ~Exchange erased itself from a map of the destroyed relay.

Change: ~Relay resets the connections of its callers, which releases the exchanges while the relay exists; ~Exchange closes its upstream connection, so that no pending read has a destroyed listener.

Ruled out elsewhere: Scheduler, StoreGateway and TelemetryServer capture `this` in handlers, which are destroyed and not run after their threads have stopped; their objects hold nothing that calls back on destruction.

--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -37,7 +37,12 @@
 {
 }
 
-Exchange::~Exchange() { relay_.removeExchange(number_); }
+Exchange::~Exchange()
+{
+    if (connection_)
+        connection_->close();
+    relay_.removeExchange(number_);
+}
 
 auto Exchange::create(Relay& relay, CallerConnection& caller, CallerConnection::Request request,
     bool keepAlive) -> std::shared_ptr<Exchange>
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -54,6 +54,15 @@
     return Result<std::unique_ptr<Relay>>(std::move(relay));
 }
 
+Relay::~Relay()
+{
+    // Pending operations keep connections in existence for as long as the event loop, which outlives the relay.
+    for (const auto& [key, weak] : std::exchange(callers_, {})) {
+        if (const auto caller = weak.lock())
+            caller->abort();
+    }
+}
+
 auto Relay::accept() -> void
 {
     acceptor_.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -50,6 +50,13 @@
         Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, const SharedState& state)
         -> Result<std::unique_ptr<Relay>>;
 
+    /** Resets all connections of callers; requests that are in progress end. */
+    ~Relay();
+    Relay(const Relay&) = delete;
+    Relay(Relay&&) = delete;
+    auto operator=(const Relay&) -> Relay& = delete;
+    auto operator=(Relay&&) -> Relay& = delete;
+
     /** Handles a message from the scheduler. */
     auto handleMessage(SchedulerToRelay message) -> void;
 
