--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -56,7 +56,8 @@
 
 Relay::~Relay()
 {
-    // Pending operations keep connections in existence for as long as the event loop, which outlives the relay.
+    // Pending operations keep connections in existence for as long as the event loop, which outlives the
+    // relay.
     for (const auto& [key, weak] : std::exchange(callers_, {})) {
         if (const auto caller = weak.lock())
             caller->abort();
