--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -95,6 +95,7 @@
     /** False if the process may exit before a new stream would end. */
     auto acceptsStreams() const -> bool;
     auto drawRandom() -> std::uint64_t { return random_(); }
+    auto callers() const -> std::size_t { return callers_.size(); }
     auto requestsInProgress() const -> std::size_t { return exchanges_.size(); }
 
 private:
