Accept waiting connections together, and divert callers from a router that is overloaded

Cause, two that add up. One connection was accepted in each turn of the event loop, and turns grow with the requests in progress; the rest waited in the kernel's queue, first in, first out, until their callers had given up, so that only dead ones were accepted. And the platform sends the callers of a failure domain by a hash, here most of 81,000 requests to one small router of 23, which had no way to say that it had enough. Class: a queue without a limit of age before a busy server.

Change: waiting connections are accepted together, 16 served in a turn. Two readiness checks a second apart take a router out of rotation.

--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -20,13 +20,18 @@
 /** Streams that begin later into a drain than this are refused: they might not end before the process. */
 constexpr auto streamsInDrain = Duration(2400ms);
 constexpr auto acceptPause = 50ms;
+/** Connections accepted before other work gets its turn. */
+constexpr auto maxAcceptsPerTurn = std::size_t { 256 };
+/** Of these, those that are served. The next ones wait, or in an overload are closed before they are read. */
+constexpr auto maxAdmittedPerTurn = std::size_t { 16 };
+constexpr auto maxAdmittedInOverload = std::size_t { 4 };
 /** A relay whose ticks are delayed by less is not reported. */
 constexpr auto reportedDelay = Duration(100ms);
 
 } // namespace
 
 Relay::Relay(boost::asio::io_context& context, const Settings& settings, Ring<RelayToScheduler>& toScheduler,
-    RouterLog& log, RouterMetrics& metrics, const SharedState& state)
+    RouterLog& log, RouterMetrics& metrics, SharedState& state)
     : context_(context)
     , settings_(settings)
     , failureDomain_(hashName(settings.failureDomain))
@@ -37,18 +42,23 @@
     , acceptor_(context)
     , timer_(context)
     , pool_(context)
+    , overload_(settings.seed)
     , random_(settings.seed)
 {
 }
 
 auto Relay::listen(boost::asio::io_context& context, const Settings& settings,
-    Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, const SharedState& state)
+    Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, SharedState& state)
     -> Result<std::unique_ptr<Relay>>
 {
     auto relay = std::unique_ptr<Relay>(new Relay(context, settings, toScheduler, log, metrics, state));
     const auto opened = net::listenOn(relay->acceptor_, settings.listen, "listen.callers");
     if (!opened)
         return opened.error();
+    auto error = boost::system::error_code {};
+    relay->acceptor_.non_blocking(true, error);
+    if (error)
+        return failure(Error::Code::Io, "listen.callers", error.message());
     relay->accept();
     relay->tick();
     return Result<std::unique_ptr<Relay>>(std::move(relay));
@@ -66,24 +76,45 @@
 
 auto Relay::accept() -> void
 {
-    acceptor_.async_accept([this](const boost::system::error_code& error, Tcp::socket socket) {
-        if (!acceptor_.is_open())
-            return;
+    acceptor_.async_wait(Tcp::acceptor::wait_read, [this](const boost::system::error_code& error) {
+        if (!error && acceptor_.is_open())
+            acceptWaiting();
+    });
+}
+
+auto Relay::acceptWaiting() -> void
+{
+    auto admitted = std::size_t { 0 };
+    const auto isOverloaded = overload_.isOverloaded();
+    const auto maxAdmitted = isOverloaded ? maxAdmittedInOverload : maxAdmittedPerTurn;
+    for (auto count = std::size_t { 0 }; count < maxAcceptsPerTurn; ++count) {
+        if (admitted >= maxAdmitted && !isOverloaded)
+            break;
+        auto error = boost::system::error_code {};
+        auto socket = acceptor_.accept(error);
+        if (error == boost::asio::error::would_block)
+            break;
         if (error) {
             // For example no descriptor is free; an immediate retry would spin.
             log(LogLevel::Warning, "accept-failed", { { "error", error.message() } });
             const auto pause = std::make_shared<boost::asio::steady_timer>(context_, acceptPause);
-            pause->async_wait([this, pause](const boost::system::error_code&) { accept(); });
+            pause->async_wait([this, pause](const boost::system::error_code&) {
+                if (acceptor_.is_open())
+                    accept();
+            });
             return;
         }
         ++accepted_;
-        if (callers_.size() < settings_.maxCallers) {
-            const auto caller = std::make_shared<CallerConnection>(std::move(socket), *this);
-            callers_.emplace(caller.get(), caller);
-            caller->start();
+        if (admitted >= maxAdmitted || callers_.size() >= settings_.maxCallers) {
+            ++shed_;
+            continue;
         }
-        accept();
-    });
+        ++admitted;
+        const auto caller = std::make_shared<CallerConnection>(std::move(socket), *this);
+        callers_.emplace(caller.get(), caller);
+        caller->start();
+    }
+    accept();
 }
 
 auto Relay::limits() const -> const CallerLimits&
@@ -219,6 +250,7 @@
             return;
         const auto now = steadyNow();
         reportLoad(now);
+        watchOverload(now);
         checkExchanges(now);
         if (now >= nextSweep_)
             sweep(now);
@@ -234,13 +266,27 @@
         return;
     metrics_.setCallers(callers_.size());
     const auto accepted = std::exchange(accepted_, 0);
+    const auto shed = std::exchange(shed_, 0);
     if (report->late < reportedDelay && callers_.size() < settings_.maxCallers)
         return;
     const auto milliseconds = [](Duration time) { return std::to_string(inMilliseconds(time).count()); };
     log(LogLevel::Warning, "relay-load",
         { { "late-ms", milliseconds(report->late) }, { "processor-ms", milliseconds(report->processor) },
             { "callers", std::to_string(callers_.size()) }, { "limit", std::to_string(settings_.maxCallers) },
-            { "accepted", std::to_string(accepted) }, { "requests", std::to_string(exchanges_.size()) } });
+            { "accepted", std::to_string(accepted) }, { "shed", std::to_string(shed) },
+            { "requests", std::to_string(exchanges_.size()) } });
+}
+
+auto Relay::watchOverload(Time now) -> void
+{
+    overload_.tick(now, load_.late());
+    const auto diverts = overload_.divertsCallers(now);
+    if (state_.divertsCallers.exchange(diverts) == diverts)
+        return;
+    log(LogLevel::Warning, diverts ? "overload" : "overload-ended",
+        { { "late-ms", std::to_string(inMilliseconds(load_.late()).count()) },
+            { "callers", std::to_string(callers_.size()) },
+            { "requests", std::to_string(exchanges_.size()) } });
 }
 
 auto Relay::checkExchanges(Time now) -> void
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -22,6 +22,7 @@
 
 #include "callerconnection.h"
 #include "exchange.h"
+#include "overloadmonitor.h"
 #include "relaymessages.h"
 #include "routerlog.h"
 #include "routermetrics.h"
@@ -47,7 +48,7 @@
     };
 
     static auto listen(boost::asio::io_context& context, const Settings& settings,
-        Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, const SharedState& state)
+        Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, SharedState& state)
         -> Result<std::unique_ptr<Relay>>;
 
     /** Resets all connections of callers; requests that are in progress end. */
@@ -85,10 +86,13 @@
     /** When a read of the directory of upstreams was last applied. */
     auto directoryReadAt() const -> Time { return state_.directoryReadAt.load(std::memory_order_relaxed); }
     auto isDraining() const -> bool { return draining_; }
-    /** Whether connections are kept after an answer: no drain, and fewer than half of `maxCallers` open. */
+    /**
+     * Whether connections are kept after an answer: no drain, no overload, and fewer than half of
+     * `maxCallers` open.
+     */
     auto keepsCallersAlive() const -> bool
     {
-        return !draining_ && callers_.size() < settings_.maxCallers / 2;
+        return !draining_ && !state_.divertsCallers && callers_.size() < settings_.maxCallers / 2;
     }
     /** Buffer that all connections share; its content must be consumed before the next read. */
     auto readBuffer() -> std::span<char> { return readBuffer_; }
@@ -102,11 +106,13 @@
     using Tcp = boost::asio::ip::tcp;
 
     Relay(boost::asio::io_context& context, const Settings& settings, Ring<RelayToScheduler>& toScheduler,
-        RouterLog& log, RouterMetrics& metrics, const SharedState& state);
+        RouterLog& log, RouterMetrics& metrics, SharedState& state);
 
     auto accept() -> void;
+    auto acceptWaiting() -> void;
     auto tick() -> void;
     auto reportLoad(Time now) -> void;
+    auto watchOverload(Time now) -> void;
     auto checkExchanges(Time now) -> void;
     auto sweep(Time now) -> void;
     auto handle(const PlacementDecided& decided) -> void;
@@ -119,7 +125,7 @@
     Ring<RelayToScheduler>& toScheduler_;
     RouterLog& log_;
     RouterMetrics& metrics_;
-    const SharedState& state_;
+    SharedState& state_;
     Tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<const RouteTable> table_;
@@ -135,8 +141,11 @@
     std::array<char, std::size_t { 16 } * 1024> readBuffer_ {};
     std::uint64_t nextNumber_ = 1;
     ThreadLoad load_;
+    OverloadMonitor overload_;
     /** Connections accepted since the last report of the load. */
     std::uint64_t accepted_ = 0;
+    /** Those of them that were closed at once. */
+    std::uint64_t shed_ = 0;
     Time tickDue_ {};
     Time nextSweep_ {};
     bool draining_ = false;
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -99,8 +99,8 @@
     scheduler_ = std::move(scheduler.value());
 
     store_ = std::make_unique<StoreGateway>(storeThread_.context(), settings_.store, storeToScheduler_);
-    auto telemetry = TelemetryServer::listen(telemetryThread_.context(),
-        { settings_.readiness, settings_.metrics }, state_.ready, registry_, log_);
+    auto telemetry = TelemetryServer::listen(
+        telemetryThread_.context(), { settings_.readiness, settings_.metrics }, state_, registry_, log_);
     if (!telemetry)
         return telemetry.error();
     telemetry_ = std::move(telemetry.value());
--- a/src/camphorshuntrouter/telemetryserver.cpp
+++ b/src/camphorshuntrouter/telemetryserver.cpp
@@ -20,14 +20,15 @@
 }
 
 auto TelemetryServer::listen(boost::asio::io_context& context, const Endpoints& endpoints,
-    const std::atomic<bool>& ready, prometheus::Registry& registry, RouterLog& log)
+    const SharedState& state, prometheus::Registry& registry, RouterLog& log)
     -> Result<std::unique_ptr<TelemetryServer>>
 {
     auto server = std::unique_ptr<TelemetryServer>(new TelemetryServer(context, log));
     auto limits = net::HttpServerLimits {};
     limits.connections = connectionLimit;
     auto readiness = net::HttpServer::listen(context, endpoints.readiness, limits,
-        [&ready](const net::HttpRequest&, const std::shared_ptr<net::HttpExchange>& exchange) {
+        [&state](const net::HttpRequest&, const std::shared_ptr<net::HttpExchange>& exchange) {
+            const auto ready = state.acceptsCallers();
             exchange->respond(ready ? ok : unavailable, {}, ready ? "ready\n" : "not ready\n");
         });
     if (!readiness)
--- a/src/camphorshuntrouter/telemetryserver.h
+++ b/src/camphorshuntrouter/telemetryserver.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <atomic>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +11,7 @@
 
 #include "httpserver.h"
 #include "routerlog.h"
+#include "sharedstate.h"
 
 namespace camphorshunt::router {
 
@@ -23,9 +23,8 @@
         Endpoint metrics;
     };
 
-    static auto listen(boost::asio::io_context& context, const Endpoints& endpoints,
-        const std::atomic<bool>& ready, prometheus::Registry& registry, RouterLog& log)
-        -> Result<std::unique_ptr<TelemetryServer>>;
+    static auto listen(boost::asio::io_context& context, const Endpoints& endpoints, const SharedState& state,
+        prometheus::Registry& registry, RouterLog& log) -> Result<std::unique_ptr<TelemetryServer>>;
 
 private:
     TelemetryServer(boost::asio::io_context& context, RouterLog& log);
