Refuse peer frames whose lists are not aligned

Cause: the verifier of FlatBuffers 2.0 checks the length of a list, but not the alignment of its items. Class: trust in a check that covers less than its name says.

Evidence: the new test puts two reports 4 bytes after an aligned address; decodePeerFrame took them before and refuses them now.

Change: lists of structs and of numbers are checked before they are read.

--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -1,5 +1,7 @@
 #include "peerframe.h"
 
+#include <type_traits>
+
 #include "fleet_generated.h"
 
 namespace camphorshunt::router {
@@ -63,8 +65,17 @@
         decision.inputs.waiting, static_cast<std::uint8_t>(decision.reason), decision.upstream.has_value() };
 }
 
-auto unpackPlacementRequest(const fleet::Place& packed) -> PeerPlacementRequest
+/** The verifier of FlatBuffers 2.0 checks the length of a list, but not the alignment of its items. */
+template <typename Item> auto isAligned(const flatbuffers::Vector<Item>* list) -> bool
+{
+    using Stored = std::remove_const_t<std::remove_pointer_t<Item>>;
+    return list == nullptr || reinterpret_cast<std::uintptr_t>(list->Data()) % alignof(Stored) == 0;
+}
+
+auto unpackPlacementRequest(const fleet::Place& packed) -> Result<PeerPlacementRequest>
 {
+    if (!isAligned(packed.parts()) || !isAligned(packed.avoid()))
+        return malformed("list of a placement request is not aligned");
     auto placement = PeerPlacementRequest {};
     auto& request = placement.request;
     request.key.number = packed.number();
@@ -197,10 +208,10 @@
         frame.heartbeat = { heartbeat->configuration(), heartbeat->directory_end(),
             heartbeat->store_reachable(), heartbeat->leaving() };
     }
-    if (packed.places() != nullptr) {
-        for (const auto* const placement : *packed.places())
-            frame.placementRequests.push_back(unpackPlacementRequest(*placement));
-    }
+    if (!isAligned(packed.verdicts()) || !isAligned(packed.reports()))
+        return malformed("list is not aligned");
+    if (const auto error = unpackAll(packed.places(), frame.placementRequests, unpackPlacementRequest))
+        return *error;
     if (const auto error = unpackAll(packed.verdicts(), frame.placementDecisions, unpackDecision))
         return *error;
     if (const auto error = unpackAll(packed.reports(), frame.reports, unpackReport))
--- /dev/null
+++ b/tests/unit/peerframetest.cpp
@@ -0,0 +1,47 @@
+#include "peerframe.h"
+
+#include <cstring>
+
+#include <catch2/catch.hpp>
+
+#include "fleet_generated.h"
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+
+namespace {
+
+/** A frame whose list of reports holds this many zero reports, stored `shift` bytes after an aligned address.
+ */
+auto frameWithReports(std::uint32_t count, std::size_t shift) -> std::vector<std::uint8_t>
+{
+    for (auto padding = std::size_t { 0 }; padding < 64; ++padding) {
+        auto builder = flatbuffers::FlatBufferBuilder {};
+        const auto bytes = std::vector<std::uint8_t>(count * sizeof(fleet::Report));
+        const auto stored = builder.CreateVector(bytes);
+        builder.CreateVector(std::vector<std::uint8_t>(padding));
+        const auto reports = flatbuffers::Offset<flatbuffers::Vector<const fleet::Report*>>(stored.o);
+        builder.Finish(fleet::CreateFrame(builder, 0, 0, nullptr, 0, 0, reports));
+        auto frame = std::vector<std::uint8_t>(
+            builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize());
+        const auto* const list = fleet::GetFrame(frame.data())->reports();
+        if (reinterpret_cast<std::uintptr_t>(list->Data()) % alignof(fleet::Report) != shift)
+            continue;
+        const auto at = reinterpret_cast<const std::uint8_t*>(list) - frame.data();
+        std::memcpy(frame.data() + at, &count, sizeof(count));
+        return frame;
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("A peer frame with a list of structs that is not aligned is refused and not read")
+{
+    const auto aligned = decodePeerFrame(frameWithReports(2, 0));
+    REQUIRE(aligned);
+    CHECK(aligned.value().reports.size() == 2);
+    const auto frame = frameWithReports(2, 4);
+    REQUIRE(!frame.empty());
+    CHECK(!decodePeerFrame(frame));
+}
