Test that an overloaded relay closes most new connections and diverts callers

The path had a test of its decision (overloadmonitortest) and none of what the relay does with it. No change of the product.

--- a/tests/unit/relayaccepttest.cpp
+++ b/tests/unit/relayaccepttest.cpp
@@ -1,6 +1,10 @@
 #include "drivenrelay.h"
 
+#include <chrono>
+#include <thread>
+
 using namespace camphorshunt;
+using namespace std::chrono_literals;
 
 TEST_CASE("Waiting connections are accepted together, not one in each turn of a busy event loop")
 {
@@ -27,3 +31,24 @@
     driven.context.poll();
     CHECK(driven.relay->callers() == 20);
 }
+
+TEST_CASE(
+    "An overloaded relay closes most new connections at once, and diverts callers until it keeps up again")
+{
+    auto driven = test::DrivenRelay {};
+    driven.state.ready = true;
+    for (auto tick = 0; tick < 5; ++tick) {
+        std::this_thread::sleep_for(100ms);
+        driven.context.poll();
+    }
+    CHECK(!driven.state.acceptsCallers());
+    CHECK(!driven.relay->keepsCallersAlive());
+    driven.connect(60);
+    std::this_thread::sleep_for(100ms);
+    driven.context.poll();
+    CHECK(driven.relay->callers() == 4);
+    const auto end = std::chrono::steady_clock::now() + 15s;
+    while (!driven.state.acceptsCallers() && std::chrono::steady_clock::now() < end)
+        driven.context.run_for(50ms);
+    CHECK(driven.state.acceptsCallers());
+}
