Read peer frames from a copy that begins at an aligned address

Change: a frame is copied to an aligned address before it is verified, as the daemon's codec does. The check of lists stays.

Evidence: the new test decodes one frame at eight addresses; it failed at all but the aligned ones before.

--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -192,10 +192,12 @@
 
 auto decodePeerFrame(std::span<const std::uint8_t> bytes) -> Result<PeerFrame>
 {
-    auto verifier = flatbuffers::Verifier(bytes.data(), bytes.size(), maxNesting, maxTables);
+    // The frame's alignment counts from its first byte, and a span into received bytes may begin anywhere.
+    const auto aligned = std::vector<std::uint8_t>(bytes.begin(), bytes.end());
+    auto verifier = flatbuffers::Verifier(aligned.data(), aligned.size(), maxNesting, maxTables);
     if (!fleet::VerifyFrameBuffer(verifier))
         return malformed("not a valid FlatBuffers frame");
-    const auto& packed = *fleet::GetFrame(bytes.data());
+    const auto& packed = *fleet::GetFrame(aligned.data());
 
     auto frame = PeerFrame {};
     if (const auto* const hello = packed.hello())
--- a/tests/unit/peerframetest.cpp
+++ b/tests/unit/peerframetest.cpp
@@ -45,3 +45,28 @@
     REQUIRE(!frame.empty());
     CHECK(!decodePeerFrame(frame));
 }
+
+TEST_CASE("A peer frame is read the same at whatever address it begins")
+{
+    auto frame = PeerFrame {};
+    for (auto number = std::uint64_t { 0 }; number < 3; ++number) {
+        auto placement = PeerPlacementRequest {};
+        placement.request.key.number = number;
+        placement.request.prompt.parts = { { 7, 100 }, { 8, 200 } };
+        placement.request.avoid = { UpstreamId { 9 } };
+        frame.placementRequests.push_back(placement);
+        frame.placementDecisions.push_back({ number, ServiceId { 1 }, {}, {}, {}, {}, {} });
+        frame.reports.push_back({ number, ServiceId { 1 }, PeerReportKind::Started, PlacementEnd::Finished });
+    }
+    const auto bytes = encodePeerFrame(frame);
+    for (auto shift = std::size_t { 0 }; shift < 8; ++shift) {
+        auto received = std::vector<std::uint8_t>(shift);
+        received.insert(received.end(), bytes.begin(), bytes.end());
+        const auto decoded = decodePeerFrame(std::span(received).subspan(shift));
+        REQUIRE(decoded);
+        CHECK(decoded.value().placementRequests.size() == 3);
+        CHECK(decoded.value().placementRequests.back().request.prompt.parts.size() == 2);
+        CHECK(decoded.value().placementDecisions.size() == 3);
+        CHECK(decoded.value().reports.size() == 3);
+    }
+}
