Move the refusal of late streams to CallerAdmission, and the fields of a failed attempt to its record

A stream that begins too late into a drain is refused where the other refusals of admission are decided, and the attempt-failed line has its record beside that of request-end. Behaviour, texts and order of checks stay: an unknown key is answered with 401 before a late stream with 503, as before.

--- a/src/camphorshuntrouter/calleradmission.cpp
+++ b/src/camphorshuntrouter/calleradmission.cpp
@@ -6,6 +6,8 @@
 
 /** Retry time for a caller of a router that has no configuration yet. */
 constexpr auto startRetry = std::chrono::milliseconds(300);
+/** Retry time for a caller of a router that shuts down: another router accepts it immediately. */
+constexpr auto drainRetry = std::chrono::milliseconds(50);
 
 auto refused(unsigned status, std::string_view reason,
     std::optional<std::chrono::milliseconds> retryAfter = std::nullopt) -> CallerAdmission
@@ -15,8 +17,8 @@
 
 } // namespace
 
-auto CallerAdmission::decide(const RouteTable* table, const platform::CallerRequest& request)
-    -> CallerAdmission
+auto CallerAdmission::decide(
+    const RouteTable* table, const platform::CallerRequest& request, bool acceptsStreams) -> CallerAdmission
 {
     if (table == nullptr)
         return refused(503, "no configuration has been read yet", startRetry);
@@ -25,14 +27,17 @@
     const auto* const route = table->find(request.host, request.target);
     if (route == nullptr)
         return refused(404, "no route leads there");
-    if (!table->requiresKeys() || route->open)
-        return { route, nullptr, std::nullopt };
-    const auto* const organisation = table->holderOf(request.apiKey);
-    if (organisation != nullptr)
-        return { route, organisation, std::nullopt };
-    auto unknownKey = refused(401, "the key is unknown");
-    unknownKey.route = route;
-    return unknownKey;
+    auto admission = CallerAdmission { route, nullptr, std::nullopt };
+    if (table->requiresKeys() && !route->open) {
+        admission.organisation = table->holderOf(request.apiKey);
+        if (admission.organisation == nullptr) {
+            admission.refusal = Refusal { 401, "the key is unknown", std::nullopt };
+            return admission;
+        }
+    }
+    if (route->kind == RequestKind::Stream && !acceptsStreams)
+        admission.refusal = Refusal { 503, "the router shuts down before the stream would end", drainRetry };
+    return admission;
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/calleradmission.h
+++ b/src/camphorshuntrouter/calleradmission.h
@@ -24,8 +24,12 @@
     const KeyHolder* organisation = nullptr;
     std::optional<Refusal> refusal;
 
-    /** `table` is null while no configuration has been read yet. */
-    static auto decide(const RouteTable* table, const platform::CallerRequest& request) -> CallerAdmission;
+    /**
+     * `table` is null while no configuration has been read yet. `acceptsStreams` is false if the router may
+     * exit before a new stream would end.
+     */
+    static auto decide(const RouteTable* table, const platform::CallerRequest& request, bool acceptsStreams)
+        -> CallerAdmission;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -20,8 +20,6 @@
 constexpr auto maxUpstreamsTried = std::size_t { 4 };
 /** Shortest retry time sent to a caller after a refusal whose cause is likely to pass soon. */
 constexpr auto shortRetry = milliseconds(150);
-/** Retry time for a caller of a router that shuts down: another router accepts it immediately. */
-constexpr auto drainRetry = milliseconds(50);
 
 } // namespace
 
@@ -44,12 +42,6 @@
     relay_.removeExchange(number_);
 }
 
-auto Exchange::create(Relay& relay, CallerConnection& caller, CallerConnection::Request request,
-    bool keepAlive) -> std::shared_ptr<Exchange>
-{
-    return std::shared_ptr<Exchange>(new Exchange(relay, caller, std::move(request), keepAlive));
-}
-
 auto Exchange::start() -> void
 {
     if (!admit())
@@ -66,16 +58,12 @@
 
 auto Exchange::admit() -> bool
 {
-    const auto admission = CallerAdmission::decide(table_.get(), request_);
+    const auto admission = CallerAdmission::decide(table_.get(), request_, relay_.acceptsStreams());
     route_ = admission.route;
     organisation_ = admission.organisation;
-    if (admission.refusal) {
-        sendOwnAnswer(admission.refusal->status, admission.refusal->reason, admission.refusal->retryAfter);
-        return false;
-    }
-    if (route_->kind != RequestKind::Stream || relay_.acceptsStreams())
+    if (!admission.refusal)
         return true;
-    sendOwnAnswer(503, "the router shuts down before the stream would end", drainRetry);
+    sendOwnAnswer(admission.refusal->status, admission.refusal->reason, admission.refusal->retryAfter);
     return false;
 }
 
@@ -279,11 +267,9 @@
     endAttempt(end);
     tried_.push_back(upstream_->id());
     const auto retried = mayRetry();
-    relay_.log(LogLevel::Warning, "attempt-failed",
-        { { "id", std::string(request_.attempt) }, { "upstream", upstream_->name },
-            { "end", std::string(placementEndName(end)) }, { "reason", std::string(reason) },
-            { "may-have-run", mayHaveRun_ ? "true" : "false" }, { "sends", std::to_string(sends_) },
-            { "again", retried ? "true" : "false" } });
+    const auto failed
+        = FailedAttempt { request_.attempt, upstream_->name, end, reason, mayHaveRun_, sends_, retried };
+    relay_.log(LogLevel::Warning, "attempt-failed", failed.fields());
     if (!retried)
         return false;
     answer_.discardUnsent();
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "camphorshunt/placement.h"
@@ -30,7 +31,10 @@
 class Exchange : public AnswerListener, public std::enable_shared_from_this<Exchange> {
 public:
     static auto create(Relay& relay, CallerConnection& caller, CallerConnection::Request request,
-        bool keepAlive) -> std::shared_ptr<Exchange>;
+        bool keepAlive) -> std::shared_ptr<Exchange>
+    {
+        return std::shared_ptr<Exchange>(new Exchange(relay, caller, std::move(request), keepAlive));
+    }
     Exchange(const Exchange&) = delete;
     Exchange(Exchange&&) = delete;
     auto operator=(const Exchange&) -> Exchange& = delete;
--- a/src/camphorshuntrouter/requestrecord.cpp
+++ b/src/camphorshuntrouter/requestrecord.cpp
@@ -35,6 +35,14 @@
         { "first-ms", since(firstByte) }, { "end-ms", since(ended) } };
 }
 
+auto FailedAttempt::fields() const -> std::vector<LogField>
+{
+    return { { "id", std::string(attempt) }, { "upstream", std::string(upstream) },
+        { "end", std::string(placementEndName(end)) }, { "reason", std::string(reason) },
+        { "may-have-run", mayHaveRun ? "true" : "false" }, { "sends", std::to_string(sends) },
+        { "again", again ? "true" : "false" } };
+}
+
 namespace {
 
 auto placementFields(const std::optional<PlacementInputs>& inputs) -> std::vector<LogField>
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -43,6 +43,20 @@
     auto fields() const -> std::vector<LogField>;
 };
 
+/** The log record of an attempt that failed. */
+struct FailedAttempt {
+    std::string_view attempt;
+    std::string_view upstream;
+    PlacementEnd end {};
+    std::string_view reason;
+    bool mayHaveRun = false;
+    std::uint32_t sends = 0;
+    /** The request is tried once more. */
+    bool again = false;
+
+    auto fields() const -> std::vector<LogField>;
+};
+
 /** The log record of a request's end. Names that were not determined are "-". */
 struct EndedRequest {
     std::string_view attempt;
