Take empty lists in peer frames, which are stored without alignment

Cause: the builder doesn't align a list without items, and requests without prompt parts or without upstreams to avoid have such lists. Not found by the tests, whose lists were full.

The daemon's codec leaves empty lists out.

--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -69,7 +69,9 @@
 template <typename Item> auto isAligned(const flatbuffers::Vector<Item>* list) -> bool
 {
     using Stored = std::remove_const_t<std::remove_pointer_t<Item>>;
-    return list == nullptr || reinterpret_cast<std::uintptr_t>(list->Data()) % alignof(Stored) == 0;
+    // An empty list is stored without alignment.
+    return list == nullptr || list->size() == 0
+        || reinterpret_cast<std::uintptr_t>(list->Data()) % alignof(Stored) == 0;
 }
 
 auto unpackPlacementRequest(const fleet::Place& packed) -> Result<PeerPlacementRequest>
