--- a/src/standins/faultswitch.h
+++ b/src/standins/faultswitch.h
@@ -20,7 +20,8 @@
  * - Error (platform engine only): executes the request, then answers 500.
  * - Unproved (platform engine only): answers 503 without the proof that the request was not executed.
  * - Unframed (platform engine only): streams without length and chunks, and closes the connection at the end.
- * - Torn (platform engine only): as Unframed, but closes in the middle of the event that follows `afterEvents`.
+ * - Torn (platform engine only): as Unframed, but closes in the middle of the event that follows
+ * `afterEvents`.
  */
 enum class FaultMode {
     None,
