Tell faults of a router's network from faults of engines

Cause: after the restart one router of 18 got about three quarters of the callers (the platform keeps open connections, and the others were ready a moment earlier or later than its checks), over a link of 10 Mbit/s. All 155 attempts that ended with "no connection" in those seconds were this router's, at 26 different engines. The placer took each for a fault of the engine: it suspended the engine for all routers and then held it to one request at a time. Prompts that were still on their way through that link counted as overdue and suspended engines as well.

Ruled out: engines busy with work of callers who left (they answered others in 118 ms), a placer short of processor time (its scheduler was not late), fractions of engines after lost peers (all had reconnected within a second).

Change: `FailureRate` tells whether most recent attempts of one origin fail, whatever their target. If a router's do, its failures and overdue prompts are not charged to engines. A prompt that was overtaken by a later one has not arrived and follows the pending ones. A router most of whose connections time out counts as overloaded and diverts callers.

--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -162,6 +162,7 @@
     using Head = AnswerIntake::Head;
     const auto self = shared_from_this();
     lastByteAt_ = steadyNow();
+    relay_.recordReach(lastByteAt_, true);
     if (!answer_.hasBegun())
         keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
     switch (answer_.consumeHead(header, { request_.attempt, *route_, isHead(), !keepAlive_ })) {
@@ -357,12 +358,14 @@
     if (check.due == AttemptClock::Due::Nothing)
         return check.next;
     connection_->close();
-    if (check.due == AttemptClock::Due::Deadline)
+    if (check.due == AttemptClock::Due::Deadline) {
         onDeadline();
-    else if (check.due == AttemptClock::Due::Connection)
+    } else if (check.due == AttemptClock::Due::Connection) {
+        relay_.recordReach(now, false);
         connectionFailed();
-    else
+    } else {
         attemptFailed(PlacementEnd::Silent, true, "no byte came");
+    }
     return state_ == State::Done ? std::nullopt : std::optional(deadline_);
 }
 
--- a/src/camphorshuntrouter/overloadmonitor.cpp
+++ b/src/camphorshuntrouter/overloadmonitor.cpp
@@ -25,7 +25,7 @@
 
 auto OverloadMonitor::tick(Time now, Duration late) -> void
 {
-    lateTicks_ = late > maxLate ? lateTicks_ + 1 : 0;
+    lateTicks_ = late > maxLate || reach_.isFailing(now) ? lateTicks_ + 1 : 0;
     if (!isOverloaded())
         return;
     if (now >= divertUntil_) {
--- a/src/camphorshuntrouter/overloadmonitor.h
+++ b/src/camphorshuntrouter/overloadmonitor.h
@@ -5,11 +5,14 @@
 
 #include "camphorshunt/time.h"
 
+#include "failurerate.h"
+
 namespace camphorshunt::router {
 
 /**
- * Decides from the delay of a thread's ticks whether the thread has more work than processor time, and
- * whether new callers are better served by other routers. Used on that thread only.
+ * Decides whether a router has more work than processor time, from the delay of a thread's ticks, or than its
+ * network link carries, from its connections to upstreams, and whether new callers are better served by other
+ * routers. Used on that thread only.
  */
 class OverloadMonitor {
 public:
@@ -20,7 +23,9 @@
 
     /** `late`: delay of this tick. */
     auto tick(Time now, Duration late) -> void;
-    /** Several ticks in a row were late. */
+    /** An upstream answered, or a connection to one was not established in time. */
+    auto recordReach(Time now, bool reached) -> void { reach_.record(now, reached); }
+    /** Several ticks in a row were late, or most connections to upstreams failed meanwhile. */
     auto isOverloaded() const -> bool;
     /**
      * True during an overload and for some seconds after it, so that the readiness checks notice it. If the
@@ -30,6 +35,7 @@
 
 private:
     std::mt19937_64 random_;
+    FailureRate reach_;
     int lateTicks_ = 0;
     Duration diversion_ {};
     Time divertUntil_ {};
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -71,6 +71,8 @@
     auto withdraw(std::uint64_t number, ServiceId service) -> void;
     auto reportStart(std::uint64_t number, ServiceId service) -> void;
     auto reportEnd(std::uint64_t number, ServiceId service, PlacementEnd end) -> void;
+    /** An upstream answered, or a connection to one was not established in time. */
+    auto recordReach(Time now, bool reached) -> void { overload_.recordReach(now, reached); }
     auto log(LogLevel level, std::string_view event, std::vector<LogField> fields) -> void
     {
         log_.write(level, event, std::move(fields));
--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -207,9 +207,34 @@
     suspendedUntil_ = now;
     if (!pendingPrefills_.empty() && pendingPrefills_.front().key == key)
         learnFrom(now, pendingPrefills_.front());
+    postponeOvertaken(now, key);
     removePendingPrefill(now, key);
 }
 
+auto EngineModel::postponeOvertaken(Time now, const PlacementKey& started) -> void
+{
+    const auto found = std::ranges::find(pendingPrefills_, started, &PendingPrefill::key);
+    if (found == pendingPrefills_.end())
+        return;
+    auto overtaken = found - pendingPrefills_.begin();
+    while (overtaken-- > 0)
+        postpone(now, pendingPrefills_.front().key);
+}
+
+auto EngineModel::postpone(Time now, const PlacementKey& key) -> void
+{
+    const auto found = std::ranges::find(pendingPrefills_, key, &PendingPrefill::key);
+    if (found == pendingPrefills_.end())
+        return;
+    auto pending = *found;
+    pending.placedAt = now;
+    pending.begunAt = now;
+    removePendingPrefill(now, key);
+    pending.expected = backlog(now) + prefillTime(double(pending.tokens));
+    pendingPrefills_.push_back(pending);
+    pendingPrefillTokens_ += pending.tokens;
+}
+
 auto EngineModel::removeRequest(Time now, absl::flat_hash_map<PlacementKey, Running>::iterator found) -> void
 {
     removePendingPrefill(now, found->first);
@@ -218,7 +243,7 @@
     running_.erase(found);
 }
 
-auto EngineModel::onEnded(Time now, const PlacementKey& key, PlacementEnd end) -> void
+auto EngineModel::onEnded(Time now, const PlacementKey& key, PlacementEnd end, bool isEngineAtFault) -> void
 {
     const auto found = running_.find(key);
     if (found == running_.end())
@@ -239,13 +264,14 @@
         break;
     case PlacementEnd::Unreachable:
     case PlacementEnd::Silent:
-        suspend(now, minSuspension);
+        if (isEngineAtFault)
+            suspend(now, minSuspension);
         break;
     case PlacementEnd::Broken:
     case PlacementEnd::Failed:
         // A stream that failed after its first token is no sign of a faulty engine: other requests may run
         // well.
-        if (!wasStarted)
+        if (!wasStarted && isEngineAtFault)
             suspend(now, minSuspension);
         break;
     }
@@ -268,16 +294,15 @@
     }
 }
 
-auto EngineModel::checkOverdue(Time now) -> bool
+auto EngineModel::overdueRequest(Time now) const -> std::optional<PlacementKey>
 {
     if (pendingPrefills_.empty() || isSuspended(now))
-        return false;
+        return std::nullopt;
     const auto& head = pendingPrefills_.front();
     const auto due = prefillTime(head.tokens) * overdueFactor + overdueSlack;
-    if (now - head.begunAt < due)
-        return false;
-    suspend(now, minSuspension);
-    return true;
+    return now - head.begunAt < due ? std::nullopt : std::optional(head.key);
 }
 
+auto EngineModel::suspendOverdue(Time now) -> void { suspend(now, minSuspension); }
+
 } // namespace camphorshunt
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -68,7 +69,8 @@
         std::vector<PromptCache::Chain> chains, bool started) -> void;
     /** Handles the first token of a request. */
     auto onStarted(Time now, const PlacementKey& key) -> void;
-    auto onEnded(Time now, const PlacementKey& key, PlacementEnd end) -> void;
+    /** `isEngineAtFault`: false if the failure, if any, is the router's. */
+    auto onEnded(Time now, const PlacementKey& key, PlacementEnd end, bool isEngineAtFault = true) -> void;
     auto removeRouter(Time now, RouterId router) -> void;
 
     /** True while no requests are placed on the engine, after failures or overdue first tokens. When the
@@ -77,9 +79,12 @@
     auto isSuspended(Time now) const -> bool { return now < suspendedUntil_; }
     /** True while requests run after a failure with no success since: the engine may still be faulty. */
     auto isOnProbation() const -> bool { return failures_ > 0 && !running_.empty(); }
-    /** Suspends the engine if the first token of its oldest pending prefill is long overdue; returns whether
-     * it did. */
-    auto checkOverdue(Time now) -> bool;
+    /** The request whose prefill is the oldest pending one, if its first token is long overdue. */
+    auto overdueRequest(Time now) const -> std::optional<PlacementKey>;
+    /** Suspends the engine after an overdue first token. */
+    auto suspendOverdue(Time now) -> void;
+    /** Assumes that a request has not reached the engine yet: its prefill follows the other pending ones. */
+    auto postpone(Time now, const PlacementKey& key) -> void;
 
     /** Empties the cache, also in the index. Call it before the model is destroyed. */
     auto clearCache() -> void { cache_.clear(); }
@@ -110,6 +115,9 @@
     auto prefillTime(double tokens) const -> Duration;
     auto backlog(Time now) const -> Duration;
     auto learnFrom(Time now, const PendingPrefill& pending) -> void;
+    /** Postpones the pending prefills before that of a request that has started: engines prefill in order of
+     * arrival, so those have not arrived. */
+    auto postponeOvertaken(Time now, const PlacementKey& started) -> void;
     auto removePendingPrefill(Time now, const PlacementKey& key) -> void;
     auto removeRequest(Time now, absl::flat_hash_map<PlacementKey, Running>::iterator found) -> void;
     /** Suspends the engine for `minLength`, doubled for each consecutive failure up to a maximum. */
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -162,8 +162,10 @@
 auto Placer::onStarted(Time now, const PlacementKey& key) -> void
 {
     const auto placed = upstreamOf_.find(key);
-    if (placed != upstreamOf_.end())
-        engines_.at(placed->second).onStarted(now, key);
+    if (placed == upstreamOf_.end())
+        return;
+    reach_[key.router].record(now, true);
+    engines_.at(placed->second).onStarted(now, key);
 }
 
 auto Placer::onEnded(Time now, const PlacementKey& key, PlacementEnd end) -> void
@@ -171,15 +173,41 @@
     const auto placed = upstreamOf_.find(key);
     if (placed == upstreamOf_.end())
         return;
-    engines_.at(placed->second).onEnded(now, key, end);
+    const auto isEngineAtFault = recordEnd(now, key.router, end);
+    engines_.at(placed->second).onEnded(now, key, end, isEngineAtFault);
     upstreamOf_.erase(placed);
 }
 
+auto Placer::recordEnd(Time now, RouterId router, PlacementEnd end) -> bool
+{
+    if (end != PlacementEnd::Unreachable && end != PlacementEnd::Silent)
+        return true;
+    auto& reach = reach_[router];
+    reach.record(now, false);
+    return !reach.isFailing(now);
+}
+
+auto Placer::checkOverdue(Time now) -> void
+{
+    for (auto& [id, engine] : engines_) {
+        const auto overdue = engine.overdueRequest(now);
+        if (!overdue)
+            continue;
+        auto& reach = reach_[overdue->router];
+        reach.record(now, false);
+        if (reach.isFailing(now))
+            engine.postpone(now, *overdue);
+        else
+            engine.suspendOverdue(now);
+    }
+}
+
 auto Placer::removeRouter(Time now, RouterId router) -> void
 {
     for (auto& [id, engine] : engines_)
         engine.removeRouter(now, router);
     absl::erase_if(upstreamOf_, [router](const auto& placed) { return placed.first.router == router; });
+    reach_.erase(router);
     queues_.removeIf(
         [router](const WaitingRequest& waiting) { return waiting.request.key.router == router; });
 }
@@ -319,8 +347,7 @@
 
 auto Placer::placeWaiting(Time now) -> std::vector<PlacementDecision>
 {
-    for (auto& [id, engine] : engines_)
-        engine.checkOverdue(now);
+    checkOverdue(now);
     if (queues_.size() > 0)
         findOpenEngines(now);
     for (const auto filter : { OrganisationFilter::Underserved, OrganisationFilter::All }) {
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -14,6 +14,7 @@
 #include "camphorshunt/upstreamentry.h"
 
 #include "enginemodel.h"
+#include "failurerate.h"
 #include "organisationqueues.h"
 
 namespace camphorshunt {
@@ -104,6 +105,10 @@
     /** Selects organisations with markedly less recent service than the best served one, or all. */
     enum class OrganisationFilter : std::uint8_t { Underserved, All };
 
+    /** Suspends engines whose first tokens are overdue, unless that is the fault of the requests' router. */
+    auto checkOverdue(Time now) -> void;
+    /** Records how a request of the router ended; returns whether a failure is the engine's. */
+    auto recordEnd(Time now, RouterId router, PlacementEnd end) -> bool;
     /** Finds the engines that may get a request now. */
     auto findOpenEngines(Time now) -> void;
     auto placeAll(Time now, OrganisationFilter filter, Timeliness timeliness) -> void;
@@ -130,6 +135,8 @@
     /** Used within a pass only. */
     std::vector<EngineModel*> openEngines_;
     absl::flat_hash_map<PlacementKey, UpstreamId> upstreamOf_;
+    /** By router: whether its requests reach their engines. */
+    absl::flat_hash_map<RouterId, FailureRate> reach_;
     OrganisationQueues queues_;
     std::vector<PlacementDecision> decisions_;
     /** Cost of recently placed requests as of `recentCostAt_`; decays over `throughputWindow`. */
--- a/tests/unit/overloadmonitortest.cpp
+++ b/tests/unit/overloadmonitortest.cpp
@@ -67,6 +67,23 @@
     CHECK(!monitor.divertsCallers(now + 5s));
 }
 
+// A small VM behind a full network link was not late itself, kept most callers of the fleet and served few.
+TEST_CASE(
+    "A router that cannot connect to its upstreams diverts callers, unless only some upstreams are lost")
+{
+    for (const auto answered : { 0, 8 }) {
+        auto monitor = OverloadMonitor(1);
+        auto now = begin;
+        for (; now < begin + 1s; now += 100ms) {
+            for (auto attempt = 0; attempt < 10; ++attempt)
+                monitor.recordReach(now, attempt < answered);
+            monitor.tick(now, 1ms);
+        }
+        CHECK(monitor.isOverloaded() == (answered == 0));
+        CHECK(monitor.divertsCallers(now) == (answered == 0));
+    }
+}
+
 TEST_CASE("A router that diverts callers answers the readiness check as not ready")
 {
     auto state = SharedState {};
