--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -24,9 +24,14 @@
 
 struct Beat;
 
+struct Presence;
+
 struct Hello;
 struct HelloBuilder;
 
+struct Address;
+struct AddressBuilder;
+
 struct Place;
 struct PlaceBuilder;
 
@@ -235,12 +240,57 @@
 };
 FLATBUFFERS_STRUCT_END(Beat, 24);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) Presence FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t routers_;
+  uint32_t interval_ms_;
+  uint32_t configuration_age_ms_;
+  uint8_t depends_;
+  int8_t padding0__;  int16_t padding1__;
+
+ public:
+  Presence()
+      : routers_(0),
+        interval_ms_(0),
+        configuration_age_ms_(0),
+        depends_(0),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  Presence(uint32_t _routers, uint32_t _interval_ms, uint32_t _configuration_age_ms, bool _depends)
+      : routers_(flatbuffers::EndianScalar(_routers)),
+        interval_ms_(flatbuffers::EndianScalar(_interval_ms)),
+        configuration_age_ms_(flatbuffers::EndianScalar(_configuration_age_ms)),
+        depends_(flatbuffers::EndianScalar(static_cast<uint8_t>(_depends))),
+        padding0__(0),
+        padding1__(0) {
+    (void)padding0__;
+    (void)padding1__;
+  }
+  uint32_t routers() const {
+    return flatbuffers::EndianScalar(routers_);
+  }
+  uint32_t interval_ms() const {
+    return flatbuffers::EndianScalar(interval_ms_);
+  }
+  uint32_t configuration_age_ms() const {
+    return flatbuffers::EndianScalar(configuration_age_ms_);
+  }
+  bool depends() const {
+    return flatbuffers::EndianScalar(depends_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(Presence, 16);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENDPOINT = 4,
     VT_RUN = 6,
-    VT_PROCESSOR_SHARE = 8
+    VT_PROCESSOR_SHARE = 8,
+    VT_FAILURE_DOMAIN = 10
   };
   const flatbuffers::String *endpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
@@ -251,12 +301,16 @@
   float processor_share() const {
     return GetField<float>(VT_PROCESSOR_SHARE, 0.0f);
   }
+  uint64_t failure_domain() const {
+    return GetField<uint64_t>(VT_FAILURE_DOMAIN, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
            verifier.VerifyString(endpoint()) &&
            VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
            VerifyField<float>(verifier, VT_PROCESSOR_SHARE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_FAILURE_DOMAIN, 8) &&
            verifier.EndTable();
   }
 };
@@ -274,6 +328,9 @@
   void add_processor_share(float processor_share) {
     fbb_.AddElement<float>(Hello::VT_PROCESSOR_SHARE, processor_share, 0.0f);
   }
+  void add_failure_domain(uint64_t failure_domain) {
+    fbb_.AddElement<uint64_t>(Hello::VT_FAILURE_DOMAIN, failure_domain, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -290,8 +347,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> endpoint = 0,
     uint64_t run = 0,
-    float processor_share = 0.0f) {
+    float processor_share = 0.0f,
+    uint64_t failure_domain = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_failure_domain(failure_domain);
   builder_.add_run(run);
   builder_.add_processor_share(processor_share);
   builder_.add_endpoint(endpoint);
@@ -302,13 +361,91 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *endpoint = nullptr,
     uint64_t run = 0,
-    float processor_share = 0.0f) {
+    float processor_share = 0.0f,
+    uint64_t failure_domain = 0) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   return camphorshunt::fleet::CreateHello(
       _fbb,
       endpoint__,
       run,
-      processor_share);
+      processor_share,
+      failure_domain);
+}
+
+struct Address FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AddressBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_PROCESSOR_SHARE = 6,
+    VT_FAILURE_DOMAIN = 8
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  float processor_share() const {
+    return GetField<float>(VT_PROCESSOR_SHARE, 0.0f);
+  }
+  uint64_t failure_domain() const {
+    return GetField<uint64_t>(VT_FAILURE_DOMAIN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<float>(verifier, VT_PROCESSOR_SHARE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_FAILURE_DOMAIN, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct AddressBuilder {
+  typedef Address Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Address::VT_ENDPOINT, endpoint);
+  }
+  void add_processor_share(float processor_share) {
+    fbb_.AddElement<float>(Address::VT_PROCESSOR_SHARE, processor_share, 0.0f);
+  }
+  void add_failure_domain(uint64_t failure_domain) {
+    fbb_.AddElement<uint64_t>(Address::VT_FAILURE_DOMAIN, failure_domain, 0);
+  }
+  explicit AddressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Address> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Address>(end);
+    fbb_.Required(o, Address::VT_ENDPOINT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Address> CreateAddress(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    float processor_share = 0.0f,
+    uint64_t failure_domain = 0) {
+  AddressBuilder builder_(_fbb);
+  builder_.add_failure_domain(failure_domain);
+  builder_.add_processor_share(processor_share);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Address> CreateAddressDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    float processor_share = 0.0f,
+    uint64_t failure_domain = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return camphorshunt::fleet::CreateAddress(
+      _fbb,
+      endpoint__,
+      processor_share,
+      failure_domain);
 }
 
 struct Place FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -710,7 +847,9 @@
     VT_DIRECTORY = 16,
     VT_WANTS_DIRECTORY = 18,
     VT_CONFIGURATION = 20,
-    VT_WANTS_CONFIGURATION = 22
+    VT_WANTS_CONFIGURATION = 22,
+    VT_ADDRESSES = 24,
+    VT_PRESENCE = 26
   };
   const camphorshunt::fleet::Hello *hello() const {
     return GetPointer<const camphorshunt::fleet::Hello *>(VT_HELLO);
@@ -742,6 +881,12 @@
   bool wants_configuration() const {
     return GetField<uint8_t>(VT_WANTS_CONFIGURATION, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Address>> *addresses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Address>> *>(VT_ADDRESSES);
+  }
+  const camphorshunt::fleet::Presence *presence() const {
+    return GetStruct<const camphorshunt::fleet::Presence *>(VT_PRESENCE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -763,6 +908,10 @@
            VerifyOffset(verifier, VT_CONFIGURATION) &&
            verifier.VerifyString(configuration()) &&
            VerifyField<uint8_t>(verifier, VT_WANTS_CONFIGURATION, 1) &&
+           VerifyOffset(verifier, VT_ADDRESSES) &&
+           verifier.VerifyVector(addresses()) &&
+           verifier.VerifyVectorOfTables(addresses()) &&
+           VerifyField<camphorshunt::fleet::Presence>(verifier, VT_PRESENCE, 4) &&
            verifier.EndTable();
   }
 };
@@ -801,6 +950,12 @@
   void add_wants_configuration(bool wants_configuration) {
     fbb_.AddElement<uint8_t>(Frame::VT_WANTS_CONFIGURATION, static_cast<uint8_t>(wants_configuration), 0);
   }
+  void add_addresses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Address>>> addresses) {
+    fbb_.AddOffset(Frame::VT_ADDRESSES, addresses);
+  }
+  void add_presence(const camphorshunt::fleet::Presence *presence) {
+    fbb_.AddStruct(Frame::VT_PRESENCE, presence);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -823,8 +978,12 @@
     flatbuffers::Offset<camphorshunt::fleet::DirectoryPage> directory = 0,
     bool wants_directory = false,
     flatbuffers::Offset<flatbuffers::String> configuration = 0,
-    bool wants_configuration = false) {
+    bool wants_configuration = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Address>>> addresses = 0,
+    const camphorshunt::fleet::Presence *presence = nullptr) {
   FrameBuilder builder_(_fbb);
+  builder_.add_presence(presence);
+  builder_.add_addresses(addresses);
   builder_.add_configuration(configuration);
   builder_.add_directory(directory);
   builder_.add_reports(reports);
@@ -849,12 +1008,15 @@
     flatbuffers::Offset<camphorshunt::fleet::DirectoryPage> directory = 0,
     bool wants_directory = false,
     const char *configuration = nullptr,
-    bool wants_configuration = false) {
+    bool wants_configuration = false,
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Address>> *addresses = nullptr,
+    const camphorshunt::fleet::Presence *presence = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Place>>(*places) : 0;
   auto verdicts__ = verdicts ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Verdict>(*verdicts) : 0;
   auto reports__ = reports ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Report>(*reports) : 0;
   auto configuration__ = configuration ? _fbb.CreateString(configuration) : 0;
+  auto addresses__ = addresses ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Address>>(*addresses) : 0;
   return camphorshunt::fleet::CreateFrame(
       _fbb,
       hello,
@@ -866,7 +1028,9 @@
       directory,
       wants_directory,
       configuration__,
-      wants_configuration);
+      wants_configuration,
+      addresses__,
+      presence);
 }
 
 inline const camphorshunt::fleet::Frame *GetFrame(const void *buf) {
--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -11,42 +11,56 @@
 /** Minimum time between queries to peers for a newer configuration or directory. */
 constexpr auto queryInterval = Duration(150ms);
 constexpr auto staleDirectory = Duration(700ms);
+/** Time for an update to arrive from the feed, before another peer is asked for it. */
+constexpr auto feedTime = Duration(300ms);
+/** Minimum time between forwarded pages of the directory without a change. */
+constexpr auto forwardInterval = Duration(200ms);
 
 } // namespace
 
-FleetSync::FleetSync(std::string endpoint, Handlers handlers, RouterLog& log, RouterMetrics& metrics)
+FleetSync::FleetSync(RouterAddress self, Handlers handlers, RouterLog& log, RouterMetrics& metrics)
     : handlers_(std::move(handlers))
     , log_(log)
     , metrics_(metrics)
     , fleet_(log)
-    , pacer_(std::move(endpoint))
+    , pacer_(std::move(self))
 {
 }
 
-auto FleetSync::tick(Time now, bool hasPeers) -> void
+auto FleetSync::tick(Time now, const FleetView& view) -> void
 {
     if (fleet_.removeExpired(now))
         handlers_.onFleetChanged();
-    const auto state
-        = StorePacer::RouterState { fleet_.directoryEnd(), fleet_.table() != nullptr, isReader_, hasPeers };
+    const auto state = StorePacer::RouterState { .directoryEnd = fleet_.directoryEnd(),
+        .hasConfiguration = fleet_.table() != nullptr,
+        .isReader = isReader_,
+        .hasPeers = view.hasPeers,
+        .isHub = view.isHub,
+        .fleetSize = view.size };
     for (auto& call : pacer_.dueCalls(now, state))
         handlers_.callStore(std::move(call));
 }
 
-auto FleetSync::setReader(RouterId reader, bool isSelf) -> void
+auto FleetSync::setFeed(RouterId feed, bool isReader) -> void
 {
-    reader_ = reader;
-    isReader_ = isSelf;
+    feed_ = feed;
+    isReader_ = isReader;
+}
+
+auto FleetSync::configurationAge(Time now) const -> Duration
+{
+    // A read of the reader waits for changes, so it knows of one as soon as there is one.
+    return isReader_ && pacer_.isReachable() ? Duration {} : now - pacer_.lastConfigurationUpdate();
 }
 
 auto FleetSync::handleFrame(Time now, RouterId from, PeerFrame& frame) -> void
 {
     if (frame.configuration)
-        applyConfiguration(std::move(*frame.configuration), "peer");
+        applyConfiguration(std::move(*frame.configuration), from);
     if (frame.directory)
         applyDirectoryPage(now, *frame.directory, from);
     if (frame.heartbeat)
-        compareHeartbeat(now, from, *frame.heartbeat);
+        compareHeartbeat(now, from, frame);
     answerPeer(from, frame);
 }
 
@@ -62,18 +76,33 @@
     handlers_.send(router, answer);
 }
 
-auto FleetSync::compareHeartbeat(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void
+auto FleetSync::compareHeartbeat(Time now, RouterId from, const PeerFrame& frame) -> void
+{
+    const auto& heartbeat = *frame.heartbeat;
+    if (from == feed_ && heartbeat.configurationVersion <= fleet_.version()) {
+        // A peer without presence is an old build, whose feed is the reader itself.
+        const auto age = frame.presence ? Duration(frame.presence->configurationAge) : Duration {};
+        if (frame.presence || heartbeat.storeReachable)
+            pacer_.configurationConfirmed(now - age);
+    }
+    queryIfBehind(now, from, heartbeat);
+}
+
+auto FleetSync::queryIfBehind(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void
 {
-    const auto upToDate = heartbeat.configurationVersion <= fleet_.version();
-    if (from == reader_ && heartbeat.storeReachable && upToDate)
-        pacer_.configurationConfirmed(now);
-    if (now < nextQuery_)
-        return;
     auto query = PeerFrame {};
-    query.wantsConfiguration = !upToDate;
+    query.wantsConfiguration = heartbeat.configurationVersion > fleet_.version();
     query.wantsDirectory = heartbeat.directoryEnd > fleet_.directoryEnd().value_or(0)
         && now - pacer_.lastDirectoryUpdate() > staleDirectory;
-    if (!query.wantsConfiguration && !query.wantsDirectory)
+    if (!query.wantsConfiguration && !query.wantsDirectory) {
+        if (from == feed_)
+            behindSince_ = {};
+        return;
+    }
+    if (behindSince_ == Time {})
+        behindSince_ = now;
+    const auto knowsNothing = !fleet_.table() || !fleet_.directoryEnd();
+    if (now < nextQuery_ || (from != feed_ && !knowsNothing && now - behindSince_ < feedTime))
         return;
     nextQuery_ = now + queryInterval;
     handlers_.send(from, query);
@@ -92,7 +121,7 @@
         return;
     auto frame = PeerFrame {};
     frame.directory = std::move(read.page.value());
-    handlers_.broadcast(frame);
+    handlers_.publish(frame);
 }
 
 auto FleetSync::handle(Time now, ConfigurationRead read) -> void
@@ -102,7 +131,7 @@
     metrics_.storeCall(static_cast<bool>(read.content));
     checkStoreReachability(wasReachable);
     if (read.content && read.content.value().configuration)
-        applyConfiguration(std::move(*read.content.value().configuration), "store");
+        applyConfiguration(std::move(*read.content.value().configuration), std::nullopt);
 }
 
 auto FleetSync::fleetJoined(Time now, bool succeeded) -> void
@@ -122,16 +151,18 @@
     handlers_.onStoreReachabilityChanged();
 }
 
-auto FleetSync::applyConfiguration(std::string json, std::string_view source) -> void
+auto FleetSync::applyConfiguration(std::string json, std::optional<RouterId> from) -> void
 {
-    if (!fleet_.applyConfiguration(std::move(json), source))
+    if (!fleet_.applyConfiguration(std::move(json), from ? "peer" : "store"))
         return;
     metrics_.setConfiguration(fleet_.version());
-    if (isReader_) {
-        auto frame = PeerFrame {};
-        frame.configuration = fleet_.configuration();
-        handlers_.broadcast(frame);
-    }
+    behindSince_ = {};
+    auto frame = PeerFrame {};
+    frame.configuration = fleet_.configuration();
+    if (isReader_)
+        handlers_.publish(frame);
+    else
+        handlers_.forward(frame);
     handlers_.onFleetChanged();
 }
 
@@ -148,8 +179,21 @@
         return;
     }
     pacer_.directoryUpdated(now);
-    if (result == FleetState::PageResult::Changed)
+    const auto changed = result == FleetState::PageResult::Changed;
+    if (from == feed_)
+        forwardDirectory(now, page, changed);
+    if (changed)
         handlers_.onFleetChanged();
 }
 
+auto FleetSync::forwardDirectory(Time now, const DirectoryPage& page, bool changed) -> void
+{
+    if (!changed && now < nextForward_)
+        return;
+    nextForward_ = now + forwardInterval;
+    auto frame = PeerFrame {};
+    frame.directory = page;
+    handlers_.forward(frame);
+}
+
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -26,18 +26,29 @@
 public:
     struct Handlers {
         std::function<void(RouterId, const PeerFrame&)> send;
-        std::function<void(const PeerFrame&)> broadcast;
+        /** Sends to all hubs, and to the routers that depend on this one. */
+        std::function<void(const PeerFrame&)> publish;
+        /** Sends to the routers that depend on this one and are no hubs. */
+        std::function<void(const PeerFrame&)> forward;
         std::function<void(SchedulerToStore)> callStore;
         /** The configuration or the directory has changed. */
         std::function<void()> onFleetChanged;
         std::function<void()> onStoreReachabilityChanged;
     };
 
-    FleetSync(std::string endpoint, Handlers handlers, RouterLog& log, RouterMetrics& metrics);
+    FleetSync(RouterAddress self, Handlers handlers, RouterLog& log, RouterMetrics& metrics);
 
-    auto tick(Time now, bool hasPeers) -> void;
-    /** The router that reads the store for the fleet; `isSelf`: it is this one. */
-    auto setReader(RouterId reader, bool isSelf) -> void;
+    struct FleetView {
+        bool hasPeers = false;
+        bool isHub = false;
+        std::size_t size = 1;
+    };
+    auto tick(Time now, const FleetView& view) -> void;
+    /**
+     * `feed`: the router from which this one gets updates: the one that reads the store for the fleet, or a
+     * hub between the two. `isReader`: this router reads the store itself.
+     */
+    auto setFeed(RouterId feed, bool isReader) -> void;
 
     auto handleFrame(Time now, RouterId from, PeerFrame& frame) -> void;
     auto handle(Time now, DirectoryRead read) -> void;
@@ -47,12 +58,16 @@
     /** When a read of the directory was last applied, this router's own or a peer's. */
     auto directoryReadAt() const -> Time { return pacer_.lastDirectoryUpdate(); }
     auto fleet() const -> const FleetState& { return fleet_; }
+    /** Time since this router's configuration was last confirmed to be the newest. */
+    auto configurationAge(Time now) const -> Duration;
     auto isStoreReachable() const -> bool { return pacer_.isReachable(); }
 
 private:
-    auto applyConfiguration(std::string json, std::string_view source) -> void;
+    auto applyConfiguration(std::string json, std::optional<RouterId> from) -> void;
     auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from) -> void;
-    auto compareHeartbeat(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void;
+    auto compareHeartbeat(Time now, RouterId from, const PeerFrame& frame) -> void;
+    auto queryIfBehind(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void;
+    auto forwardDirectory(Time now, const DirectoryPage& page, bool changed) -> void;
     auto answerPeer(RouterId router, const PeerFrame& frame) -> void;
     auto checkStoreReachability(bool wasReachable) -> void;
 
@@ -61,9 +76,12 @@
     RouterMetrics& metrics_;
     FleetState fleet_;
     StorePacer pacer_;
-    RouterId reader_;
+    RouterId feed_;
     bool isReader_ = false;
     Time nextQuery_ {};
+    /** Since when peers have shown that this router's configuration or directory is not the newest. */
+    Time behindSince_ {};
+    Time nextForward_ {};
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/meshlink.cpp
+++ b/src/camphorshuntrouter/meshlink.cpp
@@ -28,6 +28,7 @@
         endpoint, [self = shared_from_this(), hello](const boost::system::error_code& error) {
             if (self->closed_)
                 return;
+            self->refused_ = error == boost::asio::error::connection_refused;
             if (error)
                 self->fail(error.message());
             else
--- a/src/camphorshuntrouter/meshlink.h
+++ b/src/camphorshuntrouter/meshlink.h
@@ -39,6 +39,8 @@
 
     auto isDialled() const -> bool { return dialled_; }
     auto router() const -> RouterId { return router_; }
+    /** The dial was refused: the host is up, but nothing listens there. */
+    auto wasRefused() const -> bool { return refused_; }
 
 private:
     auto fail(std::string_view reason) -> void;
@@ -51,11 +53,12 @@
     Handlers handlers_;
     RouterId router_;
     FrameReader reader_;
-    std::array<std::uint8_t, 8192> input_ {};
+    std::array<std::uint8_t, 2048> input_ {};
     std::vector<std::uint8_t> queued_;
     std::vector<std::uint8_t> writing_;
     bool helloReceived_ = false;
     bool closed_ = false;
+    bool refused_ = false;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -53,7 +53,19 @@
 auto packHello(FlatBufferBuilder& builder, const PeerHello& hello) -> Offset<fleet::Hello>
 {
     return fleet::CreateHello(builder, builder.CreateString(hello.endpoint), hello.incarnation,
-        static_cast<float>(hello.processorShare));
+        static_cast<float>(hello.processorShare), hello.failureDomain);
+}
+
+auto packAddress(FlatBufferBuilder& builder, const RouterAddress& address) -> Offset<fleet::Address>
+{
+    return fleet::CreateAddress(builder, builder.CreateString(address.endpoint),
+        static_cast<float>(address.processorShare), address.failureDomain);
+}
+
+auto packPresence(const PeerPresence& presence) -> fleet::Presence
+{
+    return { presence.routers, static_cast<std::uint32_t>(presence.interval.count()),
+        static_cast<std::uint32_t>(presence.configurationAge.count()), presence.dependsOnReceiver };
 }
 
 auto packDecision(const PeerPlacementDecision& decision) -> fleet::Verdict
@@ -144,6 +156,20 @@
     return page;
 }
 
+auto unpackAddress(const fleet::Address& packed) -> Result<RouterAddress>
+{
+    // Rejects NaN as well.
+    if (!(packed.processor_share() >= 0))
+        return malformed("processor share of an address is negative or no number");
+    return RouterAddress { packed.endpoint()->str(), packed.processor_share(), packed.failure_domain() };
+}
+
+auto unpackPresence(const fleet::Presence& packed) -> PeerPresence
+{
+    return { packed.routers(), std::chrono::milliseconds(packed.interval_ms()),
+        std::chrono::milliseconds(packed.configuration_age_ms()), packed.depends() };
+}
+
 template <typename Packed, typename Item, typename Unpack>
 auto unpackAll(const Packed* packed, std::vector<Item>& items, Unpack unpack) -> std::optional<Error>
 {
@@ -183,12 +209,17 @@
     const auto reportList = reports.empty() ? 0 : builder.CreateVectorOfStructs(reports);
     const auto directory = frame.directory ? packDirectory(builder, *frame.directory) : 0;
     const auto configuration = frame.configuration ? builder.CreateString(*frame.configuration) : 0;
+    auto addresses = std::vector<Offset<fleet::Address>> {};
+    for (const auto& address : frame.addresses)
+        addresses.push_back(packAddress(builder, address));
+    const auto addressList = addresses.empty() ? 0 : builder.CreateVector(addresses);
+    const auto presence = packPresence(frame.presence.value_or(PeerPresence {}));
     const auto heartbeat = frame.heartbeat.value_or(PeerHeartbeat {});
     const auto packedHeartbeat = fleet::Beat(
         heartbeat.configurationVersion, heartbeat.directoryEnd, heartbeat.storeReachable, heartbeat.leaving);
     builder.Finish(fleet::CreateFrame(builder, hello, members, frame.heartbeat ? &packedHeartbeat : nullptr,
         requestList, decisionList, reportList, directory, frame.wantsDirectory, configuration,
-        frame.wantsConfiguration));
+        frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -203,7 +234,8 @@
 
     auto frame = PeerFrame {};
     if (const auto* const hello = packed.hello())
-        frame.hello = { hello->endpoint()->str(), hello->run(), hello->processor_share() };
+        frame.hello
+            = { hello->endpoint()->str(), hello->run(), hello->processor_share(), hello->failure_domain() };
     if (packed.members() != nullptr) {
         for (const auto* const member : *packed.members())
             frame.members.push_back(member->str());
@@ -220,6 +252,10 @@
         return *error;
     if (const auto error = unpackAll(packed.reports(), frame.reports, unpackReport))
         return *error;
+    if (const auto error = unpackAll(packed.addresses(), frame.addresses, unpackAddress))
+        return *error;
+    if (const auto* const presence = packed.presence())
+        frame.presence = unpackPresence(*presence);
     if (packed.directory() != nullptr)
         frame.directory = unpackDirectory(*packed.directory());
     frame.wantsDirectory = packed.wants_directory();
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -18,6 +18,30 @@
     /** Differs between lifetimes of processes at one address. */
     std::uint64_t incarnation = 0;
     double processorShare = 0;
+    /** Hash of the router's failure domain; zero from a build that does not send it. */
+    std::uint64_t failureDomain = 0;
+};
+
+/** What a router needs to know of another one before it connects to it. */
+struct RouterAddress {
+    /** Address on which the router listens for peers. */
+    std::string endpoint;
+    /** Cores of its VM, may be a fraction; zero if unknown. */
+    double processorShare = 0;
+    /** Hash of its failure domain; zero if unknown. */
+    std::uint64_t failureDomain = 0;
+};
+
+/** Sent with each heartbeat; differs between receivers. */
+struct PeerPresence {
+    /** Number of routers connected to the sender, itself included. */
+    std::uint32_t routers = 0;
+    /** Time until the sender's next heartbeat. */
+    std::chrono::milliseconds interval {};
+    /** Time since the sender's configuration was last confirmed to be the newest. */
+    std::chrono::milliseconds configurationAge {};
+    /** The sender depends on the receiver, for placing or for updates, and needs its frequent heartbeats. */
+    bool dependsOnReceiver = false;
 };
 
 /** State of a router, sent several times a second. */
@@ -83,6 +107,7 @@
 /** The unit of transfer between routers; only the parts that are set are encoded. */
 struct PeerFrame {
     std::optional<PeerHello> hello;
+    /** Addresses alone, for builds that do not read `addresses`. */
     std::vector<std::string> members;
     std::optional<PeerHeartbeat> heartbeat;
     std::vector<PeerPlacementRequest> placementRequests;
@@ -93,6 +118,9 @@
     /** The operators' configuration, as JSON text. */
     std::optional<std::string> configuration;
     bool wantsConfiguration = false;
+    /** The first routers in the order in which hubs are chosen. */
+    std::vector<RouterAddress> addresses;
+    std::optional<PeerPresence> presence;
 };
 
 /** FlatBuffers bytes (schema `fleet.fbs`). */
--- a/src/camphorshuntrouter/peermesh.cpp
+++ b/src/camphorshuntrouter/peermesh.cpp
@@ -18,8 +18,10 @@
 constexpr auto dialTimeout = Duration(1s);
 /** Addresses unreachable for this long are removed; a router that returns there dials the others. */
 constexpr auto removePeerAfter = Duration(60s);
+/** A connection is kept for this long after neither end is a hub. */
+constexpr auto surplusTime = Duration(10s);
 /** Accepted connections without a hello; beyond this the oldest is closed. */
-constexpr auto maxUnidentified = std::size_t { 64 };
+constexpr auto maxUnidentified = std::size_t { 512 };
 
 auto helloFrame(const PeerHello& hello) -> PeerFrame
 {
@@ -37,6 +39,8 @@
     , handlers_(std::move(handlers))
     , acceptor_(context)
     , timer_(context)
+    , hubs_({ hello_.endpoint, hello_.processorShare, hello_.failureDomain })
+    , random_(static_cast<std::minstd_rand::result_type>(hello_.incarnation ^ self_.value))
 {
 }
 
@@ -87,44 +91,62 @@
     });
 }
 
-auto PeerMesh::addPeer(const std::string& endpoint) -> void
+auto PeerMesh::addPeer(const RouterAddress& address) -> void
 {
-    const auto router = idOf<RouterId>(endpoint);
-    if (router == self_ || peers_.contains(router) || !Endpoint::parse(endpoint, "peer"))
+    if (!hubs_.knows(idOf<RouterId>(address.endpoint)) && !Endpoint::parse(address.endpoint, "peer"))
         return;
-    auto& peer = peers_[router];
-    peer.endpoint = endpoint;
-    peer.backoff = minBackoff;
-    peer.lostAt = steadyNow();
-    dial(peer);
+    hubs_.learn(address);
+}
+
+auto PeerMesh::setResponsive(RouterId router, bool responsive) -> void
+{
+    hubs_.setReachable(steadyNow(), router, responsive);
 }
 
-auto PeerMesh::dial(Peer& peer) -> void
+auto PeerMesh::dial(RouterId router, Peer& peer) -> void
 {
-    const auto endpoint = Endpoint::parse(peer.endpoint, "peer");
-    const auto remote = net::tcpEndpointOf(endpoint.value(), "peer");
-    if (!remote)
+    const auto endpoint = Endpoint::parse(hubs_.address(router).endpoint, "peer");
+    const auto remote = endpoint ? net::tcpEndpointOf(endpoint.value(), "peer")
+                                 : Result<boost::asio::ip::tcp::endpoint>(endpoint.error());
+    if (!remote) {
+        hubs_.setReachable(steadyNow(), router, false);
+        redialAfter(peer);
         return;
+    }
     peer.nextDial = steadyNow() + dialTimeout;
     peer.dialling = makeLink(Tcp::socket(context_), true);
     peer.dialling->dial(remote.value(), helloFrame(hello_));
 }
 
+auto PeerMesh::redialAfter(Peer& peer) -> void
+{
+    // Jittered, so that the routers of a fleet do not dial a router that returned all at once.
+    auto jitter = std::uniform_real_distribution<double>(0.5, 1.5);
+    peer.nextDial = steadyNow() + scaled(peer.backoff, jitter(random_));
+}
+
 auto PeerMesh::dialDue() -> void
 {
     const auto time = steadyNow();
-    std::erase_if(peers_, [time](const auto& entry) {
+    hubs_.removeUnreachable(time, removePeerAfter);
+    std::erase_if(peers_, [this](const auto& entry) {
         const auto& peer = entry.second;
-        return !peer.link && !peer.dialling && time - peer.lostAt > removePeerAfter;
+        return !peer.link && !peer.dialling && !hubs_.knows(entry.first);
     });
-    for (auto& [router, peer] : peers_) {
+    // A failed dial changes the targets.
+    const auto targets = hubs_.dialTargets();
+    for (const auto router : targets) {
+        auto& peer = peers_[router];
         if (peer.link || time < peer.nextDial)
             continue;
-        if (peer.dialling)
+        if (peer.dialling) {
             std::exchange(peer.dialling, nullptr)->close();
-        peer.backoff = std::min(peer.backoff * 2, maxBackoff);
-        dial(peer);
+            hubs_.setReachable(time, router, false);
+        }
+        peer.backoff = std::clamp(peer.backoff * 2, minBackoff, maxBackoff);
+        dial(router, peer);
     }
+    closeSurplus(time);
     timer_.expires_after(dialCheckInterval);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error)
@@ -132,6 +154,22 @@
     });
 }
 
+auto PeerMesh::closeSurplus(Time now) -> void
+{
+    const auto selfIsHub = hubs_.isHub(self_);
+    for (auto& [router, peer] : peers_) {
+        if (!peer.link || !peer.link->isDialled())
+            continue;
+        if (selfIsHub || hubs_.isHub(router) || peer.neededAt == Time {})
+            peer.neededAt = now;
+        if (now - peer.neededAt <= surplusTime)
+            continue;
+        std::exchange(peer.link, nullptr)->close();
+        hubs_.setConnected(router, false);
+        handlers_.onDisconnected(router, "neither router is a hub");
+    }
+}
+
 auto PeerMesh::makeLink(Tcp::socket socket, bool dialled) -> std::shared_ptr<MeshLink>
 {
     auto handlers = MeshLink::Handlers {
@@ -152,8 +190,8 @@
         link->close();
         return;
     }
+    hubs_.learn({ hello.endpoint, hello.processorShare, hello.failureDomain });
     auto& peer = peers_[router];
-    peer.endpoint = hello.endpoint;
     if (peer.dialling == link)
         peer.dialling.reset();
     if (peer.link) {
@@ -169,6 +207,9 @@
     }
     peer.link = link;
     peer.backoff = minBackoff;
+    peer.neededAt = {};
+    hubs_.setConnected(router, true);
+    hubs_.setReachable(steadyNow(), router, true);
     handlers_.onConnected(router, hello);
 }
 
@@ -177,18 +218,19 @@
     const auto shared = link.shared_from_this();
     std::erase(unidentified_, shared);
     for (auto& [router, peer] : peers_) {
-        if (peer.dialling == shared) {
-            peer.dialling.reset();
-            peer.nextDial = steadyNow() + peer.backoff;
-            return;
-        }
-        if (peer.link == shared) {
-            peer.link.reset();
-            peer.lostAt = steadyNow();
-            peer.nextDial = steadyNow() + peer.backoff;
+        const auto isLink = peer.link == shared;
+        if (!isLink && peer.dialling != shared)
+            continue;
+        (isLink ? peer.link : peer.dialling).reset();
+        redialAfter(peer);
+        hubs_.setReachable(steadyNow(), router, false);
+        if (isLink) {
+            hubs_.setConnected(router, false);
             handlers_.onDisconnected(router, reason);
-            return;
+        } else if (link.wasRefused()) {
+            handlers_.onRefused(router);
         }
+        return;
     }
 }
 
@@ -201,25 +243,29 @@
     link->send(frame);
 }
 
-auto PeerMesh::broadcast(const PeerFrame& frame) -> void
+auto PeerMesh::isConnected(RouterId router) const -> bool
 {
-    auto connected = std::vector<std::shared_ptr<MeshLink>> {};
-    for (const auto& [router, peer] : peers_) {
-        if (peer.link)
-            connected.push_back(peer.link);
-    }
-    for (const auto& link : connected)
-        link->send(frame);
+    const auto found = peers_.find(router);
+    return found != peers_.end() && found->second.link;
+}
+
+auto PeerMesh::candidates() const -> std::vector<RouterAddress>
+{
+    auto addresses = std::vector<RouterAddress> {};
+    for (const auto router : hubs_.candidates())
+        addresses.push_back(hubs_.address(router));
+    return addresses;
 }
 
-auto PeerMesh::members() const -> std::vector<std::string>
+auto PeerMesh::takeNewCandidates() -> std::vector<RouterAddress>
 {
-    auto endpoints = std::vector<std::string> {};
-    for (const auto& [router, peer] : peers_) {
-        if (peer.link)
-            endpoints.push_back(peer.endpoint);
+    auto added = std::vector<RouterAddress> {};
+    for (const auto router : hubs_.candidates()) {
+        if (announced_.insert(router).second)
+            added.push_back(hubs_.address(router));
     }
-    return endpoints;
+    std::erase_if(announced_, [this](RouterId router) { return !hubs_.knows(router); });
+    return added;
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -20,6 +20,12 @@
     if (std::exchange(peer.incarnation, hello.incarnation) != hello.incarnation)
         peer.isSteady = true;
     peer.processorShare = hello.processorShare;
+    peer.failureDomain = hello.failureDomain;
+    peer.interval = frequentInterval;
+    peer.fleetSize = 0;
+    peer.dependsOnThis = false;
+    peer.isDependency = false;
+    peer.nextHeartbeat = now;
     peer.lastSeenAt = now;
     peer.liveSince = now;
     peer.isLive = true;
@@ -44,6 +50,90 @@
     return changed;
 }
 
+auto PeerTable::updatePresence(RouterId router, const PeerPresence& presence) -> void
+{
+    auto& peer = peers_[router];
+    peer.interval = std::clamp(Duration(presence.interval), frequentInterval, 2 * rareInterval);
+    peer.fleetSize = presence.routers;
+    peer.dependsOnThis = presence.dependsOnReceiver;
+}
+
+auto PeerTable::setDependencies(Time now, const std::set<RouterId>& routers) -> std::vector<RouterId>
+{
+    auto changed = std::vector<RouterId> {};
+    for (auto& [router, peer] : peers_) {
+        const auto isNeeded = peer.isLive && routers.contains(router);
+        if (std::exchange(peer.isDependency, isNeeded) == isNeeded)
+            continue;
+        // Its frequent heartbeats begin once it has been told.
+        if (isNeeded && peer.interval > frequentInterval)
+            peer.lastSeenAt = now;
+        changed.push_back(router);
+    }
+    return changed;
+}
+
+auto PeerTable::isDependency(RouterId router) const -> bool
+{
+    const auto peer = peers_.find(router);
+    return peer != peers_.end() && peer->second.isDependency;
+}
+
+auto PeerTable::takeDueHeartbeats(Time now, const HubRegistry& hubs, RouterId self)
+    -> std::vector<std::pair<RouterId, Duration>>
+{
+    const auto selfIsHub = hubs.isHub(self);
+    auto due = std::vector<std::pair<RouterId, Duration>> {};
+    for (auto& [router, peer] : peers_) {
+        if (now < peer.nextHeartbeat)
+            continue;
+        peer.wasHub = peer.wasHub || hubs.isHub(router);
+        const auto isFrequent = peer.dependsOnThis || (selfIsHub && hubs.isHub(router));
+        const auto interval = isFrequent ? frequentInterval : rareInterval;
+        peer.nextHeartbeat = now + interval;
+        due.emplace_back(router, interval);
+    }
+    return due;
+}
+
+auto PeerTable::hastenHeartbeats() -> void
+{
+    for (auto& [router, peer] : peers_)
+        peer.nextHeartbeat = {};
+}
+
+auto PeerTable::updateTargets(const HubRegistry& hubs, bool withHubs) const -> std::vector<RouterId>
+{
+    auto targets = std::vector<RouterId> {};
+    for (const auto& [router, peer] : peers_) {
+        if (hubs.isHub(router) ? withHubs : peer.dependsOnThis)
+            targets.push_back(router);
+    }
+    return targets;
+}
+
+auto PeerTable::connectedRouters() const -> std::vector<RouterId>
+{
+    auto routers = std::vector<RouterId> {};
+    for (const auto& [router, peer] : peers_) {
+        if (peer.isLive)
+            routers.push_back(router);
+    }
+    return routers;
+}
+
+auto PeerTable::forget(RouterId router) -> void
+{
+    const auto peer = peers_.find(router);
+    if (peer != peers_.end() && !peer->second.isLive)
+        peers_.erase(peer);
+}
+
+auto PeerTable::silenceLimitOfPeer(const Peer& peer) -> Duration
+{
+    return 3 * (peer.isDependency ? frequentInterval : peer.interval) + silenceAllowance;
+}
+
 auto PeerTable::resetSilence(Time now) -> void
 {
     for (auto& [router, peer] : peers_)
@@ -56,7 +146,7 @@
     for (auto& [router, peer] : peers_) {
         if (!peer.isLive)
             continue;
-        if (now - peer.lastSeenAt >= silenceLimit) {
+        if (now - peer.lastSeenAt >= silenceLimitOfPeer(peer)) {
             peer.isLive = false;
             peer.isSteady = false;
             change.silent.emplace_back(router, now - peer.lastSeenAt);
@@ -72,14 +162,16 @@
     return change;
 }
 
-auto PeerTable::live() const -> std::vector<LiveRouter>
+auto PeerTable::live(const HubRegistry& hubs) const -> std::vector<LiveRouter>
 {
     auto live = std::vector<LiveRouter> {};
     auto steady = std::vector<LiveRouter> {};
-    for (const auto& [router, peer] : peers_) {
-        if (!takesPart(peer))
+    for (const auto router : hubs.hubs()) {
+        const auto found = peers_.find(router);
+        if (found == peers_.end() || !takesPart(found->second))
             continue;
-        live.push_back({ router, peer.processorShare });
+        const auto& peer = found->second;
+        live.push_back({ router, peer.processorShare, peer.failureDomain });
         if (peer.isSteady)
             steady.push_back(live.back());
     }
@@ -93,17 +185,38 @@
     return static_cast<std::size_t>(count);
 }
 
+auto PeerTable::fleetSize() const -> std::size_t
+{
+    auto size = liveCount() + 1;
+    for (const auto& [router, peer] : peers_) {
+        if (takesPart(peer))
+            size = std::max(size, peer.fleetSize);
+    }
+    return size;
+}
+
 auto PeerTable::reachesStore(RouterId router) const -> bool
 {
     const auto peer = peers_.find(router);
     return peer != peers_.end() && peer->second.heartbeat.storeReachable;
 }
 
-auto PeerTable::recentCount(Time now) const -> std::size_t
+auto PeerTable::liveHubs(const HubRegistry& hubs) const -> std::size_t
 {
-    const auto recent = std::ranges::count_if(
-        peers_, [now](const auto& peer) { return now - peer.second.lastSeenAt < recentWindow; });
-    return static_cast<std::size_t>(recent);
+    const auto count = std::ranges::count_if(hubs.hubs(), [this](RouterId router) {
+        const auto peer = peers_.find(router);
+        return peer != peers_.end() && takesPart(peer->second);
+    });
+    return static_cast<std::size_t>(count);
+}
+
+auto PeerTable::missingHubs(Time now) const -> std::size_t
+{
+    const auto missing = std::ranges::count_if(peers_, [now](const auto& entry) {
+        const auto& peer = entry.second;
+        return peer.wasHub && !takesPart(peer) && now - peer.lastSeenAt < recentWindow;
+    });
+    return static_cast<std::size_t>(missing);
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/peertable.h
+++ b/src/camphorshuntrouter/peertable.h
@@ -3,40 +3,77 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "camphorshunt/ids.h"
 #include "camphorshunt/time.h"
 
+#include "hubregistry.h"
 #include "peerframe.h"
 #include "placementcoordinator.h"
 
 namespace camphorshunt::router {
 
-/** The other routers: when a frame of theirs was last received, and their last heartbeat. */
+/**
+ * The connected routers: when a frame of theirs was last received, their last heartbeat, and when the next
+ * one to them is due. Heartbeats are frequent between hubs and from a router to those that depend on it.
+ */
 class PeerTable {
 public:
     /** A router that was silent takes no role until it has been heard regularly for this long. */
     static constexpr auto rejoinTime = Duration(std::chrono::seconds(2));
-    /** A peer that is silent for this long holds no role: three heartbeats and an allowance for the network.
+    static constexpr auto silenceAllowance = Duration(std::chrono::milliseconds(60));
+    static constexpr auto frequentInterval = Duration(std::chrono::milliseconds(120));
+    static constexpr auto rareInterval = Duration(std::chrono::milliseconds(1000));
+    /** A peer with frequent heartbeats that is silent for this long holds no role: three heartbeats and an
+     * allowance for the network.
      */
-    static constexpr auto silenceLimit = Duration(std::chrono::milliseconds(420));
+    static constexpr auto silenceLimit = 3 * frequentInterval + silenceAllowance;
 
     struct Peer {
         double processorShare = 1;
         Time lastSeenAt {};
         PeerHeartbeat heartbeat;
         std::uint64_t incarnation = 0;
+        std::uint64_t failureDomain = 0;
         bool isLive = false;
+        bool wasHub = false;
         /** False from a silence until the router has been heard without one for `rejoinTime`. */
         bool isSteady = true;
         Time liveSince {};
+        /** Interval of its heartbeats, as it announced. */
+        Duration interval = frequentInterval;
+        /** Number of routers connected to it, itself included. */
+        std::size_t fleetSize = 0;
+        bool dependsOnThis = false;
+        /** This router needs its frequent heartbeats. */
+        bool isDependency = false;
+        Time nextHeartbeat {};
     };
 
     auto connected(Time now, RouterId router, const PeerHello& hello) -> void;
     auto lost(RouterId router) -> void { peers_[router].isLive = false; }
     /** Records a received frame. Returns true if this changes which routers may hold a role. */
     auto updateLastSeen(Time now, RouterId router, const std::optional<PeerHeartbeat>& heartbeat) -> bool;
+    auto updatePresence(RouterId router, const PeerPresence& presence) -> void;
+    /**
+     * Sets the routers whose frequent heartbeats this router needs. Returns those for which this is a change;
+     * they are to be told.
+     */
+    auto setDependencies(Time now, const std::set<RouterId>& routers) -> std::vector<RouterId>;
+    auto isDependency(RouterId router) const -> bool;
+    /** Routers to which a heartbeat is due, with the time until the next one to them. */
+    auto takeDueHeartbeats(Time now, const HubRegistry& hubs, RouterId self)
+        -> std::vector<std::pair<RouterId, Duration>>;
+    /** Makes a heartbeat to every router due. */
+    auto hastenHeartbeats() -> void;
+    /** Routers that are to get updates from this one: those that depend on it, and the hubs if `withHubs`. */
+    auto updateTargets(const HubRegistry& hubs, bool withHubs) const -> std::vector<RouterId>;
+    auto connectedRouters() const -> std::vector<RouterId>;
+    /** The process of a router that was lost is gone, so the router is not merely cut off. */
+    auto forget(RouterId router) -> void;
     /**
      * Restarts the silence timeout of all peers. For use after a process pause, when the frames that they
      * sent meanwhile are still unread.
@@ -53,19 +90,25 @@
     auto checkSilence(Time now) -> Change;
 
     /**
-     * Routers that may hold roles for the fleet: reachable, not leaving, and not silent a moment ago. If that
+     * Hubs that may hold roles for the fleet: reachable, not leaving, and not silent a moment ago. If that
      * leaves less than half of the reachable ones, it was rather this router that was cut off, and all count.
      */
-    auto live() const -> std::vector<LiveRouter>;
-    /** Number of routers that are reachable and not leaving. */
+    auto live(const HubRegistry& hubs) const -> std::vector<LiveRouter>;
+    /** Number of connected routers that are live and not leaving. */
     auto liveCount() const -> std::size_t;
+    /** Number of routers in the fleet, this one included, as far as this router or a live peer knows. */
+    auto fleetSize() const -> std::size_t;
     auto reachesStore(RouterId router) const -> bool;
-    /** Number of routers seen recently, reachable or not. */
-    auto recentCount(Time now) const -> std::size_t;
+    /** Number of hubs that are live. */
+    auto liveHubs(const HubRegistry& hubs) const -> std::size_t;
+    /** Number of routers that were hubs and seen recently but are not live: they may be cut off and in use.
+     */
+    auto missingHubs(Time now) const -> std::size_t;
     auto size() const -> std::size_t { return peers_.size(); }
 
 private:
     static auto takesPart(const Peer& peer) -> bool { return peer.isLive && !peer.heartbeat.leaving; }
+    static auto silenceLimitOfPeer(const Peer& peer) -> Duration;
 
     std::map<RouterId, Peer> peers_;
 };
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -283,4 +283,12 @@
     return static_cast<std::size_t>(owned);
 }
 
+auto PlacementCoordinator::placers() const -> std::set<RouterId>
+{
+    auto owners = std::set<RouterId> {};
+    for (const auto& [id, service] : services_)
+        owners.insert(service.owner);
+    return owners;
+}
+
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -21,6 +22,8 @@
 struct LiveRouter {
     RouterId router;
     double processorShare = 1;
+    /** Hash of its failure domain; zero if unknown. */
+    std::uint64_t failureDomain = 0;
 };
 
 /**
@@ -58,9 +61,9 @@
     struct Routers {
         /** Those that may place requests; not empty. */
         std::vector<LiveRouter> candidates;
-        /** Number of reachable routers, this one included. */
+        /** Number of reachable hubs, this router included. */
         std::size_t live = 1;
-        /** Number of routers seen recently, reachable or not. */
+        /** Number of hubs seen recently, reachable or not. */
         std::size_t recent = 1;
     };
     /** The placers use only the reachable routers' fraction of each engine. */
@@ -80,6 +83,8 @@
     auto waiting() const -> std::size_t;
     /** Number of services whose requests this router places. */
     auto ownedServices() const -> std::size_t;
+    /** The routers that place the requests of this one; may include this router. */
+    auto placers() const -> std::set<RouterId>;
 
 private:
     /** A request of this router, from its placement request to its end. */
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -90,6 +90,7 @@
     schedulerSettings.listen = settings_.peers;
     schedulerSettings.seeds = settings_.seeds;
     schedulerSettings.processorShare = settings_.processorShare;
+    schedulerSettings.failureDomain = settings_.failureDomain;
     schedulerSettings.incarnation = seed;
     schedulerSettings.placing.seed = seed + 1;
     auto scheduler = Scheduler::create(schedulerThread_.context(), schedulerSettings,
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -14,7 +14,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto heartbeatInterval = Duration(120ms);
+/** Batching period for changes of the hubs and standby routers, which are frequent while a fleet starts. */
+constexpr auto announcementInterval = Duration(250ms);
 /** Tick period while requests or frames wait; engines make prefill progress meanwhile. */
 constexpr auto busyTick = 5ms;
 constexpr auto idleTick = 40ms;
@@ -45,14 +46,15 @@
     , metrics_(metrics)
     , state_(state)
     , timer_(context)
-    , sync_(settings.listen.text(),
+    , sync_({ settings.listen.text(), settings.processorShare, hashName(settings.failureDomain) },
           { .send = [this](RouterId router, const PeerFrame& frame) { mesh_->send(router, frame); },
-              .broadcast = [this](const PeerFrame& frame) { mesh_->broadcast(frame); },
+              .publish = [this](const PeerFrame& frame) { sendUpdate(frame, true); },
+              .forward = [this](const PeerFrame& frame) { sendUpdate(frame, false); },
               .callStore = [this](SchedulerToStore call) { rings_.toStore.push(std::move(call)); },
               .onFleetChanged = [this] { fleetChanged(steadyNow()); },
               .onStoreReachabilityChanged =
                   [this] {
-                      sendHeartbeat();
+                      sendHeartbeats();
                       routersChanged(steadyNow());
                   } },
           log, metrics)
@@ -75,8 +77,14 @@
         .onConnected = [this](RouterId router, const PeerHello& hello) { connected(router, hello); },
         .onDisconnected = [this](RouterId router, std::string_view reason) { disconnected(router, reason); },
         .onFrame = [this](RouterId router, PeerFrame frame) { frameArrived(router, std::move(frame)); },
+        .onRefused =
+            [this](RouterId router) {
+                peers_.forget(router);
+                routersChanged(steadyNow());
+            },
     };
-    const auto self = PeerHello { settings_.listen.text(), settings_.incarnation, settings_.processorShare };
+    const auto self = PeerHello { settings_.listen.text(), settings_.incarnation, settings_.processorShare,
+        hashName(settings_.failureDomain) };
     auto mesh = PeerMesh::listen(context_, settings_.listen, self, std::move(handlers));
     if (!mesh)
         return mesh.error();
@@ -93,7 +101,7 @@
 auto Scheduler::addSeeds(std::span<const Endpoint> seeds) -> void
 {
     for (const auto& seed : seeds)
-        mesh_->addPeer(seed.text());
+        mesh_->addPeer({ seed.text() });
 }
 
 auto Scheduler::startDrain() -> void
@@ -101,7 +109,7 @@
     draining_ = true;
     state_.ready = false;
     routersChanged(steadyNow());
-    sendHeartbeat();
+    sendHeartbeats();
     placeAndSend();
 }
 
@@ -133,14 +141,14 @@
     }
     reportLoad(now);
     lastTick_ = now;
-    if (now >= nextHeartbeat_)
-        sendHeartbeat();
+    sendDueHeartbeats(now);
+    announceCandidates(now);
     if (rejoinAt_ != Time {} && now >= rejoinAt_) {
         rejoinAt_ = {};
         routersChanged(now);
     }
     checkLiveness(now);
-    sync_.tick(now, peers_.size() > 0);
+    sync_.tick(now, { peers_.size() > 0, mesh_->hubs().isHub(mesh_->self()), fleetSize_ });
     placeAndSend();
     armTick();
 }
@@ -171,30 +179,76 @@
     return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_ };
 }
 
-auto Scheduler::sendHeartbeat() -> void
+auto Scheduler::sendHeartbeat(RouterId router, Duration interval) -> void
 {
-    nextHeartbeat_ = steadyNow() + heartbeatInterval;
     auto frame = PeerFrame {};
     frame.heartbeat = heartbeat();
-    mesh_->broadcast(frame);
+    auto presence = PeerPresence {};
+    presence.routers = static_cast<std::uint32_t>(peers_.liveCount() + 1);
+    presence.interval = inMilliseconds(interval);
+    presence.configurationAge = inMilliseconds(sync_.configurationAge(steadyNow()));
+    presence.dependsOnReceiver = peers_.isDependency(router);
+    frame.presence = presence;
+    mesh_->send(router, frame);
+}
+
+auto Scheduler::sendDueHeartbeats(Time now) -> void
+{
+    for (const auto& [router, interval] : peers_.takeDueHeartbeats(now, mesh_->hubs(), mesh_->self()))
+        sendHeartbeat(router, interval);
     metrics_.setWaiting(placement_->waiting());
 }
 
+auto Scheduler::sendHeartbeats() -> void
+{
+    peers_.hastenHeartbeats();
+    sendDueHeartbeats(steadyNow());
+}
+
+auto Scheduler::sendUpdate(const PeerFrame& frame, bool withHubs) -> void
+{
+    for (const auto router : peers_.updateTargets(mesh_->hubs(), withHubs))
+        mesh_->send(router, frame);
+}
+
+auto Scheduler::announceCandidates(Time now) -> void
+{
+    if (now < nextAnnouncement_)
+        return;
+    nextAnnouncement_ = now + announcementInterval;
+    auto frame = PeerFrame {};
+    frame.addresses = mesh_->takeNewCandidates();
+    if (frame.addresses.empty() || !mesh_->hubs().isHub(mesh_->self()))
+        return;
+    for (const auto router : peers_.connectedRouters())
+        mesh_->send(router, frame);
+}
+
 auto Scheduler::roleCandidates(Time now) const -> std::vector<LiveRouter>
 {
-    auto candidates = peers_.live();
-    if ((!draining_ && now >= rejoinAt_) || candidates.empty())
-        candidates.push_back({ mesh_->self(), settings_.processorShare });
+    auto candidates = peers_.live(mesh_->hubs());
+    const auto mayHoldRoles = !draining_ && now >= rejoinAt_ && mesh_->hubs().isHub(mesh_->self());
+    if (mayHoldRoles || candidates.empty())
+        candidates.push_back({ mesh_->self(), settings_.processorShare, hashName(settings_.failureDomain) });
     return candidates;
 }
 
 auto Scheduler::routersChanged(Time now) -> void
 {
     const auto candidates = roleCandidates(now);
-    const auto live = std::max<std::size_t>(liveCount(), 1);
-    placement_->setRouters(now, { candidates, live, peers_.recentCount(now) + 1 });
-    metrics_.setRouters(live);
+    const auto live = peers_.liveHubs(mesh_->hubs()) + (draining_ ? 0 : 1);
+    placement_->setRouters(
+        now, { candidates, std::max<std::size_t>(live, 1), live + peers_.missingHubs(now) });
+    electReader(candidates);
+    updateDependencies(now, candidates);
+    const auto fleetSize = peers_.fleetSize();
+    metrics_.setRouters(fleetSize);
+    if (std::exchange(fleetSize_, fleetSize) != fleetSize)
+        relayChanged(now);
+}
 
+auto Scheduler::electReader(std::span<const LiveRouter> candidates) -> void
+{
     auto readers = std::vector<LiveRouter> {};
     std::ranges::copy_if(candidates, std::back_inserter(readers), [this](const LiveRouter& candidate) {
         return candidate.router == mesh_->self() ? sync_.isStoreReachable()
@@ -203,12 +257,33 @@
     const auto reader = readers.empty() ? mesh_->self() : placerOf(readerRole, readers);
     if (reader != reader_) {
         reader_ = reader;
-        sync_.setReader(reader, isReader());
         log_.write(LogLevel::Info, "store-reader",
             { { "router", std::to_string(reader.value) }, { "self", isReader() ? "true" : "false" },
-                { "live", std::to_string(live) } });
+                { "live", std::to_string(candidates.size()) } });
     }
-    fleetChanged(now);
+}
+
+auto Scheduler::chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId
+{
+    if (mesh_->hubs().isHub(mesh_->self()) || isReader())
+        return reader_;
+    auto own = std::vector<LiveRouter> {};
+    std::ranges::copy_if(candidates, std::back_inserter(own), [this](const LiveRouter& candidate) {
+        return candidate.failureDomain == hashName(settings_.failureDomain);
+    });
+    // Spreads the routers of a failure domain over its hubs.
+    return placerOf(
+        ServiceId { mesh_->self().value }, own.empty() ? candidates : std::span<const LiveRouter>(own));
+}
+
+auto Scheduler::updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void
+{
+    const auto feed = chooseFeed(candidates);
+    sync_.setFeed(feed, isReader());
+    auto needed = placement_->placers();
+    needed.insert(feed);
+    for (const auto router : peers_.setDependencies(now, needed))
+        sendHeartbeat(router, PeerTable::rareInterval);
 }
 
 auto Scheduler::connected(RouterId router, const PeerHello& hello) -> void
@@ -219,7 +294,12 @@
         { { "peer", hello.endpoint }, { "router", std::to_string(router.value) },
             { "run", std::to_string(hello.incarnation) }, { "peers", std::to_string(peers_.size()) } });
     auto frame = PeerFrame {};
-    frame.members = mesh_->members();
+    frame.addresses = mesh_->candidates();
+    const auto isOldBuild = hello.failureDomain == 0;
+    for (const auto& address : frame.addresses) {
+        if (isOldBuild)
+            frame.members.push_back(address.endpoint);
+    }
     frame.heartbeat = heartbeat();
     mesh_->send(router, frame);
     routersChanged(now);
@@ -245,6 +325,7 @@
         log_.write(LogLevel::Warning, "peer-silent",
             { { "router", std::to_string(router.value) },
                 { "ms", std::to_string(inMilliseconds(silence).count()) } });
+        mesh_->setResponsive(router, false);
     }
     if (change.others || !change.silent.empty())
         routersChanged(now);
@@ -255,10 +336,16 @@
     const auto now = steadyNow();
     ++work_.frames;
     const auto changed = peers_.updateLastSeen(now, router, frame.heartbeat);
+    if (frame.presence)
+        peers_.updatePresence(router, *frame.presence);
+    for (const auto& address : frame.addresses)
+        mesh_->addPeer(address);
     for (const auto& member : frame.members)
-        mesh_->addPeer(member);
-    if (changed)
+        mesh_->addPeer({ member });
+    if (changed) {
+        mesh_->setResponsive(router, true);
         routersChanged(now);
+    }
     sync_.handleFrame(now, router, frame);
     state_.directoryReadAt = sync_.directoryReadAt();
     if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty())
@@ -295,11 +382,11 @@
 
 auto Scheduler::handle(const FleetJoined& joined) -> void
 {
-    sync_.fleetJoined(steadyNow(), static_cast<bool>(joined.endpoints));
-    if (!joined.endpoints)
+    sync_.fleetJoined(steadyNow(), static_cast<bool>(joined.routers));
+    if (!joined.routers)
         return;
-    for (const auto& endpoint : joined.endpoints.value())
-        mesh_->addPeer(endpoint);
+    for (const auto& address : joined.routers.value())
+        mesh_->addPeer(address);
 }
 
 auto Scheduler::fleetChanged(Time now) -> void
@@ -309,11 +396,19 @@
         return;
     const auto upstreams = fleet.upstreams();
     placement_->setFleet(now, *fleet.table(), *upstreams);
-    rings_.toRelay.push(FleetChanged { fleet.table(), upstreams, liveCount(), now });
+    relayChanged(now);
+    updateDependencies(now, roleCandidates(now));
     if (fleet.directoryEnd() && !draining_ && !state_.ready.exchange(true))
         log_.write(LogLevel::Info, "ready", { { "configuration", std::to_string(fleet.version()) } });
 }
 
+auto Scheduler::relayChanged(Time now) -> void
+{
+    const auto& fleet = sync_.fleet();
+    if (fleet.table())
+        rings_.toRelay.push(FleetChanged { fleet.table(), fleet.upstreams(), fleetSize_, now });
+}
+
 auto Scheduler::logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void
 {
     for (const auto& change : changes) {
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -38,6 +38,7 @@
         Endpoint listen;
         std::vector<Endpoint> seeds;
         double processorShare = 1;
+        std::string failureDomain;
         /** Differs between lifetimes of the process. */
         std::uint64_t incarnation = 0;
         Placer::Settings placing;
@@ -65,17 +66,25 @@
     auto tick() -> void;
     auto armTick() -> void;
     auto heartbeat() const -> PeerHeartbeat;
-    auto sendHeartbeat() -> void;
+    auto sendHeartbeat(RouterId router, Duration interval) -> void;
+    auto sendDueHeartbeats(Time now) -> void;
+    /** Tells all peers about a change of this router at once. */
+    auto sendHeartbeats() -> void;
+    /** Sends a frame to the routers that depend on this one, and to the hubs if `withHubs`. */
+    auto sendUpdate(const PeerFrame& frame, bool withHubs) -> void;
+    auto announceCandidates(Time now) -> void;
 
     auto connected(RouterId router, const PeerHello& hello) -> void;
     auto disconnected(RouterId router, std::string_view reason) -> void;
     auto frameArrived(RouterId router, PeerFrame frame) -> void;
     auto checkLiveness(Time now) -> void;
     auto routersChanged(Time now) -> void;
+    auto electReader(std::span<const LiveRouter> candidates) -> void;
+    /** The router from which this one gets updates of the configuration and the directory. */
+    auto chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId;
+    auto updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void;
     /** Routers that may hold roles for the fleet; not empty. */
     auto roleCandidates(Time now) const -> std::vector<LiveRouter>;
-    /** Number of reachable routers, this one included unless it is leaving. */
-    auto liveCount() const -> std::size_t { return peers_.liveCount() + (draining_ ? 0 : 1); }
     auto isReader() const -> bool { return reader_ == mesh_->self(); }
 
     auto handle(RequestPlacement request) -> void;
@@ -85,6 +94,7 @@
     auto handle(const FleetJoined& joined) -> void;
 
     auto fleetChanged(Time now) -> void;
+    auto relayChanged(Time now) -> void;
     auto logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void;
     auto reportLoad(Time now) -> void;
     auto placeAndSend() -> void;
@@ -115,7 +125,8 @@
     Time lastTick_ {};
     /** This router takes no role until then, as the others took it for silent. */
     Time rejoinAt_ {};
-    Time nextHeartbeat_ {};
+    Time nextAnnouncement_ {};
+    std::size_t fleetSize_ = 1;
     Time nextFlush_ {};
     bool ticksOften_ = false;
     bool draining_ = false;
--- a/src/camphorshuntrouter/storegateway.h
+++ b/src/camphorshuntrouter/storegateway.h
@@ -32,7 +32,7 @@
 };
 /** Registers this router's address in the store, and reads those of all routers. */
 struct JoinFleet {
-    std::string endpoint;
+    RouterAddress self;
 };
 using SchedulerToStore = std::variant<ReadDirectory, ReadConfiguration, JoinFleet>;
 
@@ -49,7 +49,7 @@
     Result<Content> content;
 };
 struct FleetJoined {
-    Result<std::vector<std::string>> endpoints;
+    Result<std::vector<RouterAddress>> routers;
 };
 using StoreToScheduler = std::variant<DirectoryRead, ConfigurationRead, FleetJoined>;
 
--- a/src/camphorshuntrouter/storepacer.cpp
+++ b/src/camphorshuntrouter/storepacer.cpp
@@ -16,9 +16,14 @@
 constexpr auto configurationInterval = Duration(milliseconds(800));
 /** Pause after a failed read: refused calls cost the store as much as others. */
 constexpr auto failurePause = Duration(milliseconds(500));
+/** Size of a fleet above which its routers call the store less often, unless they read it for the others. */
+constexpr auto pausedFleetSize = 64.0;
 constexpr auto joinRetryPause = Duration(milliseconds(1000));
 /** Period in which a router without peers reads the addresses of the fleet again. */
 constexpr auto joinInterval = Duration(milliseconds(3000));
+/** Period in which a hub with peers reads them again: the parts of a fleet that was cut for long, or for
+ * which the store has lost records, find each other by it. */
+constexpr auto joinRefreshInterval = Duration(milliseconds(30000));
 
 } // namespace
 
@@ -40,6 +45,7 @@
 auto StorePacer::dueCalls(Time now, const RouterState& state) -> std::vector<SchedulerToStore>
 {
     auto calls = std::vector<SchedulerToStore> {};
+    pauseFactor_ = state.isReader ? 1.0 : std::max(1.0, double(state.fleetSize) / pausedFleetSize);
     if (directoryDue(now, state)) {
         directoryRequested_ = true;
         const auto readsAll = directoryExpired_ || !state.directoryEnd;
@@ -53,9 +59,10 @@
     }
     if (!joinRequested_ && now >= nextJoin_) {
         joinRequested_ = true;
-        calls.emplace_back(JoinFleet { endpoint_ });
+        calls.emplace_back(JoinFleet { self_ });
     }
-    if (state.hasPeers && nextJoin_ < now + joinInterval)
+    const auto refreshes = state.isHub && now - joinedAt_ >= joinRefreshInterval;
+    if (state.hasPeers && !refreshes && nextJoin_ < now + joinInterval)
         nextJoin_ = now + joinInterval;
     return calls;
 }
@@ -67,12 +74,12 @@
         reachable_ = true;
         directoryExpired_ = false;
         lastDirectoryUpdate_ = now;
-        nextDirectory_ = now + directoryInterval;
+        nextDirectory_ = now + pauseOf(directoryInterval);
         return;
     }
     directoryExpired_ = page.error().code == Error::Code::NotFound;
     reachable_ = directoryExpired_;
-    nextDirectory_ = directoryExpired_ ? now : now + failurePause;
+    nextDirectory_ = directoryExpired_ ? now : now + pauseOf(failurePause);
 }
 
 auto StorePacer::configurationRead(Time now, const Result<ConfigurationRead::Content>& content) -> void
@@ -82,19 +89,21 @@
         reachable_ = true;
         lastConfigurationUpdate_ = now;
         configurationEnd_ = content.value().end;
-        nextConfiguration_ = now + configurationInterval;
+        nextConfiguration_ = now + pauseOf(configurationInterval);
         return;
     }
     const auto expired = content.error().code == Error::Code::NotFound;
     if (expired)
         configurationEnd_.reset();
     reachable_ = expired;
-    nextConfiguration_ = expired ? now : now + failurePause;
+    nextConfiguration_ = expired ? now : now + pauseOf(failurePause);
 }
 
 auto StorePacer::fleetJoined(Time now, bool succeeded) -> void
 {
     joinRequested_ = false;
+    if (succeeded)
+        joinedAt_ = now;
     nextJoin_ = now + (succeeded ? joinInterval : joinRetryPause);
 }
 
--- a/src/camphorshuntrouter/storepacer.h
+++ b/src/camphorshuntrouter/storepacer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -16,8 +17,8 @@
  */
 class StorePacer {
 public:
-    explicit StorePacer(std::string endpoint)
-        : endpoint_(std::move(endpoint))
+    explicit StorePacer(RouterAddress self)
+        : self_(std::move(self))
     {
     }
 
@@ -26,6 +27,10 @@
         bool hasConfiguration = false;
         bool isReader = false;
         bool hasPeers = false;
+        /** Keeps the fleet together, and therefore looks for routers that it does not know of. */
+        bool isHub = false;
+        /** Routers in the fleet, which share the store's rate. */
+        std::size_t fleetSize = 1;
     };
 
     /** Calls to make now. A call of one kind is not due again before its result has been reported. */
@@ -36,19 +41,26 @@
     auto fleetJoined(Time now, bool succeeded) -> void;
     /** A page of the directory was applied, from the store or from a peer. */
     auto directoryUpdated(Time now) -> void { lastDirectoryUpdate_ = now; }
-    /** A heartbeat of the reader shows that this router's configuration is up to date. */
-    auto configurationConfirmed(Time now) -> void { lastConfigurationUpdate_ = now; }
+    /** A peer shows that this router's configuration was the newest at that time. */
+    auto configurationConfirmed(Time at) -> void
+    {
+        lastConfigurationUpdate_ = std::max(lastConfigurationUpdate_, at);
+    }
 
     /** Whether the last read was answered. */
     auto isReachable() const -> bool { return reachable_; }
+    auto lastConfigurationUpdate() const -> Time { return lastConfigurationUpdate_; }
     auto lastDirectoryUpdate() const -> Time { return lastDirectoryUpdate_; }
 
 private:
     auto directoryDue(Time now, const RouterState& state) const -> bool;
     auto configurationDue(Time now, const RouterState& state) const -> bool;
+    /** Pause after a read: longer in large fleets, as all may have lost the reader at once. */
+    auto pauseOf(Duration pause) const -> Duration { return scaled(pause, pauseFactor_); }
 
-    std::string endpoint_;
+    RouterAddress self_;
     bool reachable_ = true;
+    double pauseFactor_ = 1;
     bool directoryRequested_ = false;
     bool configurationRequested_ = false;
     bool joinRequested_ = false;
@@ -58,6 +70,7 @@
     Time nextDirectory_ {};
     Time nextConfiguration_ {};
     Time nextJoin_ {};
+    Time joinedAt_ {};
     Time lastDirectoryUpdate_ {};
     Time lastConfigurationUpdate_ {};
 };
--- a/tests/unit/placerelectiontest.cpp
+++ b/tests/unit/placerelectiontest.cpp
@@ -24,10 +24,13 @@
 
 TEST_CASE("A router whose heartbeats stop again and again takes no role between its silences")
 {
-    const auto late = RouterId { 1 };
-    const auto steady = RouterId { 2 };
+    const auto late = idOf<RouterId>("10.0.0.1:1");
+    const auto steady = idOf<RouterId>("10.0.0.2:1");
     auto table = PeerTable {};
     auto now = Time { 100s };
+    auto hubs = HubRegistry({ "10.0.0.3:1", 0.5, 1 });
+    hubs.learn({ "10.0.0.1:1", 0.5, 1 });
+    hubs.learn({ "10.0.0.2:1", 0.5, 1 });
     table.connected(now, late, { "10.0.0.1:1", 1, 0.5 });
     table.connected(now, steady, { "10.0.0.2:1", 1, 0.5 });
     const auto heartbeat = PeerHeartbeat { 1, 1, true, false };
@@ -39,7 +42,7 @@
         if (step % 6 == 0)
             static_cast<void>(table.updateLastSeen(now, late, heartbeat));
         static_cast<void>(table.checkSilence(now));
-        const auto live = table.live();
+        const auto live = table.live(hubs);
         const auto isLive
             = std::ranges::any_of(live, [late](const LiveRouter& router) { return router.router == late; });
         changes += isLive != wasLive ? 1 : 0;
--- a/tests/unit/storepacertest.cpp
+++ b/tests/unit/storepacertest.cpp
@@ -47,7 +47,7 @@
 
 TEST_CASE("The reader reads the directory at least twice a second, so that leaving upstreams are noticed")
 {
-    auto pacer = StorePacer("10.0.0.1:7");
+    auto pacer = StorePacer({ "10.0.0.1:7" });
     auto now = Time { 10s };
     const auto counts = simulateCalls(pacer, { 5, true, true, true }, now, 10s, true);
     CHECK(counts.directory >= 20);
@@ -58,7 +58,7 @@
 
 TEST_CASE("Other routers do not call the store while they receive updates from the reader")
 {
-    auto pacer = StorePacer("10.0.0.1:7");
+    auto pacer = StorePacer({ "10.0.0.1:7" });
     auto now = Time { 10s };
     simulateCalls(pacer, { std::nullopt, false, false, true }, now, 100ms, true);
     auto calls = 0;
@@ -76,7 +76,7 @@
 
 TEST_CASE("A store that fails is read at most twice a second for each topic")
 {
-    auto pacer = StorePacer("10.0.0.1:7");
+    auto pacer = StorePacer({ "10.0.0.1:7" });
     auto now = Time { 10s };
     const auto counts = simulateCalls(pacer, { 5, true, true, true }, now, 10s, false);
     CHECK(!pacer.isReachable());
@@ -89,7 +89,7 @@
 
 TEST_CASE("After records have expired, the entire directory is read again")
 {
-    auto pacer = StorePacer("10.0.0.1:7");
+    auto pacer = StorePacer({ "10.0.0.1:7" });
     auto now = Time { 10s };
     pacer.dueCalls(now, { 5, true, true, true });
     pacer.directoryRead(now, failure(Error::Code::NotFound, "store", "410"));
