Bound what an upstream or the store may send without end

What callers could see: a stream that waits for an engine which sends bytes that never become an event, a chunk size, a response or the right answer; memory of the router grows until it is killed (resumable streams keep the bytes of an event, the parser's unread bytes were kept without a bound). A refusal of another request that arrived late on a reused connection was taken for a proof that this one had not run, so it was sent again while its first run went on. A store that trickled an answer held up its reader for good; a router of 88 MB read up to 64 MB of one.

Cause: only heads had a limit; pauses were measured between bytes, not between events; an answer with the mark of "not run" was taken with any id.

Change: unread bytes of an answer are limited to 64 KiB, skipped interim and foreign answers to 8 and 1 MiB, an event to 256 KiB. Beyond these the connection is closed and the attempt counts as broken: resumed, or answered with 502. Bytes of a stream that complete no event are no progress, so a resumable stream that trickles is resumed elsewhere after a second. A refusal with another request's id is skipped.

Not done: fault switches of the stand-in engine for these, and 50 such engines at once with the memory measured.

--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -12,7 +12,9 @@
 auto AnswerIntake::consumeHead(const platform::ResponseHeader& header, const Expected& expected) -> Head
 {
     const auto answer = platform::readEngineAnswer(header);
-    if (answer.attempt != expected.attempt && !answer.notRun)
+    // Only a refusal may lack the id: an upstream refuses requests of which it could not read one.
+    const auto lacksId = answer.notRun && answer.attempt.empty();
+    if (answer.attempt != expected.attempt && !lacksId)
         return Head::Mismatched;
     answer_ = answer;
     // The id is a view into the header, which does not outlive this call.
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -80,6 +80,8 @@
     {
         return relay_ ? relay_->streamFigures() : std::nullopt;
     }
+    /** A stream has sent more bytes without completing an event than any event has. */
+    auto isEndless() const -> bool { return relay_ && relay_->isEndless(); }
     /** The answer is a stream that can't be resumed at another upstream. */
     auto isFinalStream() const -> bool { return finalStream_; }
 
--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -102,6 +102,8 @@
     if (isStream())
         boundary_.consume(bytes);
     received_ += bytes.size();
+    if (isEndless())
+        return {};
     // The caller takes an answer with all bytes of its length for a complete one.
     if (mode_ == Mode::Stream && length_ && received_ >= *length_ && boundary_.isInsideEvent())
         return {};
--- a/src/camphorshuntrouter/answerrelay.h
+++ b/src/camphorshuntrouter/answerrelay.h
@@ -32,6 +32,7 @@
         Stream,
         ResumableStream
     };
+    static constexpr auto maxEventBytes = std::size_t { 256 } * 1024;
 
     AnswerRelay(const platform::ResponseHeader& header, Mode mode, bool isHead, bool lastAnswer);
 
@@ -47,6 +48,9 @@
      */
     auto isComplete(AnswerEnd end) const -> bool;
 
+    /** A stream has sent more bytes without completing an event than any event has. */
+    auto isEndless() const -> bool { return isStream() && boundary_.partialBytes() > maxEventBytes; }
+
     /** Part of the answer has been passed on, so that no other one can replace it. */
     auto hasBegun() const -> bool { return begun_; }
     auto status() const -> unsigned { return status_; }
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -191,17 +191,26 @@
 
 auto Exchange::bodyArrived(std::string_view bytes) -> void
 {
-    lastByteAt_ = steadyNow();
     if (!answer_.hasHead() || answer_.notRun())
         return;
     const auto self = shared_from_this();
+    const auto eventsBefore = answer_.streamFigures().value_or(StreamFigures {}).events;
     if (!std::exchange(startReported_, true) && onEngine_ && answer_.isSuccessful())
         relay_.reportStart(number_, service_);
     auto text = answer_.consumeBody(bytes);
+    if (answer_.isEndless()) {
+        connection_->close();
+        attemptFailed(PlacementEnd::Broken, true, "an event exceeds the size limit");
+        return;
+    }
+    // Bytes that complete no event are no progress of a stream: an upstream that is stuck may trickle them.
+    const auto stream = answer_.streamFigures();
+    if (!stream || stream->events > eventsBefore)
+        lastByteAt_ = steadyNow();
     if (text.empty())
         return;
     if (times_.firstByte == Time {}) {
-        times_.firstByte = lastByteAt_;
+        times_.firstByte = steadyNow();
         relay_.metrics().firstByte(times_.firstByte - times_.arrived);
     }
     state_ = State::Answering;
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -12,6 +12,11 @@
 
 /** In bytes. */
 constexpr auto headerLimit = std::uint32_t { 64 } * 1024;
+/** Bytes of an answer that the parser can't consume yet, as of a chunk's size; beyond this it never will. */
+constexpr auto maxPendingBytes = std::size_t { headerLimit };
+/** Interim responses, answers to other requests and bytes of these that are skipped before an answer. */
+constexpr auto maxSkippedAnswers = 8U;
+constexpr auto maxSkippedBytes = std::size_t { 1024 } * 1024;
 /** Lower statuses are interim responses, which precede the answer. */
 constexpr auto firstFinalStatus = 200U;
 
@@ -64,6 +69,8 @@
 {
     written_ = 0;
     reusable_ = false;
+    skippedAnswers_ = 0;
+    skippedBytes_ = 0;
     beginParser();
     write();
 }
@@ -159,7 +166,10 @@
             return;
         answered = parser_->is_done() && !malformed_;
     } while (answered && skipMismatched());
+    answered = answered && !malformed_;
     pending_ = std::string(bytes);
+    if (!answered && pending_.size() > maxPendingBytes)
+        malformed_ = true;
     if (malformed_)
         endAnswer(AnswerEnd::Broken);
     else if (answered)
@@ -171,8 +181,19 @@
 {
     if (!mismatched_)
         return false;
+    countSkipped(0);
     beginParser();
-    return true;
+    return !malformed_;
+}
+
+/** An upstream that only sends what is no answer to the request counts as broken. */
+auto UpstreamConnection::countSkipped(std::size_t bytes) -> void
+{
+    if (bytes == 0)
+        ++skippedAnswers_;
+    skippedBytes_ += bytes;
+    if (skippedAnswers_ > maxSkippedAnswers || skippedBytes_ > maxSkippedBytes)
+        malformed_ = true;
 }
 
 auto UpstreamConnection::parse(std::string_view bytes) -> std::size_t
@@ -188,6 +209,9 @@
         }
         const auto isInterim = parser_->is_header_done() && parser_->get().result_int() < firstFinalStatus;
         if (parser_->is_done() && isInterim) {
+            countSkipped(0);
+            if (malformed_)
+                break;
             beginParser();
             continue;
         }
@@ -206,7 +230,9 @@
     }
     if (listener_ != nullptr && headReported_ && !parser_->get().body().empty()) {
         const auto body = std::exchange(parser_->get().body(), {});
-        if (!mismatched_)
+        if (mismatched_)
+            countSkipped(body.size());
+        else
             listener_->bodyArrived(body);
     }
     return listener_ != nullptr;
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -110,6 +110,8 @@
     auto beginAnswer() -> void;
     auto beginParser() -> void;
     auto skipMismatched() -> bool;
+    /** `bytes`: of the body of a skipped answer; zero for its end. */
+    auto countSkipped(std::size_t bytes) -> void;
 
     Tcp::socket socket_;
     Tcp::endpoint remote_;
@@ -121,6 +123,8 @@
     /** Received bytes that the parser has not consumed yet. */
     std::string pending_;
     std::optional<Parser> parser_;
+    unsigned skippedAnswers_ = 0;
+    std::size_t skippedBytes_ = 0;
     Time idleUntil_ {};
     bool open_ = true;
     bool connected_ = false;
--- a/src/libcamphorshunt/eventboundary.cpp
+++ b/src/libcamphorshunt/eventboundary.cpp
@@ -7,6 +7,7 @@
 auto EventBoundary::consume(std::string_view bytes) -> void
 {
     for (const auto byte : bytes) {
+        ++partialBytes_;
         if (byte == '\r')
             continue;
         if (byte != '\n') {
@@ -14,8 +15,10 @@
             lineIsEmpty_ = false;
             continue;
         }
-        if (std::exchange(lineIsEmpty_, true) && std::exchange(insideEvent_, false))
+        if (std::exchange(lineIsEmpty_, true) && std::exchange(insideEvent_, false)) {
             ++events_;
+            partialBytes_ = 0;
+        }
     }
 }
 
@@ -23,6 +26,7 @@
 {
     insideEvent_ = false;
     lineIsEmpty_ = true;
+    partialBytes_ = 0;
 }
 
 } // namespace camphorshunt
--- a/src/libcamphorshunt/eventboundary.h
+++ b/src/libcamphorshunt/eventboundary.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -18,9 +19,12 @@
     auto isInsideEvent() const -> bool { return insideEvent_; }
     /** Number of complete events so far. */
     auto events() const -> std::uint64_t { return events_; }
+    /** Bytes since the last complete event. */
+    auto partialBytes() const -> std::size_t { return partialBytes_; }
 
 private:
     std::uint64_t events_ = 0;
+    std::size_t partialBytes_ = 0;
     bool insideEvent_ = false;
     bool lineIsEmpty_ = true;
 };
--- a/src/libnet/httpclient.h
+++ b/src/libnet/httpclient.h
@@ -23,6 +23,8 @@
     std::chrono::milliseconds firstByteTimeout { 15000 };
     /** Maximum time between two reads of the body. */
     std::chrono::milliseconds gapTimeout { 5000 };
+    /** From the start of the call to its end, however steadily bytes arrive; zero for no limit. */
+    std::chrono::milliseconds totalTimeout { 0 };
     std::size_t maxBodyBytes = std::size_t { 64 } * 1024 * 1024;
 };
 
--- a/src/libnet/httpclientcall.cpp
+++ b/src/libnet/httpclientcall.cpp
@@ -49,6 +49,7 @@
     , handlers_(std::move(handlers))
     , socket_(context)
     , timer_(context)
+    , totalTimer_(context)
     , message_(messageOf(std::move(spec_.request), spec_.endpoint))
 {
 }
@@ -57,6 +58,7 @@
 {
     if (ended_)
         return;
+    startTotalTimer();
     auto idle = spec_.freshConnection ? std::nullopt : pool_->tryAcquire(spec_.endpoint);
     if (!idle) {
         connect();
@@ -91,6 +93,7 @@
     ended_ = true;
     handlers_ = {};
     stopTimer();
+    totalTimer_.cancel();
     auto ignored = ErrorCode {};
     socket_.close(ignored);
 }
@@ -231,6 +234,18 @@
     timer_.cancel();
 }
 
+auto HttpClientCall::startTotalTimer() -> void
+{
+    if (spec_.totalTimeout == std::chrono::milliseconds(0))
+        return;
+    totalTimer_.expires_after(spec_.totalTimeout);
+    totalTimer_.async_wait([weak = weak_from_this()](const ErrorCode& error) {
+        const auto self = weak.lock();
+        if (self && !error)
+            self->end(HttpCallEnd::Silent);
+    });
+}
+
 auto HttpClientCall::startTimer(std::chrono::milliseconds delay, HttpCallEnd result) -> void
 {
     timer_.expires_after(delay);
--- a/src/libnet/httpclientcall.h
+++ b/src/libnet/httpclientcall.h
@@ -45,6 +45,7 @@
     auto deliver() -> void;
     auto complete() -> void;
     auto end(HttpCallEnd result) -> void;
+    auto startTotalTimer() -> void;
     auto stopTimer() -> void;
     auto startTimer(std::chrono::milliseconds delay, HttpCallEnd result) -> void;
 
@@ -54,6 +55,7 @@
     HttpCallHandlers handlers_;
     Socket socket_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer totalTimer_;
     boost::beast::flat_buffer buffer_;
     Message message_;
     std::optional<Parser> parser_;
--- a/tests/unit/answerintaketest.cpp
+++ b/tests/unit/answerintaketest.cpp
@@ -48,6 +48,17 @@
     CHECK(intake.consumeBody("full").empty());
 }
 
+// A second copy of a refusal, late on a reused connection, let the request run twice: the first run went on.
+TEST_CASE("A refusal of another request is not taken for a proof that this one has not run")
+{
+    const auto route = streamRoute(false);
+    auto intake = AnswerIntake {};
+    auto refusal = header(503, "other");
+    refusal.set("X-Not-Executed", "1");
+    CHECK(intake.consumeHead(refusal, { "a1", route }) == Head::Mismatched);
+    CHECK(!intake.notRun());
+}
+
 TEST_CASE("An answer without an upstream's signature is not passed on")
 {
     const auto route = streamRoute(false);
