Refuse connections of an overloaded router by not listening for a moment

Cause: an overloaded router accepted and closed each connection, up to 2,750 a second, which took all of its tenth of a core. Connections waited in the queue until their callers gave up, and admitted requests were late.

Change: in an overload the listening socket is closed for 100 ms after four connections were accepted. The kernel refuses connections meanwhile at no cost, and callers try another router at once.

Evidence: relayaccepttest (all refused, accepted again afterwards); its other cases pass unchanged.

--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -20,11 +20,13 @@
 /** Streams that begin later into a drain than this are refused: they might not end before the process. */
 constexpr auto streamsInDrain = Duration(2400ms);
 constexpr auto acceptPause = 50ms;
-/** Connections accepted before other work gets its turn. */
+/** Connections accepted before other work gets its turn, and those of them that are served. */
 constexpr auto maxAcceptsPerTurn = std::size_t { 256 };
-/** Of these, those that are served. The next ones wait, or in an overload are closed before they are read. */
 constexpr auto maxAdmittedPerTurn = std::size_t { 16 };
+/** In an overload: connections accepted in a turn, and the time before the next turn, in which more are
+ * refused. */
 constexpr auto maxAdmittedInOverload = std::size_t { 4 };
+constexpr auto listeningPause = 100ms;
 /** A relay whose ticks are delayed by less is not reported. */
 constexpr auto reportedDelay = Duration(100ms);
 
@@ -40,6 +42,7 @@
     , metrics_(metrics)
     , state_(state)
     , acceptor_(context)
+    , acceptTimer_(context)
     , timer_(context)
     , pool_(context)
     , overload_(settings.seed)
@@ -52,13 +55,9 @@
     -> Result<std::unique_ptr<Relay>>
 {
     auto relay = std::unique_ptr<Relay>(new Relay(context, settings, toScheduler, log, metrics, state));
-    const auto opened = net::listenOn(relay->acceptor_, settings.listen, "listen.callers");
+    const auto opened = relay->openAcceptor();
     if (!opened)
         return opened.error();
-    auto error = boost::system::error_code {};
-    relay->acceptor_.non_blocking(true, error);
-    if (error)
-        return failure(Error::Code::Io, "listen.callers", error.message());
     relay->accept();
     relay->tick();
     return Result<std::unique_ptr<Relay>>(std::move(relay));
@@ -84,12 +83,10 @@
 
 auto Relay::acceptWaiting() -> void
 {
-    auto admitted = std::size_t { 0 };
     const auto isOverloaded = overload_.isOverloaded();
     const auto maxAdmitted = isOverloaded ? maxAdmittedInOverload : maxAdmittedPerTurn;
-    for (auto count = std::size_t { 0 }; count < maxAcceptsPerTurn; ++count) {
-        if (admitted >= maxAdmitted && !isOverloaded)
-            break;
+    auto admitted = std::size_t { 0 };
+    for (auto count = std::size_t { 0 }; count < maxAcceptsPerTurn && admitted < maxAdmitted; ++count) {
         auto error = boost::system::error_code {};
         auto socket = acceptor_.accept(error);
         if (error == boost::asio::error::would_block)
@@ -97,15 +94,11 @@
         if (error) {
             // For example no descriptor is free; an immediate retry would spin.
             log(LogLevel::Warning, "accept-failed", { { "error", error.message() } });
-            const auto pause = std::make_shared<boost::asio::steady_timer>(context_, acceptPause);
-            pause->async_wait([this, pause](const boost::system::error_code&) {
-                if (acceptor_.is_open())
-                    accept();
-            });
+            acceptAfter(acceptPause);
             return;
         }
         ++accepted_;
-        if (admitted >= maxAdmitted || callers_.size() >= settings_.maxCallers) {
+        if (callers_.size() >= settings_.maxCallers) {
             ++shed_;
             continue;
         }
@@ -114,7 +107,56 @@
         callers_.emplace(caller.get(), caller);
         caller->start();
     }
-    accept();
+    if (isOverloaded)
+        pauseListening();
+    else
+        accept();
+}
+
+auto Relay::acceptAfter(std::chrono::milliseconds pause) -> void
+{
+    acceptTimer_.expires_after(pause);
+    acceptTimer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && acceptor_.is_open())
+            accept();
+    });
+}
+
+/** The kernel refuses connections meanwhile, which costs no processor time, and their callers go elsewhere.
+ */
+auto Relay::pauseListening() -> void
+{
+    ++listeningPauses_;
+    auto ignored = boost::system::error_code {};
+    acceptor_.close(ignored);
+    acceptTimer_.expires_after(listeningPause);
+    acceptTimer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && !stopsAccepting(steadyNow()))
+            resumeListening();
+    });
+}
+
+auto Relay::resumeListening() -> void
+{
+    const auto opened = openAcceptor();
+    if (opened) {
+        accept();
+        return;
+    }
+    log(LogLevel::Error, "listen-failed", { { "error", opened.error().text() } });
+    pauseListening();
+}
+
+auto Relay::openAcceptor() -> Result<void>
+{
+    const auto opened = net::listenOn(acceptor_, settings_.listen, "listen.callers");
+    if (!opened)
+        return opened.error();
+    auto error = boost::system::error_code {};
+    acceptor_.non_blocking(true, error);
+    if (error)
+        return failure(Error::Code::Io, "listen.callers", error.message());
+    return boost::outcome_v2::success();
 }
 
 auto Relay::limits() const -> const CallerLimits&
@@ -236,6 +278,8 @@
     drainBegan_ = steadyNow();
 }
 
+auto Relay::stopsAccepting(Time now) const -> bool { return draining_ && now - drainBegan_ > acceptInDrain; }
+
 auto Relay::acceptsStreams() const -> bool
 {
     return !draining_ || steadyNow() - drainBegan_ < streamsInDrain;
@@ -267,6 +311,7 @@
     metrics_.setCallers(callers_.size());
     const auto accepted = std::exchange(accepted_, 0);
     const auto shed = std::exchange(shed_, 0);
+    const auto pauses = std::exchange(listeningPauses_, 0);
     if (report->late < reportedDelay && callers_.size() < settings_.maxCallers)
         return;
     const auto milliseconds = [](Duration time) { return std::to_string(inMilliseconds(time).count()); };
@@ -274,6 +319,7 @@
         { { "late-ms", milliseconds(report->late) }, { "processor-ms", milliseconds(report->processor) },
             { "callers", std::to_string(callers_.size()) }, { "limit", std::to_string(settings_.maxCallers) },
             { "accepted", std::to_string(accepted) }, { "shed", std::to_string(shed) },
+            { "listening-pauses", std::to_string(pauses) },
             { "requests", std::to_string(exchanges_.size()) } });
 }
 
@@ -312,7 +358,7 @@
         if (auto caller = weak.lock())
             callers.push_back(std::move(caller));
     }
-    const auto stopAccepting = draining_ && now - drainBegan_ > acceptInDrain;
+    const auto stopAccepting = stopsAccepting(now);
     if (stopAccepting && acceptor_.is_open()) {
         auto ignored = boost::system::error_code {};
         acceptor_.close(ignored);
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -112,6 +112,11 @@
 
     auto accept() -> void;
     auto acceptWaiting() -> void;
+    auto acceptAfter(std::chrono::milliseconds pause) -> void;
+    auto pauseListening() -> void;
+    auto resumeListening() -> void;
+    auto openAcceptor() -> Result<void>;
+    auto stopsAccepting(Time now) const -> bool;
     auto tick() -> void;
     auto reportLoad(Time now) -> void;
     auto watchOverload(Time now) -> void;
@@ -129,6 +134,7 @@
     RouterMetrics& metrics_;
     SharedState& state_;
     Tcp::acceptor acceptor_;
+    boost::asio::steady_timer acceptTimer_;
     boost::asio::steady_timer timer_;
     std::shared_ptr<const RouteTable> table_;
     std::shared_ptr<const UpstreamList> upstreams_;
@@ -148,6 +154,8 @@
     std::uint64_t accepted_ = 0;
     /** Those of them that were closed at once. */
     std::uint64_t shed_ = 0;
+    /** Times since the last report of the load at which connections were refused for a while. */
+    std::uint64_t listeningPauses_ = 0;
     Time tickDue_ {};
     Time nextSweep_ {};
     bool draining_ = false;
--- a/tests/unit/relayaccepttest.cpp
+++ b/tests/unit/relayaccepttest.cpp
@@ -52,3 +52,32 @@
         driven.context.run_for(50ms);
     CHECK(driven.state.acceptsCallers());
 }
+
+// Closing each new connection took the processor time of the router, so that callers waited until they gave
+// up.
+TEST_CASE(
+    "Callers of an overloaded relay are refused at once without its help, and later ones are served again")
+{
+    auto driven = test::DrivenRelay {};
+    driven.state.ready = true;
+    for (auto tick = 0; tick < 5; ++tick) {
+        std::this_thread::sleep_for(100ms);
+        driven.context.poll();
+    }
+    driven.connect(60);
+    std::this_thread::sleep_for(100ms);
+    driven.context.poll();
+    auto refused = 0;
+    for (auto index = 0; index < 20; ++index) {
+        auto socket = test::DrivenRelay::Tcp::socket(driven.clientContext);
+        auto error = boost::system::error_code {};
+        socket.connect({ driven.loopback, driven.port }, error);
+        refused += error == boost::asio::error::connection_refused ? 1 : 0;
+    }
+    CHECK(refused == 20);
+    const auto callers = driven.relay->callers();
+    driven.context.run_for(300ms);
+    driven.connect(10);
+    driven.context.run_for(100ms);
+    CHECK(driven.relay->callers() == callers + 10);
+}
