Wait until a stopped process has stopped, and keep tests off the ports of outgoing connections

Two known failures traced. "A request is not forwarded if its caller disconnects before the router reads it" counted 3 runs in place of 2: the test sent SIGSTOP and went on while threads of the router still ran, so that the first request was read while its caller was there. `ChildProcess::signal` now waits for the stop. The product is not at fault; the check is unchanged.

The ports of the test's routers came from the range of the kernel's outgoing connections and were free only when they were looked up. They come from a range below it now, one for each test process.

--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -91,10 +91,16 @@
     return std::move(buffered_);
 }
 
-auto ChildProcess::signal(int number) const -> void
+auto ChildProcess::signal(int number) -> void
 {
-    if (pid_ > 0)
-        ::kill(pid_, number);
+    if (pid_ <= 0)
+        return;
+    ::kill(pid_, number);
+    if (number != SIGSTOP)
+        return;
+    // `kill` returns while threads of the process still run on other cores.
+    if (::waitpid(pid_, &status_, WUNTRACED) == pid_ && !WIFSTOPPED(status_))
+        pid_ = -1;
 }
 
 auto ChildProcess::wait() -> int
--- a/tests/process/childprocess.h
+++ b/tests/process/childprocess.h
@@ -23,7 +23,8 @@
     auto readLine(std::string_view prefix) -> std::string;
     /** Discards further output on a separate thread, so that the program never blocks on a full pipe. */
     auto discardOutput() -> void;
-    auto signal(int number) const -> void;
+    /** With SIGSTOP, returns when all threads of the process have stopped. */
+    auto signal(int number) -> void;
     /** Waits for the process to end. Returns its exit code, or 128 + the number of the fatal signal. */
     auto wait() -> int;
     /** Sends SIGKILL and waits for the process to end. */
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -1,5 +1,6 @@
 #include "routerfleet.h"
 
+#include <algorithm>
 #include <atomic>
 #include <filesystem>
 #include <fstream>
@@ -17,17 +18,29 @@
 
 namespace json = boost::json;
 
-/** Returns ports that are free now. Another process may bind one before the routers do. */
+/** Below the range from which the kernel takes ports of outgoing connections, which are many in parallel
+ * tests. */
+constexpr auto firstPort = 10240;
+constexpr auto portsOfProcess = 64;
+constexpr auto portRanges = 340;
+
+/** Returns ports that are free now and that tests running in other processes do not choose. */
 auto freePorts(std::size_t count) -> std::vector<std::uint16_t>
 {
+    static auto next = 0;
+    const auto first = firstPort + ::getpid() % portRanges * portsOfProcess;
     auto context = boost::asio::io_context {};
-    auto acceptors = std::vector<boost::asio::ip::tcp::acceptor> {};
     auto ports = std::vector<std::uint16_t> {};
-    for (auto index = std::size_t { 0 }; index < count; ++index) {
-        acceptors.emplace_back(
-            context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-        ports.push_back(acceptors.back().local_endpoint().port());
+    for (auto tries = 0; ports.size() < count && tries < 2 * portsOfProcess; ++tries) {
+        const auto port = static_cast<std::uint16_t>(first + next++ % portsOfProcess);
+        auto acceptor = boost::asio::ip::tcp::acceptor(context, boost::asio::ip::tcp::v4());
+        auto error = boost::system::error_code {};
+        acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
+        acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, error);
+        if (!error && std::ranges::find(ports, port) == ports.end())
+            ports.push_back(port);
     }
+    REQUIRE(ports.size() == count);
     return ports;
 }
 
