Let hubs alone read the store at a start, and tell how old a confirmation is

Two changes of when the store is called.

A router that is no hub now waits up to 400 ms for what its first peers know, and reads addresses only if it has no peers then. Test: "Routers that start together leave the store to the hubs, but not for long".

Heartbeats carry the age of the last confirmation, and a reader polls all the time, 700 ms a call in place of 1,000 and a pause of 800, so that a true age stays under the 1.4 s after which others read themselves. Test: "A router reads the configuration itself in time if the last read of its feed is old".

--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -47,12 +47,6 @@
     isReader_ = isReader;
 }
 
-auto FleetSync::configurationAge(Time now) const -> Duration
-{
-    // A read of the reader waits for changes, so it knows of one as soon as there is one.
-    return isReader_ && pacer_.isReachable() ? Duration {} : now - pacer_.lastConfigurationUpdate();
-}
-
 auto FleetSync::handleFrame(Time now, RouterId from, PeerFrame& frame) -> void
 {
     if (frame.configuration)
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -59,7 +59,7 @@
     auto directoryReadAt() const -> Time { return pacer_.lastDirectoryUpdate(); }
     auto fleet() const -> const FleetState& { return fleet_; }
     /** Time since this router's configuration was last confirmed to be the newest. */
-    auto configurationAge(Time now) const -> Duration;
+    auto configurationAge(Time now) const -> Duration { return now - pacer_.lastConfigurationUpdate(); }
     auto isStoreReachable() const -> bool { return pacer_.isReachable(); }
 
 private:
--- a/src/camphorshuntrouter/storegateway.cpp
+++ b/src/camphorshuntrouter/storegateway.cpp
@@ -125,12 +125,15 @@
 
 auto StoreGateway::handle(const JoinFleet& join) -> void
 {
-    client_.put(topic::routers, join.self.endpoint, recordOf(join.self), [this](const Result<void>& done) {
-        if (!done)
-            toScheduler_.push(FleetJoined { done.error() });
-        else
-            readRouters();
-    });
+    client_.put(topic::routers, join.self.endpoint, recordOf(join.self),
+        [this, readsOthers = join.readsOthers](const Result<void>& done) {
+            if (!done)
+                toScheduler_.push(FleetJoined { done.error() });
+            else if (readsOthers)
+                readRouters();
+            else
+                toScheduler_.push(FleetJoined { std::vector<RouterAddress> {} });
+        });
 }
 
 auto StoreGateway::readRouters() -> void
--- a/src/camphorshuntrouter/storegateway.h
+++ b/src/camphorshuntrouter/storegateway.h
@@ -30,9 +30,10 @@
     /** Long poll: how long the store may wait for a new record. */
     std::chrono::milliseconds wait {};
 };
-/** Registers this router's address in the store, and reads those of all routers. */
+/** Registers this router's address in the store, and may read those of all routers. */
 struct JoinFleet {
     RouterAddress self;
+    bool readsOthers = true;
 };
 using SchedulerToStore = std::variant<ReadDirectory, ReadConfiguration, JoinFleet>;
 
--- a/src/camphorshuntrouter/storepacer.cpp
+++ b/src/camphorshuntrouter/storepacer.cpp
@@ -8,8 +8,9 @@
 
 /** Period of the reader. An upstream must receive no new requests 2 s after it announced that it leaves. */
 constexpr auto directoryInterval = Duration(milliseconds(400));
-/** Long-poll time of the reader's reads of the configuration. */
-constexpr auto configurationWait = milliseconds(1000);
+/** Long-poll time of the reader's reads of the configuration, and the minimum time between two of them. */
+constexpr auto configurationWait = milliseconds(700);
+constexpr auto minPollInterval = Duration(milliseconds(200));
 /** Without an update from the reader for this long, a router reads the store itself. */
 constexpr auto maxDirectoryAge = Duration(milliseconds(900));
 constexpr auto maxConfigurationAge = Duration(milliseconds(1400));
@@ -19,6 +20,10 @@
 /** Size of a fleet above which its routers call the store less often, unless they read it for the others. */
 constexpr auto pausedFleetSize = 64.0;
 constexpr auto joinRetryPause = Duration(milliseconds(1000));
+/** Time after a start to connect to the first peers, and for these to pass on what they know. If all routers
+ * of a large fleet start together, only the hubs read the store. */
+constexpr auto connectTime = Duration(milliseconds(100));
+constexpr auto peersTime = Duration(milliseconds(400));
 /** Period in which a router without peers reads the addresses of the fleet again. */
 constexpr auto joinInterval = Duration(milliseconds(3000));
 /** Period in which a hub with peers reads them again: the parts of a fleet that was cut for long, or for
@@ -29,15 +34,22 @@
 
 auto StorePacer::directoryDue(Time now, const RouterState& state) const -> bool
 {
-    if (directoryRequested_ || now < nextDirectory_)
+    if (directoryRequested_ || now < nextDirectory_ || (!state.directoryEnd && awaitsPeers(now, state)))
         return false;
     return state.isReader || !state.directoryEnd || !reachable_
         || now - lastDirectoryUpdate_ > maxDirectoryAge;
 }
 
+auto StorePacer::awaitsPeers(Time now, const RouterState& state) const -> bool
+{
+    const auto age = now - startedAt_;
+    return age < connectTime || (state.hasPeers && !state.isHub && age < peersTime);
+}
+
 auto StorePacer::configurationDue(Time now, const RouterState& state) const -> bool
 {
-    if (configurationRequested_ || now < nextConfiguration_)
+    if (configurationRequested_ || now < nextConfiguration_
+        || (!state.hasConfiguration && awaitsPeers(now, state)))
         return false;
     return state.isReader || !state.hasConfiguration || now - lastConfigurationUpdate_ > maxConfigurationAge;
 }
@@ -45,6 +57,10 @@
 auto StorePacer::dueCalls(Time now, const RouterState& state) -> std::vector<SchedulerToStore>
 {
     auto calls = std::vector<SchedulerToStore> {};
+    if (startedAt_ == Time {}) {
+        startedAt_ = now;
+        nextJoin_ = now + peersTime;
+    }
     pauseFactor_ = state.isReader ? 1.0 : std::max(1.0, double(state.fleetSize) / pausedFleetSize);
     if (directoryDue(now, state)) {
         directoryRequested_ = true;
@@ -53,16 +69,18 @@
     }
     if (configurationDue(now, state)) {
         configurationRequested_ = true;
-        const auto longPolls = state.isReader && state.hasConfiguration;
+        configurationRequestedAt_ = now;
+        longPolls_ = state.isReader && state.hasConfiguration;
         calls.emplace_back(
-            ReadConfiguration { configurationEnd_, longPolls ? configurationWait : milliseconds(0) });
+            ReadConfiguration { configurationEnd_, longPolls_ ? configurationWait : milliseconds(0) });
     }
     if (!joinRequested_ && now >= nextJoin_) {
         joinRequested_ = true;
-        calls.emplace_back(JoinFleet { self_ });
+        calls.emplace_back(JoinFleet { self_, !state.hasPeers || state.isHub });
     }
     const auto refreshes = state.isHub && now - joinedAt_ >= joinRefreshInterval;
-    if (state.hasPeers && !refreshes && nextJoin_ < now + joinInterval)
+    const auto hasJoined = joinedAt_ != Time {};
+    if (hasJoined && state.hasPeers && !refreshes && nextJoin_ < now + joinInterval)
         nextJoin_ = now + joinInterval;
     return calls;
 }
@@ -89,7 +107,8 @@
         reachable_ = true;
         lastConfigurationUpdate_ = now;
         configurationEnd_ = content.value().end;
-        nextConfiguration_ = now + pauseOf(configurationInterval);
+        nextConfiguration_
+            = longPolls_ ? configurationRequestedAt_ + minPollInterval : now + pauseOf(configurationInterval);
         return;
     }
     const auto expired = content.error().code == Error::Code::NotFound;
--- a/src/camphorshuntrouter/storepacer.h
+++ b/src/camphorshuntrouter/storepacer.h
@@ -55,6 +55,8 @@
 private:
     auto directoryDue(Time now, const RouterState& state) const -> bool;
     auto configurationDue(Time now, const RouterState& state) const -> bool;
+    /** Whether a router that has just started still waits for what its peers know. */
+    auto awaitsPeers(Time now, const RouterState& state) const -> bool;
     /** Pause after a read: longer in large fleets, as all may have lost the reader at once. */
     auto pauseOf(Duration pause) const -> Duration { return scaled(pause, pauseFactor_); }
 
@@ -64,9 +66,13 @@
     bool directoryRequested_ = false;
     bool configurationRequested_ = false;
     bool joinRequested_ = false;
+    /** The present or last read of the configuration waits for changes. */
+    bool longPolls_ = false;
+    Time configurationRequestedAt_ {};
     /** The store has expired the records that follow `directoryEnd`; the entire directory must be read. */
     bool directoryExpired_ = false;
     std::optional<std::uint64_t> configurationEnd_;
+    Time startedAt_ {};
     Time nextDirectory_ {};
     Time nextConfiguration_ {};
     Time nextJoin_ {};
--- a/tests/unit/storepacertest.cpp
+++ b/tests/unit/storepacertest.cpp
@@ -96,3 +96,63 @@
     const auto counts = simulateCalls(pacer, { 5, true, true, true }, now, 300ms, true);
     CHECK(counts.fullReads == 1);
 }
+
+// All routers of a large fleet that lost power read the whole directory and the addresses of all others at
+// once.
+TEST_CASE("Routers that start together leave the store to the hubs, but not for long")
+{
+    for (const auto isHub : { true, false }) {
+        auto pacer = StorePacer({ "10.0.0.1:7" });
+        auto now = Time { 10s };
+        auto state = StorePacer::RouterState {};
+        state.hasPeers = true;
+        state.isHub = isHub;
+        state.fleetSize = 300;
+        const auto soon = simulateCalls(pacer, state, now, 350ms, true);
+        CHECK((soon.directory > 0) == isHub);
+        CHECK((soon.configuration > 0) == isHub);
+        CHECK(soon.joins == 0);
+        const auto later = simulateCalls(pacer, state, now, 350ms, true);
+        CHECK(later.joins == 1);
+        CHECK(soon.directory + later.directory > 0);
+        CHECK(soon.configuration + later.configuration > 0);
+    }
+    auto alone = StorePacer({ "10.0.0.1:7" });
+    auto now = Time { 10s };
+    CHECK(simulateCalls(alone, {}, now, 150ms, true).directory > 0);
+}
+
+// A store reader that ran eight times slower went on sending heartbeats, which the others took for news.
+TEST_CASE("A router reads the configuration itself in time if the last read of its feed is old")
+{
+    auto feed = StorePacer({ "10.0.0.1:7" });
+    auto router = StorePacer({ "10.0.0.2:7" });
+    auto now = Time { 10s };
+    auto reading = StorePacer::RouterState { 5, true, true, true };
+    auto fed = StorePacer::RouterState { 5, true, false, true };
+    // The feed's reads are answered: its confirmations are young enough.
+    auto calls = 0;
+    for (auto step = 0; step < 500; ++step, now += 10ms) {
+        for (const auto& call : feed.dueCalls(now, reading)) {
+            const auto* const read = std::get_if<ReadConfiguration>(&call);
+            if (read != nullptr)
+                feed.configurationRead(now, ConfigurationRead::Content {});
+        }
+        router.directoryUpdated(now);
+        if (step % 12 == 0)
+            router.configurationConfirmed(feed.lastConfigurationUpdate());
+        for (const auto& call : router.dueCalls(now, fed))
+            calls += std::holds_alternative<ReadConfiguration>(call) ? 1 : 0;
+    }
+    CHECK(calls == 0);
+    // From here on they are not, although its heartbeats arrive.
+    const auto stalled = now;
+    while (calls == 0 && now < stalled + 10s) {
+        now += 10ms;
+        router.directoryUpdated(now);
+        router.configurationConfirmed(feed.lastConfigurationUpdate());
+        for (const auto& call : router.dueCalls(now, fed))
+            calls += std::holds_alternative<ReadConfiguration>(call) ? 1 : 0;
+    }
+    CHECK(now - stalled < 1900ms);
+}
