Postpone only overdue prompts that a later one has overtaken

Cause: since each prompt that a later one overtook counted as not arrived and was put behind the pending ones with all of its tokens. Engines read long prompts in chunks between others, so that this is usual, and their backlog was overestimated.

Change: a prompt is postponed only when its first token is overdue and the engine has started another since.

--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -205,22 +205,12 @@
     cache_.markPrefilled(found->second.chains);
     failures_ = 0;
     suspendedUntil_ = now;
+    lastStart_ = now;
     if (!pendingPrefills_.empty() && pendingPrefills_.front().key == key)
         learnFrom(now, pendingPrefills_.front());
-    postponeOvertaken(now, key);
     removePendingPrefill(now, key);
 }
 
-auto EngineModel::postponeOvertaken(Time now, const PlacementKey& started) -> void
-{
-    const auto found = std::ranges::find(pendingPrefills_, started, &PendingPrefill::key);
-    if (found == pendingPrefills_.end())
-        return;
-    auto overtaken = found - pendingPrefills_.begin();
-    while (overtaken-- > 0)
-        postpone(now, pendingPrefills_.front().key);
-}
-
 auto EngineModel::postpone(Time now, const PlacementKey& key) -> void
 {
     const auto found = std::ranges::find(pendingPrefills_, key, &PendingPrefill::key);
@@ -303,6 +293,11 @@
     return now - head.begunAt < due ? std::nullopt : std::optional(head.key);
 }
 
+auto EngineModel::startsOthers() const -> bool
+{
+    return !pendingPrefills_.empty() && lastStart_ > pendingPrefills_.front().begunAt;
+}
+
 auto EngineModel::suspendOverdue(Time now) -> void { suspend(now, minSuspension); }
 
 } // namespace camphorshunt
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -81,6 +81,8 @@
     auto isOnProbation() const -> bool { return failures_ > 0 && !running_.empty(); }
     /** The request whose prefill is the oldest pending one, if its first token is long overdue. */
     auto overdueRequest(Time now) const -> std::optional<PlacementKey>;
+    /** A request has started since the engine can have begun the oldest pending prefill: it is not stuck. */
+    auto startsOthers() const -> bool;
     /** Suspends the engine after an overdue first token. */
     auto suspendOverdue(Time now) -> void;
     /** Assumes that a request has not reached the engine yet: its prefill follows the other pending ones. */
@@ -115,9 +117,6 @@
     auto prefillTime(double tokens) const -> Duration;
     auto backlog(Time now) const -> Duration;
     auto learnFrom(Time now, const PendingPrefill& pending) -> void;
-    /** Postpones the pending prefills before that of a request that has started: engines prefill in order of
-     * arrival, so those have not arrived. */
-    auto postponeOvertaken(Time now, const PlacementKey& started) -> void;
     auto removePendingPrefill(Time now, const PlacementKey& key) -> void;
     auto removeRequest(Time now, absl::flat_hash_map<PlacementKey, Running>::iterator found) -> void;
     /** Suspends the engine for `minLength`, doubled for each consecutive failure up to a maximum. */
@@ -140,6 +139,8 @@
     std::uint64_t privateTokens_ = 0;
     std::uint32_t failures_ = 0;
     Time suspendedUntil_ {};
+    /** When the first token of a request last arrived. */
+    Time lastStart_ {};
 };
 
 } // namespace camphorshunt
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -195,7 +195,7 @@
             continue;
         auto& reach = reach_[overdue->router];
         reach.record(now, false);
-        if (reach.isFailing(now))
+        if (reach.isFailing(now) || engine.startsOthers())
             engine.postpone(now, *overdue);
         else
             engine.suspendOverdue(now);
