Read a router's record in the store from the record, not from a copy that is gone

What could be seen: routers that know each other only by the store's records rank at random or last, so that they may choose other hubs than the rest until they have connected.

Cause: a `string_view` was taken of the temporary that a conditional of a string and a literal gives.

The same construct stands nowhere else in what changed.

--- a/src/camphorshuntrouter/storegateway.cpp
+++ b/src/camphorshuntrouter/storegateway.cpp
@@ -1,10 +1,10 @@
 #include "storegateway.h"
 
-#include <charconv>
-#include <cmath>
 #include <iterator>
 #include <utility>
 
+#include "routerrecord.h"
+
 namespace camphorshunt::router {
 
 namespace {
@@ -35,31 +35,6 @@
     return content;
 }
 
-/** Value of a router's record in the store: its share of the processor and its failure domain. */
-auto recordOf(const RouterAddress& router) -> std::string
-{
-    return std::to_string(router.processorShare) + ' ' + std::to_string(router.failureDomain);
-}
-
-/** Builds that only wrote the address, and unreadable values, give an address alone. */
-auto addressOf(const platform::KeyedRecord& record) -> RouterAddress
-{
-    auto address = RouterAddress { record.key };
-    const auto value = std::string_view(record.value ? *record.value : "");
-    const auto* const end = value.data() + value.size();
-    auto share = 0.0;
-    const auto shareEnd = std::from_chars(value.data(), end, share);
-    if (shareEnd.ec != std::errc {} || shareEnd.ptr == end || !std::isfinite(share) || share <= 0)
-        return address;
-    auto domain = std::uint64_t { 0 };
-    const auto domainEnd = std::from_chars(shareEnd.ptr + 1, end, domain);
-    if (domainEnd.ec != std::errc {} || domainEnd.ptr != end)
-        return address;
-    address.processorShare = share;
-    address.failureDomain = domain;
-    return address;
-}
-
 } // namespace
 
 StoreGateway::StoreGateway(
@@ -125,7 +100,7 @@
 
 auto StoreGateway::handle(const JoinFleet& join) -> void
 {
-    client_.put(topic::routers, join.self.endpoint, recordOf(join.self),
+    client_.put(topic::routers, join.self.endpoint, encodeRouterRecord(join.self),
         [this, readsOthers = join.readsOthers](const Result<void>& done) {
             if (!done)
                 toScheduler_.push(FleetJoined { done.error() });
@@ -145,7 +120,7 @@
         }
         auto routers = std::vector<RouterAddress> {};
         for (const auto& record : page.value().records)
-            routers.push_back(addressOf(record));
+            routers.push_back(decodeRouterRecord(record.key, record.value));
         toScheduler_.push(FleetJoined { std::move(routers) });
     });
 }
