--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -42,7 +42,10 @@
 {
     if (!answer_ || answer_->notRun || !relay_)
         return {};
-    return relay_->consume(bytes);
+    const auto before = relay_->streamFigures();
+    auto text = relay_->consume(bytes);
+    advanced_ = !before || relay_->streamFigures()->events > before->events;
+    return text;
 }
 
 auto AnswerIntake::isComplete(AnswerEnd end) const -> bool
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -80,6 +80,11 @@
     {
         return relay_ ? relay_->streamFigures() : std::nullopt;
     }
+    /**
+     * The last bytes were progress of the answer. Those of a stream are if they complete an event: an
+     * upstream that is stuck may trickle others.
+     */
+    auto hasAdvanced() const -> bool { return advanced_; }
     /** A stream has sent more bytes without completing an event than any event has. */
     auto isEndless() const -> bool { return relay_ && relay_->isEndless(); }
     /** The answer is a stream that can't be resumed at another upstream. */
@@ -89,6 +94,7 @@
     std::optional<platform::EngineAnswer> answer_;
     std::optional<AnswerRelay> relay_;
     bool finalStream_ = false;
+    bool advanced_ = false;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -18,9 +18,6 @@
 constexpr auto minTimeLeft = Duration(milliseconds(5));
 /** Limit of upstreams tried for one request, also without a connection, which does not count as a send. */
 constexpr auto maxUpstreamsTried = std::size_t { 4 };
-/** Shortest retry time sent to a caller after a refusal whose cause is likely to pass soon. */
-constexpr auto shortRetry = milliseconds(150);
-
 } // namespace
 
 Exchange::Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
@@ -171,12 +168,10 @@
             { { "id", std::string(request_.attempt) }, { "upstream", upstream_->name } });
         return false;
     case Head::NotGenuine:
-        connection_->close();
-        attemptFailed(PlacementEnd::Broken, true, "the answer is not the upstream's");
+        abandonAttempt(PlacementEnd::Broken, "the answer is not the upstream's");
         return true;
     case Head::NotResumed:
-        connection_->close();
-        attemptFailed(PlacementEnd::Failed, true, "the stream was not resumed");
+        abandonAttempt(PlacementEnd::Failed, "the stream was not resumed");
         return true;
     case Head::NotRun:
     case Head::Accepted:
@@ -194,18 +189,14 @@
     if (!answer_.hasHead() || answer_.notRun())
         return;
     const auto self = shared_from_this();
-    const auto eventsBefore = answer_.streamFigures().value_or(StreamFigures {}).events;
     if (!std::exchange(startReported_, true) && onEngine_ && answer_.isSuccessful())
         relay_.reportStart(number_, service_);
     auto text = answer_.consumeBody(bytes);
     if (answer_.isEndless()) {
-        connection_->close();
-        attemptFailed(PlacementEnd::Broken, true, "an event exceeds the size limit");
+        abandonAttempt(PlacementEnd::Broken, "an event exceeds the size limit");
         return;
     }
-    // Bytes that complete no event are no progress of a stream: an upstream that is stuck may trickle them.
-    const auto stream = answer_.streamFigures();
-    if (!stream || stream->events > eventsBefore)
+    if (answer_.hasAdvanced())
         lastByteAt_ = steadyNow();
     if (text.empty())
         return;
@@ -222,8 +213,7 @@
     const auto self = shared_from_this();
     answerEnd_ = end;
     if (!answer_.isComplete(end)) {
-        connection_->close();
-        attemptFailed(PlacementEnd::Broken, true, answer_.hasHead() ? "the answer was cut" : "no answer");
+        abandonAttempt(PlacementEnd::Broken, answer_.hasHead() ? "the answer was cut" : "no answer");
         return;
     }
     relay_.pool().release(connection_, answer_.idleTimeout());
@@ -294,40 +284,10 @@
         giveUp(reason);
 }
 
-auto Exchange::giveUp(std::string_view reason, std::optional<milliseconds> retryAfter) -> void
-{
-    if (answer_.hasBegun()) {
-        auto* const caller = caller_;
-        finish(RequestOutcome::Cut, answer_.sentStatus(), reason);
-        caller->abort();
-        return;
-    }
-    const auto spread = milliseconds(relay_.drawRandom() % std::uint64_t(shortRetry.count()));
-    if (mayHaveRun_)
-        sendOwnAnswer(502, reason);
-    else
-        sendOwnAnswer(503, reason, retryAfter.value_or(shortRetry + spread));
-}
-
-auto Exchange::sendOwnAnswer(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
-    -> void
-{
-    const auto self = shared_from_this();
-    keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
-    caller_->write(
-        platform::writeRouterAnswer({ status, request_.attempt, reason, retryAfter, !keepAlive_ }));
-    finish(promisesNotRun(status) ? RequestOutcome::Refused : RequestOutcome::Failed, status, reason);
-}
-
-auto Exchange::finish(RequestOutcome outcome, unsigned status, std::string_view reason) -> void
+auto Exchange::abandonAttempt(PlacementEnd end, std::string_view reason) -> void
 {
-    const auto self = shared_from_this();
-    state_ = State::Done;
-    logEnd(outcome, status, reason);
-    relay_.metrics().requestEnded(outcomeName(outcome), steadyNow() - times_.arrived);
-    auto* const caller = std::exchange(caller_, nullptr);
-    if (outcome != RequestOutcome::Cut && outcome != RequestOutcome::Gone)
-        caller->finishAnswer(keepAlive_);
+    connection_->close();
+    attemptFailed(end, true, reason);
 }
 
 auto Exchange::onCallerDisconnected() -> void
@@ -388,24 +348,4 @@
         sendOwnAnswer(504, "the deadline passed");
 }
 
-auto Exchange::logEnd(RequestOutcome outcome, unsigned status, std::string_view reason) -> void
-{
-    times_.ended = steadyNow();
-    const auto ended = EndedRequest { .attempt = request_.attempt,
-        .outcome = outcome,
-        .status = status,
-        .route = route_ == nullptr ? "-" : std::string_view(route_->name),
-        .organisation = organisation_ == nullptr ? "-" : std::string_view(organisation_->name),
-        .upstream = upstream_ ? std::string_view(upstream_->name) : "-",
-        .sends = sends_,
-        .configuration = table_ == nullptr ? 0 : table_->version(),
-        .directoryAge = directoryAge_,
-        .answerEnd = answerEnd_,
-        .stream = answer_.streamFigures(),
-        .reason = reason };
-    const auto isGood = outcome == RequestOutcome::Served || outcome == RequestOutcome::Passed;
-    relay_.log(
-        isGood ? LogLevel::Info : LogLevel::Warning, "request-end", ended.fields(times_, placementInputs_));
-}
-
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -76,6 +76,8 @@
 
     /** Ends the attempt and starts another one at a different upstream; false if no retry is allowed. */
     auto retryElsewhere(PlacementEnd end, std::string_view reason) -> bool;
+    /** Closes the connection to an upstream that may have run the request. */
+    auto abandonAttempt(PlacementEnd end, std::string_view reason) -> void;
     auto attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void;
     auto endAttempt(PlacementEnd end) -> void;
     /** Consumes from the service's retry budget if it allows a further send. */
--- /dev/null
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -0,0 +1,77 @@
+#include "exchange.h"
+
+#include <utility>
+
+#include "clock.h"
+#include "relay.h"
+
+// How an exchange ends: answers of the router's own, and the line that the log keeps.
+
+namespace camphorshunt::router {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Shortest retry time sent to a caller after a refusal whose cause is likely to pass soon. */
+constexpr auto shortRetry = milliseconds(150);
+
+} // namespace
+
+auto Exchange::giveUp(std::string_view reason, std::optional<milliseconds> retryAfter) -> void
+{
+    if (answer_.hasBegun()) {
+        auto* const caller = caller_;
+        finish(RequestOutcome::Cut, answer_.sentStatus(), reason);
+        caller->abort();
+        return;
+    }
+    const auto spread = milliseconds(relay_.drawRandom() % std::uint64_t(shortRetry.count()));
+    if (mayHaveRun_)
+        sendOwnAnswer(502, reason);
+    else
+        sendOwnAnswer(503, reason, retryAfter.value_or(shortRetry + spread));
+}
+
+auto Exchange::sendOwnAnswer(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
+    -> void
+{
+    const auto self = shared_from_this();
+    keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
+    caller_->write(
+        platform::writeRouterAnswer({ status, request_.attempt, reason, retryAfter, !keepAlive_ }));
+    finish(promisesNotRun(status) ? RequestOutcome::Refused : RequestOutcome::Failed, status, reason);
+}
+
+auto Exchange::finish(RequestOutcome outcome, unsigned status, std::string_view reason) -> void
+{
+    const auto self = shared_from_this();
+    state_ = State::Done;
+    logEnd(outcome, status, reason);
+    relay_.metrics().requestEnded(outcomeName(outcome), steadyNow() - times_.arrived);
+    auto* const caller = std::exchange(caller_, nullptr);
+    if (outcome != RequestOutcome::Cut && outcome != RequestOutcome::Gone)
+        caller->finishAnswer(keepAlive_);
+}
+
+auto Exchange::logEnd(RequestOutcome outcome, unsigned status, std::string_view reason) -> void
+{
+    times_.ended = steadyNow();
+    const auto ended = EndedRequest { .attempt = request_.attempt,
+        .outcome = outcome,
+        .status = status,
+        .route = route_ == nullptr ? "-" : std::string_view(route_->name),
+        .organisation = organisation_ == nullptr ? "-" : std::string_view(organisation_->name),
+        .upstream = upstream_ ? std::string_view(upstream_->name) : "-",
+        .sends = sends_,
+        .configuration = table_ == nullptr ? 0 : table_->version(),
+        .directoryAge = directoryAge_,
+        .answerEnd = answerEnd_,
+        .stream = answer_.streamFigures(),
+        .reason = reason };
+    const auto isGood = outcome == RequestOutcome::Served || outcome == RequestOutcome::Passed;
+    relay_.log(
+        isGood ? LogLevel::Info : LogLevel::Warning, "request-end", ended.fields(times_, placementInputs_));
+}
+
+} // namespace camphorshunt::router
