Play streams that trickle and events without end against the real router

The stand-in engine gets the faults `trickle` (a byte of an event every 200 ms) and `endless` (bytes of an event without end). Process tests: a resumable stream is resumed elsewhere in both cases and reaches its caller whole within four seconds; one that can't be resumed is cut off, does not look complete and runs once.

Seen failing with any byte counted as progress and the limit of an event raised: both cases of the first test, and 1 MiB and more passed on in the second. Not covered: 50 such engines at once with the memory measured.

--- a/src/standins/faultswitch.cpp
+++ b/src/standins/faultswitch.cpp
@@ -29,6 +29,8 @@
         { "unproved", FaultMode::Unproved },
         { "unframed", FaultMode::Unframed },
         { "torn", FaultMode::Torn },
+        { "trickle", FaultMode::Trickle },
+        { "endless", FaultMode::Endless },
     });
     const auto* const found = std::ranges::find(modes, name, [](const auto& mode) { return mode.first; });
     return found == modes.end() ? std::nullopt : std::optional(found->second);
--- a/src/standins/faultswitch.h
+++ b/src/standins/faultswitch.h
@@ -22,6 +22,8 @@
  * - Unframed (platform engine only): streams without length and chunks, and closes the connection at the end.
  * - Torn (platform engine only): as Unframed, but closes in the middle of the event that follows
  * `afterEvents`.
+ * - Trickle (platform engine only): after `afterEvents` events sends a byte of the next one now and then.
+ * - Endless (platform engine only): after `afterEvents` events sends bytes of the next one without end.
  */
 enum class FaultMode {
     None,
@@ -36,7 +38,9 @@
     Error,
     Unproved,
     Unframed,
-    Torn
+    Torn,
+    Trickle,
+    Endless
 };
 
 struct Fault {
--- a/src/standins/platformengine.cpp
+++ b/src/standins/platformengine.cpp
@@ -16,6 +16,10 @@
     "X-Expect-Instance", "Last-Event-Id", "Kv-Fetch", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From",
     "Authorization", "X-Prompt-Prefix", "X-Token-Count" };
 
+/** Pause between the bytes of a stream that trickles; size of the pieces of one that has no end. */
+constexpr auto trickleTime = std::chrono::milliseconds(200);
+constexpr auto endlessPiece = std::size_t { 4096 };
+
 auto eventCount(std::string_view tokenCount) -> std::uint64_t
 {
     const auto comma = tokenCount.find(',');
@@ -127,6 +131,13 @@
     }
     if (stream->fault.mode == FaultMode::Silent && sent >= stream->fault.afterEvents)
         return;
+    const auto isStuck = stream->fault.mode == FaultMode::Trickle || stream->fault.mode == FaultMode::Endless;
+    if (isStuck && sent >= stream->fault.afterEvents) {
+        const auto isTrickle = stream->fault.mode == FaultMode::Trickle;
+        stream->exchange->write(std::string(isTrickle ? 1 : endlessPiece, 'x'));
+        after(isTrickle ? trickleTime : options().tokenTime, [this, stream] { sendEvent(stream); });
+        return;
+    }
     const auto id = std::to_string(stream->next++);
     const auto isTorn = stream->fault.mode == FaultMode::Torn && sent >= stream->fault.afterEvents;
     stream->exchange->write("id: " + id + (isTorn ? "\nda" : "\ndata: token " + id + "\n\n"));
--- a/tests/process/routerstreamtest.cpp
+++ b/tests/process/routerstreamtest.cpp
@@ -1,5 +1,7 @@
 #include "routerfleet.h"
 
+#include <chrono>
+
 #include <catch2/catch.hpp>
 
 using namespace camphorshunt;
@@ -41,6 +43,36 @@
     CHECK(answer.body == eventsUpTo(12));
 }
 
+// Each byte counted as progress, and an event was kept in memory however long it grew.
+TEST_CASE(
+    "A resumable stream whose engine trickles bytes, or sends an event without end, is resumed elsewhere")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    REQUIRE(call(fleet.router(0).callers, RouterFleet::stream("resume", 1)).isComplete());
+    const auto holder = fleet.runs(0).empty() ? std::size_t { 1 } : std::size_t { 0 };
+    const auto mode = GENERATE(as<std::string> {}, "trickle", "endless");
+    fleet.fault(holder, R"({"mode":")" + mode + R"(","afterEvents":4})");
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = call(fleet.router(0).callers, RouterFleet::stream("resume", 12));
+    INFO(mode);
+    CHECK(answer.isComplete());
+    CHECK(answer.body == eventsUpTo(12));
+    CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(4));
+}
+
+TEST_CASE("A stream that can't be resumed and has no end is cut off, and does not look complete")
+{
+    auto fleet = RouterFleet({});
+    REQUIRE(fleet.awaitReady());
+    for (auto index = std::size_t { 0 }; index < 2; ++index)
+        fleet.fault(index, R"({"mode":"endless","afterEvents":4})");
+    const auto answer = call(fleet.router(0).callers, RouterFleet::stream("stream", 12));
+    CHECK(!answer.isComplete());
+    CHECK(answer.body.size() < std::size_t { 1024 } * 1024);
+    CHECK(fleet.totalRuns() == 1);
+}
+
 TEST_CASE("A complete stream without length and chunks reaches its caller complete")
 {
     auto fleet = RouterFleet({});
