Send a heartbeat at once to a router that begins to depend on this one

What could be seen: requests of a router wait 0.4 s longer after another router has become its placer; the new placer counts as silent there, and holds no role for two seconds more.

Cause: such a router expects heartbeats every 120 ms and says so, but the next one was due up to a second later, as to a router that does not depend on this one. Found by reading the change.

Change: a new dependency makes the next heartbeat due. Test: "A router that begins to depend on a hub hears from it before it counts it as silent", seen failing.

--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -55,7 +55,11 @@
     auto& peer = peers_[router];
     peer.interval = std::clamp(Duration(presence.interval), frequentInterval, 2 * rareInterval);
     peer.fleetSize = presence.routers;
+    const auto beginsToDepend = presence.dependsOnReceiver && !peer.dependsOnThis;
     peer.dependsOnThis = presence.dependsOnReceiver;
+    // It counts this router as silent unless frequent heartbeats begin at once.
+    if (beginsToDepend)
+        peer.nextHeartbeat = {};
 }
 
 auto PeerTable::setDependencies(Time now, const std::set<RouterId>& routers) -> std::vector<RouterId>
--- /dev/null
+++ b/tests/unit/peertabletest.cpp
@@ -0,0 +1,44 @@
+#include "peertable.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+const auto hubAddress = RouterAddress { "10.0.0.1:1", 0.25, 1 };
+const auto hub = idOf<RouterId>(hubAddress.endpoint);
+
+auto presence(bool depends) -> PeerPresence
+{
+    auto made = PeerPresence {};
+    made.interval = 1000ms;
+    made.dependsOnReceiver = depends;
+    return made;
+}
+
+} // namespace
+
+// The next heartbeat came up to a second later, and the router counted its placer as silent after 420 ms.
+TEST_CASE("A router that begins to depend on a hub hears from it before it counts it as silent")
+{
+    auto table = PeerTable {};
+    auto now = Time { 100s };
+    auto hubs = HubRegistry(hubAddress);
+    const auto router = idOf<RouterId>("10.0.0.2:1");
+    table.connected(now, router, { "10.0.0.2:1", 1, 0.12, 1 });
+    CHECK(table.takeDueHeartbeats(now, hubs, hub).size() == 1);
+    now += 50ms;
+    CHECK(table.takeDueHeartbeats(now, hubs, hub).empty());
+    table.updatePresence(router, presence(true));
+    const auto due = table.takeDueHeartbeats(now, hubs, hub);
+    REQUIRE(due.size() == 1);
+    CHECK(due.front().second == PeerTable::frequentInterval);
+    // A router that stays dependent does not get more of them.
+    table.updatePresence(router, presence(true));
+    CHECK(table.takeDueHeartbeats(now, hubs, hub).empty());
+}
