Keep what is known of a paused router while its connection lasts

What could be seen: after a VM was paused for over ten seconds and woke up, all roles go to it, however small it is.

Cause: a router that was silent for ten seconds was forgotten although its connection was still open (its kernel answers for a paused process). Its next frame made a new entry, with the default share of a whole core, against which the shares of all others counted as too small to place requests.

Change: entries are forgotten only without a connection. Tests: "A router that was paused for long keeps its share of the processor when it is heard again", seen failing; "A router whose connection is lost for long is forgotten".

--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -29,10 +29,18 @@
     peer.lastSeenAt = now;
     peer.liveSince = now;
     peer.isLive = true;
+    peer.isConnected = true;
     peer.heartbeat = {};
     peer.heartbeat.storeReachable = true;
 }
 
+auto PeerTable::lost(RouterId router) -> void
+{
+    auto& peer = peers_[router];
+    peer.isLive = false;
+    peer.isConnected = false;
+}
+
 auto PeerTable::updateLastSeen(Time now, RouterId router, const std::optional<PeerHeartbeat>& heartbeat)
     -> bool
 {
@@ -160,7 +168,8 @@
         }
     }
     const auto removed = std::erase_if(peers_, [now](const auto& entry) {
-        return !entry.second.isLive && now - entry.second.lastSeenAt > recentWindow;
+        const auto& peer = entry.second;
+        return !peer.isConnected && !peer.isLive && now - peer.lastSeenAt > recentWindow;
     });
     change.others = change.others || removed > 0;
     return change;
--- a/src/camphorshuntrouter/peertable.h
+++ b/src/camphorshuntrouter/peertable.h
@@ -39,6 +39,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t failureDomain = 0;
         bool isLive = false;
+        /** Has a connection; its process may be paused nevertheless. */
+        bool isConnected = false;
         bool wasHub = false;
         /** False from a silence until the router has been heard without one for `rejoinTime`. */
         bool isSteady = true;
@@ -54,7 +56,8 @@
     };
 
     auto connected(Time now, RouterId router, const PeerHello& hello) -> void;
-    auto lost(RouterId router) -> void { peers_[router].isLive = false; }
+    /** The connection has ended. */
+    auto lost(RouterId router) -> void;
     /** Records a received frame. Returns true if this changes which routers may hold a role. */
     auto updateLastSeen(Time now, RouterId router, const std::optional<PeerHeartbeat>& heartbeat) -> bool;
     auto updatePresence(RouterId router, const PeerPresence& presence) -> void;
--- a/tests/unit/peertabletest.cpp
+++ b/tests/unit/peertabletest.cpp
@@ -42,3 +42,32 @@
     table.updatePresence(router, presence(true));
     CHECK(table.takeDueHeartbeats(now, hubs, hub).empty());
 }
+
+// Its entry had been removed, and the new one had the share of a whole core, so that all roles went to it.
+TEST_CASE("A router that was paused for long keeps its share of the processor when it is heard again")
+{
+    auto table = PeerTable {};
+    auto now = Time { 100s };
+    auto hubs = HubRegistry({ "10.0.0.9:1", 0.25, 1 });
+    hubs.learn(hubAddress);
+    table.connected(now, hub, { hubAddress.endpoint, 1, 0.25, 1 });
+    for (auto step = 0; step < 300; ++step, now += 100ms)
+        static_cast<void>(table.checkSilence(now));
+    CHECK(table.live(hubs).empty());
+    CHECK(table.updateLastSeen(now, hub, PeerHeartbeat { 1, 1, true, false }));
+    now += 3s;
+    static_cast<void>(table.updateLastSeen(now, hub, PeerHeartbeat { 1, 1, true, false }));
+    const auto live = table.live(hubs);
+    REQUIRE(live.size() == 1);
+    CHECK(live.front().processorShare == 0.25);
+}
+
+TEST_CASE("A router whose connection is lost for long is forgotten")
+{
+    auto table = PeerTable {};
+    auto now = Time { 100s };
+    table.connected(now, hub, { hubAddress.endpoint, 1, 0.25, 1 });
+    table.lost(hub);
+    static_cast<void>(table.checkSilence(now + 11s));
+    CHECK(table.size() == 0);
+}
