--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -235,10 +235,23 @@
     relay_.removeCaller(*this);
 }
 
+auto CallerConnection::logLoss(std::string_view reason) -> void
+{
+    auto ignored = boost::system::error_code {};
+    const auto unread = socket_.available(ignored);
+    if (unread == 0 && output_.empty())
+        return;
+    relay_.log(LogLevel::Warning, "caller-closed",
+        { { "reason", std::string(reason) }, { "unread-bytes", std::to_string(unread) },
+            { "unsent-bytes", std::to_string(output_.size()) } });
+}
+
 auto CallerConnection::closeIfIdle() -> void
 {
-    if (open_ && !exchange_ && !closing_ && !hasInput())
-        closeGracefully();
+    if (!open_ || exchange_ || closing_ || hasInput())
+        return;
+    logLoss("drain");
+    closeGracefully();
 }
 
 auto CallerConnection::checkTimes(Time now) -> void
@@ -249,13 +262,17 @@
     const auto& limits = relay_.limits();
     const auto waited = now - waitingSince_;
     if (closing_) {
-        if (waited > lingerTime)
+        if (waited > lingerTime) {
+            logLoss("the caller did not close its end");
             close();
+        }
         return;
     }
     if (!hasInput()) {
-        if (waited > limits.idleTimeout)
+        if (waited > limits.idleTimeout) {
+            logLoss("idle");
             closeGracefully();
+        }
         return;
     }
     // A body may take as long as the idle timeout; a header has a timeout of its own.
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -60,6 +60,8 @@
     auto flush() -> void;
     auto close() -> void;
     auto closeGracefully() -> void;
+    /** Logs what is lost with a connection that this router closes, if anything is. */
+    auto logLoss(std::string_view reason) -> void;
 
     Socket socket_;
     Relay& relay_;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -158,7 +158,9 @@
 {
     using Head = AnswerIntake::Head;
     const auto self = shared_from_this();
-    lastByteAt_ = steadyNow();
+    const auto now = steadyNow();
+    recordSilence(now);
+    lastByteAt_ = now;
     relay_.recordReach(lastByteAt_, true);
     if (!answer_.hasBegun())
         keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
@@ -196,8 +198,11 @@
         abandonAttempt(PlacementEnd::Broken, "an event exceeds the size limit");
         return;
     }
-    if (answer_.hasAdvanced())
-        lastByteAt_ = steadyNow();
+    if (answer_.hasAdvanced()) {
+        const auto now = steadyNow();
+        recordSilence(now);
+        lastByteAt_ = now;
+    }
     if (text.empty())
         return;
     if (times_.firstByte == Time {}) {
@@ -243,8 +248,14 @@
     finish(isSuccess(status) ? RequestOutcome::Served : RequestOutcome::Passed, status, "");
 }
 
+auto Exchange::recordSilence(Time now) -> void
+{
+    longestSilence_ = std::max(longestSilence_, now - lastByteAt_);
+}
+
 auto Exchange::endAttempt(PlacementEnd end) -> void
 {
+    recordSilence(steadyNow());
     connection_.reset();
     relay_.metrics().attemptEnded(end);
     if (onEngine_)
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -80,6 +80,7 @@
     auto abandonAttempt(PlacementEnd end, std::string_view reason) -> void;
     auto attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void;
     auto endAttempt(PlacementEnd end) -> void;
+    auto recordSilence(Time now) -> void;
     /** Consumes from the service's retry budget if it allows a further send. */
     auto mayRetry() -> bool;
     /**
@@ -123,6 +124,7 @@
     bool startReported_ = false;
     std::optional<PlacementInputs> placementInputs_;
     std::optional<Duration> directoryAge_;
+    Duration longestSilence_ {};
     std::optional<AnswerEnd> answerEnd_;
 
     AnswerIntake answer_;
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -66,6 +66,7 @@
         .sends = sends_,
         .configuration = table_ == nullptr ? 0 : table_->version(),
         .directoryAge = directoryAge_,
+        .longestSilence = directoryAge_ ? std::optional(longestSilence_) : std::nullopt,
         .answerEnd = answerEnd_,
         .stream = answer_.streamFigures(),
         .reason = reason };
--- a/src/camphorshuntrouter/requestrecord.cpp
+++ b/src/camphorshuntrouter/requestrecord.cpp
@@ -80,6 +80,8 @@
     std::ranges::move(times.fields(), std::back_inserter(fields));
     if (directoryAge)
         fields.push_back({ "directory-age-ms", std::to_string(inMilliseconds(*directoryAge).count()) });
+    if (longestSilence)
+        fields.push_back({ "silence-ms", std::to_string(inMilliseconds(*longestSilence).count()) });
     std::ranges::move(answerFields(), std::back_inserter(fields));
     std::ranges::move(placementFields(placement), std::back_inserter(fields));
     if (!reason.empty())
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -69,6 +69,8 @@
     std::uint64_t configuration = 0;
     /** Age of the directory of upstreams when the request was last sent; empty if it was not sent. */
     std::optional<Duration> directoryAge;
+    /** Longest time without a byte from the upstreams; empty if the request was not sent. */
+    std::optional<Duration> longestSilence;
     /** How the end of the upstream's last answer was determined; empty if it did not end. */
     std::optional<AnswerEnd> answerEnd;
     /** What the caller received of a stream; empty for other answers. */
