End a silent upstream's answer only once another upstream takes the request

With a sound server that falls silent for a second or so, streams that could have been resumed were cut in the middle, and repeatable requests got 502, although the server went on a moment later.

Cause: after the silence (1 s in a stream, 2.5 goals before the first byte) the exchange closed its connection to the upstream first, and only then asked whether the retry budget, the route's attempts, another upstream and a placer allow another attempt. If one of them did not, nothing was left but to cut. When many servers fall silent together, all their requests move at once, the budget is spent, the placer suspends the engines and refuses. Class of fault: a step that can't be undone is taken before it is known that the next one is possible.

Change: the attempt goes on while another place is looked for. A byte of the silent upstream withdraws the request for a place. A refusal, an empty budget or the lack of another upstream leave the attempt running until its deadline, and one line tells so. An answer of which a part has been passed on and that can't be resumed (a plain answer over the buffer, a stream without event ids) is not tried again elsewhere either: it could only be cut there.

Evidence: silentupstreamtest stops the engines' processes with SIGSTOP for 1.4 to 1.5 s.

Ruled out: longer limits alone. They move the moment at which a sound answer is cut, and callers of a server that is gone wait longer.

--- a/include/camphorshunt/retrywindow.h
+++ b/include/camphorshunt/retrywindow.h
@@ -30,6 +30,8 @@
     auto recordRequest(Time now) -> void;
     /** Number of routers among which the burst allowance is divided. */
     auto setRouters(std::size_t routers) -> void { routers_ = routers; }
+    /** Whether `tryAcquire` would succeed. */
+    auto allows(Time now) const -> bool;
     /** Returns true and counts one retry if the limit allows it. */
     auto tryAcquire(Time now) -> bool;
 
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -68,6 +68,8 @@
 
     /** Part of an answer has been passed on, so that no other one can replace it. */
     auto hasBegun() const -> bool { return relay_ && relay_->hasBegun(); }
+    /** Another upstream's answer may take the place of the current one, or continue it. */
+    auto isReplaceable() const -> bool { return !hasBegun() || relay_->isResumable(); }
     /** Status of the answer of which a part has been passed on. */
     auto sentStatus() const -> unsigned { return relay_ ? relay_->status() : 0; }
     /** Id of the last event passed on; empty if there is none. */
--- a/src/camphorshuntrouter/answerrelay.h
+++ b/src/camphorshuntrouter/answerrelay.h
@@ -53,6 +53,8 @@
 
     /** Part of the answer has been passed on, so that no other one can replace it. */
     auto hasBegun() const -> bool { return begun_; }
+    /** Another engine can continue the stream after the last event passed on. */
+    auto isResumable() const -> bool { return mode_ == Mode::ResumableStream && !lastEventId_.empty(); }
     auto status() const -> unsigned { return status_; }
     /** Empty unless the answer is a stream. */
     auto streamFigures() const -> std::optional<StreamFigures>;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -18,6 +18,7 @@
 constexpr auto minTimeLeft = Duration(milliseconds(5));
 /** Limit of upstreams tried for one request, also without a connection, which does not count as a send. */
 constexpr auto maxUpstreamsTried = std::size_t { 4 };
+
 } // namespace
 
 Exchange::Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
@@ -34,6 +35,7 @@
 
 Exchange::~Exchange()
 {
+    withdrawMove();
     if (connection_)
         connection_->close();
     relay_.removeExchange(number_);
@@ -69,17 +71,17 @@
     state_ = State::Placing;
     times_.placementStarted = steadyNow();
     if (onEngine_)
-        requestEngine();
+        requestEngine(number_, tried_);
     else
         chooseUpstream();
 }
 
-auto Exchange::requestEngine() -> void
+auto Exchange::requestEngine(std::uint64_t number, std::vector<UpstreamId> avoid) -> void
 {
     auto place = makePlacementRequest(routed());
-    place.request.key.number = number_;
+    place.request.key.number = number;
     place.request.failureDomain = relay_.failureDomain();
-    place.request.avoid = tried_;
+    place.request.avoid = std::move(avoid);
     place.deadlineLeft = timeLeft();
     place.goalLeft = place.deadlineLeft;
     // The latency goal is for a stream's first event; a stream that is resumed has passed it.
@@ -98,8 +100,13 @@
         send(*upstream, nullptr);
 }
 
-auto Exchange::onPlaced(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
+auto Exchange::onPlaced(std::uint64_t number, const UpstreamEntry& upstream, const UpstreamEntry* copyFrom)
+    -> void
 {
+    if (number == moveNumber_) {
+        onMovePlaced(upstream, copyFrom);
+        return;
+    }
     if (state_ != State::Placing)
         return;
     if (upstream.draining) {
@@ -111,8 +118,13 @@
     send(upstream, copyFrom);
 }
 
-auto Exchange::onRefused(RefusalReason reason, milliseconds retryAfter) -> void
+auto Exchange::onRefused(std::uint64_t number, RefusalReason reason, milliseconds retryAfter) -> void
 {
+    if (number == moveNumber_) {
+        withdrawMove();
+        postponeMove(refusalName(reason), retryAfter);
+        return;
+    }
     if (state_ != State::Placing)
         return;
     relay_.metrics().refused(reason);
@@ -158,9 +170,7 @@
 {
     using Head = AnswerIntake::Head;
     const auto self = shared_from_this();
-    const auto now = steadyNow();
-    recordSilence(now);
-    lastByteAt_ = now;
+    recordProgress();
     relay_.recordReach(lastByteAt_, true);
     if (!answer_.hasBegun())
         keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
@@ -198,11 +208,8 @@
         abandonAttempt(PlacementEnd::Broken, "an event exceeds the size limit");
         return;
     }
-    if (answer_.hasAdvanced()) {
-        const auto now = steadyNow();
-        recordSilence(now);
-        lastByteAt_ = now;
-    }
+    if (answer_.hasAdvanced())
+        recordProgress();
     if (text.empty())
         return;
     if (times_.firstByte == Time {}) {
@@ -253,8 +260,17 @@
     longestSilence_ = std::max(longestSilence_, now - lastByteAt_);
 }
 
+auto Exchange::recordProgress() -> void
+{
+    const auto now = steadyNow();
+    recordSilence(now);
+    lastByteAt_ = now;
+    withdrawMove();
+}
+
 auto Exchange::endAttempt(PlacementEnd end) -> void
 {
+    withdrawMove();
     recordSilence(steadyNow());
     connection_.reset();
     relay_.metrics().attemptEnded(end);
@@ -270,22 +286,35 @@
         return false;
     if (sends_ >= route_->attempts || tried_.size() >= maxUpstreamsTried || timeLeft() < minTimeLeft)
         return false;
+    if (!answer_.isReplaceable())
+        return false;
     return sends_ == 0 || relay_.retryBudget(service_).tryAcquire(steadyNow());
 }
 
-auto Exchange::retryElsewhere(PlacementEnd end, std::string_view reason) -> bool
+auto Exchange::mayMove() const -> bool
 {
+    return route_->repeatable() && answer_.isReplaceable() && sends_ < route_->attempts
+        && tried_.size() + 1 < maxUpstreamsTried && timeLeft() >= minTimeLeft;
+}
+
+auto Exchange::endFailedAttempt(PlacementEnd end, std::string_view reason, bool again) -> void
+{
+    const auto failed
+        = FailedAttempt { request_.attempt, upstream_->name, end, reason, mayHaveRun_, sends_, again };
+    relay_.log(LogLevel::Warning, "attempt-failed", failed.fields());
     endAttempt(end);
+    if (again)
+        answer_.discardUnsent();
+}
+
+auto Exchange::retryElsewhere(PlacementEnd end, std::string_view reason) -> bool
+{
     tried_.push_back(upstream_->id());
     const auto retried = mayRetry();
-    const auto failed
-        = FailedAttempt { request_.attempt, upstream_->name, end, reason, mayHaveRun_, sends_, retried };
-    relay_.log(LogLevel::Warning, "attempt-failed", failed.fields());
-    if (!retried)
-        return false;
-    answer_.discardUnsent();
-    assignUpstream();
-    return true;
+    endFailedAttempt(end, reason, retried);
+    if (retried)
+        assignUpstream();
+    return retried;
 }
 
 auto Exchange::attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void
@@ -333,18 +362,20 @@
         .goal = route_->goal,
         .connected = connection_->isConnected(),
         .answering = state_ == State::Answering,
-        .mayRetryElsewhere = route_->repeatable() && sends_ < route_->attempts };
+        .mayRetryElsewhere = mayMove() };
     const auto check = AttemptClock::check(now, times);
     if (check.due == AttemptClock::Due::Nothing)
         return check.next;
+    if (check.due == AttemptClock::Due::Silence) {
+        const auto next = onSilence(now);
+        return state_ == State::Done ? std::nullopt : std::optional(std::min(deadline_, next));
+    }
     connection_->close();
     if (check.due == AttemptClock::Due::Deadline) {
         onDeadline();
-    } else if (check.due == AttemptClock::Due::Connection) {
+    } else {
         relay_.recordReach(now, false);
         connectionFailed();
-    } else {
-        attemptFailed(PlacementEnd::Silent, true, "no byte came");
     }
     return state_ == State::Done ? std::nullopt : std::optional(deadline_);
 }
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -47,10 +47,10 @@
      * The scheduler has chosen an engine. `copyFrom`: an engine that has more of the prompt cached, from
      * which the chosen one can copy; may be null.
      */
-    auto onPlaced(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
+    auto onPlaced(std::uint64_t number, const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
     /** Stores the figures on which the placer based its decision, for the log. */
     auto setPlacementInputs(const PlacementInputs& inputs) -> void { placementInputs_ = inputs; }
-    auto onRefused(RefusalReason reason, std::chrono::milliseconds retryAfter) -> void;
+    auto onRefused(std::uint64_t number, RefusalReason reason, std::chrono::milliseconds retryAfter) -> void;
     auto onCallerDisconnected() -> void;
     /** Handles expired timeouts. Returns the time of the next check, or none if the request has ended. */
     auto check(Time now) -> std::optional<Time>;
@@ -69,7 +69,8 @@
     auto admit() -> bool;
     auto assignUpstream() -> void;
     auto routed() const -> RoutedRequest { return { message_, request_, *route_, organisation_, service_ }; }
-    auto requestEngine() -> void;
+    /** Requests an engine other than those in `avoid`, under this number. */
+    auto requestEngine(std::uint64_t number, std::vector<UpstreamId> avoid) -> void;
     auto chooseUpstream() -> void;
     auto send(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
     auto onDeadline() -> void;
@@ -80,7 +81,23 @@
     auto abandonAttempt(PlacementEnd end, std::string_view reason) -> void;
     auto attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void;
     auto endAttempt(PlacementEnd end) -> void;
+    /** Ends the current attempt; `again`: another one follows. */
+    auto endFailedAttempt(PlacementEnd end, std::string_view reason, bool again) -> void;
     auto recordSilence(Time now) -> void;
+    auto recordProgress() -> void;
+
+    /** Whether the request may be sent or resumed elsewhere while its attempt still runs. */
+    auto mayMove() const -> bool;
+    /**
+     * Looks for another upstream, as this one has been silent. It may be sound and go on, so its attempt
+     * continues until another upstream takes the request. Returns when to check again.
+     */
+    auto onSilence(Time now) -> Time;
+    auto onMovePlaced(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
+    auto moveTo(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
+    auto withdrawMove() -> void;
+    /** Keeps waiting for the silent upstream, and tries to move again after `pause`. */
+    auto postponeMove(std::string_view reason, Duration pause) -> void;
     /** Consumes from the service's retry budget if it allows a further send. */
     auto mayRetry() -> bool;
     /**
@@ -119,6 +136,9 @@
     std::optional<UpstreamEntry> upstream_;
     std::shared_ptr<UpstreamConnection> connection_;
     std::vector<UpstreamId> tried_;
+    /** Number under which an engine was requested for a move away from a silent upstream. */
+    std::optional<std::uint64_t> moveNumber_;
+    Time nextMoveAt_ {};
     std::uint32_t sends_ = 0;
     bool mayHaveRun_ = false;
     bool startReported_ = false;
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -257,20 +257,22 @@
         return;
     }
     const auto exchange = found->second->shared_from_this();
-    exchange->setPlacementInputs(decision.inputs);
+    if (decision.upstream || decision.number == exchange->number())
+        exchange->setPlacementInputs(decision.inputs);
     if (!decision.upstream) {
-        exchange->onRefused(decision.reason, decision.retryAfter);
+        exchange->onRefused(decision.number, decision.reason, decision.retryAfter);
         return;
     }
     const auto upstream = byId_.find(*decision.upstream);
     if (upstream != byId_.end()) {
         const auto source = decision.copyFrom ? byId_.find(*decision.copyFrom) : byId_.end();
-        exchange->onPlaced(*upstream->second, source == byId_.end() ? nullptr : source->second);
+        exchange->onPlaced(
+            decision.number, *upstream->second, source == byId_.end() ? nullptr : source->second);
         return;
     }
     // The upstream has been removed from the directory since it was chosen.
     reportEnd(decision.number, decision.service, PlacementEnd::Cancelled);
-    exchange->onRefused(RefusalReason::NoUpstream, 200ms);
+    exchange->onRefused(decision.number, RefusalReason::NoUpstream, 200ms);
 }
 
 auto Relay::handle(const FleetChanged& changed) -> void
--- a/src/libcamphorshunt/retrywindow.cpp
+++ b/src/libcamphorshunt/retrywindow.cpp
@@ -27,7 +27,7 @@
 
 auto RetryWindow::recordRequest(Time now) -> void { ++bucketAt(now).requests; }
 
-auto RetryWindow::tryAcquire(Time now) -> bool
+auto RetryWindow::allows(Time now) const -> bool
 {
     const auto oldest = slice(now) - static_cast<std::int64_t>(buckets);
     auto requests = 0.0;
@@ -39,7 +39,12 @@
         retries += bucket.retries;
     }
     const auto burstAllowance = settings_.burstAllowance / double(std::max<std::size_t>(1, routers_));
-    if (retries + 1 > usableFraction * (settings_.ratio * requests + burstAllowance))
+    return retries + 1 <= usableFraction * (settings_.ratio * requests + burstAllowance);
+}
+
+auto RetryWindow::tryAcquire(Time now) -> bool
+{
+    if (!allows(now))
         return false;
     ++bucketAt(now).retries;
     return true;
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -74,6 +74,7 @@
 
 RouterFleet::RouterFleet(const Options& options)
     : descriptors_(options.descriptors)
+    , retrySpare_(options.retrySpare)
 {
     static auto counter = std::atomic<int> { 0 };
     folder_ = (std::filesystem::temp_directory_path()
@@ -133,7 +134,7 @@
                 { "peers", router.peers.text() }, { "metrics", router.metrics.text() } } },
         { "seeds", seeds }, { "store", store_.text() },
         { "limits", json::object { { "stopSeconds", 6 }, { "descriptors", descriptors_ } } },
-        { "bounds", json::object { { "retryRatio", 0.2 }, { "retrySpare", 50 } } } };
+        { "bounds", json::object { { "retryRatio", 0.2 }, { "retrySpare", retrySpare_ } } } };
     std::ofstream(router.settings) << json::serialize(settings);
     const auto arguments = std::vector<std::string> { "--settings=" + router.settings };
     router.process = std::make_unique<ChildProcess>("camphorshuntrouter", arguments);
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -27,6 +27,8 @@
         std::vector<std::string> engineFlags { "--slots=8", "--token_ms=2" };
         std::vector<std::string> plainFlags { "--call_ms=5" };
         std::uint64_t descriptors = 1024;
+        /** Retries that a fleet may make in ten seconds beside a fifth of its requests. */
+        std::uint64_t retrySpare = 50;
     };
     struct Upstream {
         std::string name;
@@ -85,6 +87,7 @@
 
     std::string folder_;
     std::uint64_t descriptors_;
+    std::uint64_t retrySpare_;
     std::unique_ptr<ChildProcess> storeProcess_;
     Endpoint store_;
     std::vector<Upstream> upstreams_;
--- /dev/null
+++ b/tests/process/silentupstreamtest.cpp
@@ -0,0 +1,104 @@
+#include "routerfleet.h"
+
+#include <chrono>
+#include <csignal>
+#include <thread>
+
+#include <boost/json/serialize.hpp>
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto events = std::size_t { 40 };
+const auto slowTokens = std::vector<std::string> { "--slots=8", "--token_ms=20" };
+
+/** Stops the processes of these upstreams for a while. */
+auto silence(RouterFleet& fleet, std::size_t first, std::size_t count, std::chrono::milliseconds time) -> void
+{
+    for (auto index = first; index < first + count; ++index)
+        fleet.upstream(index).process->signal(SIGSTOP);
+    std::this_thread::sleep_for(time);
+    for (auto index = first; index < first + count; ++index)
+        fleet.upstream(index).process->signal(SIGCONT);
+}
+
+auto isWhole(const Answer& answer) -> bool
+{
+    return answer.status == 200 && answer.isComplete()
+        && answer.body.ends_with("data: token " + std::to_string(events) + "\n\n");
+}
+
+} // namespace
+
+TEST_CASE("A stream whose engine falls silent for a while is not cut if no other engine takes it")
+{
+    auto options = RouterFleet::Options {};
+    options.engineFlags = slowTokens;
+    const auto hasOtherEngine = GENERATE(false, true);
+    options.engines = hasOtherEngine ? 2 : 1;
+    options.retrySpare = hasOtherEngine ? 0 : 50;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    auto stream = callAsync(fleet.router(0).callers, RouterFleet::stream("resume", events));
+    std::this_thread::sleep_for(200ms);
+    silence(fleet, 0, options.engines, 1500ms);
+    const auto answer = stream.get();
+    INFO(answer.status << " " << answer.body);
+    CHECK(isWhole(answer));
+    CHECK(fleet.totalRuns() == 1);
+}
+
+TEST_CASE("A repeatable request whose upstream falls silent for a while is answered if no other one takes it")
+{
+    auto options = RouterFleet::Options {};
+    options.plain = 1;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    fleet.fault(2, R"({"mode":"slow","delayMs":1500})");
+    const auto answer = call(fleet.router(0).callers, RouterFleet::request("plain"));
+    CHECK(answer.status == 200);
+    CHECK(!isOwn(answer));
+}
+
+TEST_CASE("Streams are not cut when all engines fall silent for a while beside a change of the configuration")
+{
+    auto options = RouterFleet::Options {};
+    options.engines = 4;
+    options.routers = 2;
+    options.engineFlags = slowTokens;
+    options.retrySpare = 4;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    auto streams = std::vector<std::future<Answer>> {};
+    for (auto index = std::size_t { 0 }; index < 16; ++index)
+        streams.push_back(callAsync(fleet.router(index % 2).callers, RouterFleet::stream("resume", events)));
+    std::this_thread::sleep_for(200ms);
+    fleet.putConfiguration(boost::json::serialize(RouterFleet::configuration(3)));
+    silence(fleet, 0, options.engines, 1400ms);
+    auto whole = 0;
+    for (auto& stream : streams)
+        whole += isWhole(stream.get()) ? 1 : 0;
+    CHECK(whole == 16);
+}
+
+TEST_CASE("A stream whose engine stays silent is resumed at another engine in time")
+{
+    auto options = RouterFleet::Options {};
+    options.engineFlags = slowTokens;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    auto stream = callAsync(fleet.router(0).callers, RouterFleet::stream("resume", events));
+    std::this_thread::sleep_for(200ms);
+    const auto holder = fleet.runs(0).empty() ? std::size_t { 1 } : std::size_t { 0 };
+    fleet.upstream(holder).process->signal(SIGSTOP);
+    const auto begin = std::chrono::steady_clock::now();
+    const auto answer = stream.get();
+    CHECK(isWhole(answer));
+    CHECK(std::chrono::steady_clock::now() - begin < 3s);
+    fleet.upstream(holder).process->signal(SIGCONT);
+    CHECK(eventually([&fleet, holder] { return fleet.working(holder) == 0; }, 5s));
+}
