Keep a silent upstream's attempt until another upstream accepts the request

What callers would see: a stream that a sound but silent engine would have gone on with is cut, or a repeatable request gets 502, because the upstream chosen in its place refuses it, fails or can't be reached. When many servers fall silent together the others are full, so this is the likely case.

The old connection was closed when a place was granted, before the new upstream had taken the request.

Change: the request is sent to the other upstream beside the silent one (TakeoverListener). An answer's head that can be used, or 200 ms without a refusal, ends the old attempt; a refusal, an error, a broken or missing connection ends the new one, and the silent one goes on. A byte of the silent upstream ends the new one too.

--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -103,7 +103,7 @@
 auto Exchange::onPlaced(std::uint64_t number, const UpstreamEntry& upstream, const UpstreamEntry* copyFrom)
     -> void
 {
-    if (number == moveNumber_) {
+    if (move_ && number == move_->number) {
         onMovePlaced(upstream, copyFrom);
         return;
     }
@@ -120,7 +120,7 @@
 
 auto Exchange::onRefused(std::uint64_t number, RefusalReason reason, milliseconds retryAfter) -> void
 {
-    if (number == moveNumber_) {
+    if (move_ && number == move_->number) {
         withdrawMove();
         postponeMove(refusalName(reason), retryAfter);
         return;
@@ -131,6 +131,18 @@
     giveUp(refusalName(reason), retryAfter);
 }
 
+auto Exchange::beginAttempt(const UpstreamEntry& upstream, Time sent) -> void
+{
+    upstream_ = upstream;
+    state_ = State::Sent;
+    times_.sent = sent;
+    directoryAge_ = sent - relay_.directoryReadAt();
+    lastByteAt_ = sent;
+    startReported_ = false;
+    answerEnd_.reset();
+    answer_.beginAttempt();
+}
+
 auto Exchange::send(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
 {
     const auto left = timeLeft();
@@ -140,14 +152,7 @@
         giveUp("no time is left");
         return;
     }
-    upstream_ = upstream;
-    state_ = State::Sent;
-    times_.sent = steadyNow();
-    directoryAge_ = times_.sent - relay_.directoryReadAt();
-    lastByteAt_ = times_.sent;
-    startReported_ = false;
-    answerEnd_.reset();
-    answer_.beginAttempt();
+    beginAttempt(upstream, steadyNow());
     ++sends_;
     if (!onEngine_)
         relay_.balancer(service_).requestStarted(upstream.id());
@@ -255,19 +260,6 @@
     finish(isSuccess(status) ? RequestOutcome::Served : RequestOutcome::Passed, status, "");
 }
 
-auto Exchange::recordSilence(Time now) -> void
-{
-    longestSilence_ = std::max(longestSilence_, now - lastByteAt_);
-}
-
-auto Exchange::recordProgress() -> void
-{
-    const auto now = steadyNow();
-    recordSilence(now);
-    lastByteAt_ = now;
-    withdrawMove();
-}
-
 auto Exchange::endAttempt(PlacementEnd end) -> void
 {
     withdrawMove();
@@ -310,6 +302,10 @@
 auto Exchange::retryElsewhere(PlacementEnd end, std::string_view reason) -> bool
 {
     tried_.push_back(upstream_->id());
+    if (move_ && move_->isSent()) {
+        takeOver(end, reason);
+        return true;
+    }
     const auto retried = mayRetry();
     endFailedAttempt(end, reason, retried);
     if (retried)
@@ -362,7 +358,7 @@
         .goal = route_->goal,
         .connected = connection_->isConnected(),
         .answering = state_ == State::Answering,
-        .mayRetryElsewhere = mayMove() };
+        .mayRetryElsewhere = move_ || mayMove() };
     const auto check = AttemptClock::check(now, times);
     if (check.due == AttemptClock::Due::Nothing)
         return check.next;
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -17,6 +17,7 @@
 #include "clock.h"
 #include "requestforms.h"
 #include "requestrecord.h"
+#include "takeover.h"
 #include "upstreamconnection.h"
 
 #include "platform/callerwire.h"
@@ -72,6 +73,7 @@
     /** Requests an engine other than those in `avoid`, under this number. */
     auto requestEngine(std::uint64_t number, std::vector<UpstreamId> avoid) -> void;
     auto chooseUpstream() -> void;
+    auto beginAttempt(const UpstreamEntry& upstream, Time sent) -> void;
     auto send(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
     auto onDeadline() -> void;
 
@@ -94,7 +96,13 @@
      */
     auto onSilence(Time now) -> Time;
     auto onMovePlaced(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
-    auto moveTo(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
+    /** Sends the request to another upstream as well; the silent one's attempt goes on until it is accepted.
+     */
+    auto startMove(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
+    auto onMoveRejected(PlacementEnd end) -> void;
+    /** Ends the attempt in favour of the upstream that takes the request over. */
+    auto takeOver(PlacementEnd end, std::string_view reason) -> void;
+    auto reportMoveEnd(const Takeover& move, PlacementEnd end) -> void;
     auto withdrawMove() -> void;
     /** Keeps waiting for the silent upstream, and tries to move again after `pause`. */
     auto postponeMove(std::string_view reason, Duration pause) -> void;
@@ -136,8 +144,7 @@
     std::optional<UpstreamEntry> upstream_;
     std::shared_ptr<UpstreamConnection> connection_;
     std::vector<UpstreamId> tried_;
-    /** Number under which an engine was requested for a move away from a silent upstream. */
-    std::optional<std::uint64_t> moveNumber_;
+    std::optional<Takeover> move_;
     Time nextMoveAt_ {};
     std::uint32_t sends_ = 0;
     bool mayHaveRun_ = false;
--- a/src/camphorshuntrouter/exchangemove.cpp
+++ b/src/camphorshuntrouter/exchangemove.cpp
@@ -15,12 +15,42 @@
 /** Bounds of the pause between two tries to move a request away from a silent upstream. */
 constexpr auto minMovePause = Duration(std::chrono::milliseconds(250));
 constexpr auto maxMovePause = Duration(std::chrono::milliseconds(1000));
+/**
+ * Time for another upstream to refuse the request or to begin its answer. A full one refuses at once; two may
+ * work on a request for 400 ms at most.
+ */
+constexpr auto takeoverTime = Duration(std::chrono::milliseconds(200));
 
 } // namespace
 
+auto Exchange::recordSilence(Time now) -> void
+{
+    longestSilence_ = std::max(longestSilence_, now - lastByteAt_);
+}
+
+auto Exchange::recordProgress() -> void
+{
+    const auto now = steadyNow();
+    recordSilence(now);
+    lastByteAt_ = now;
+    withdrawMove();
+}
+
 auto Exchange::onSilence(Time now) -> Time
 {
-    if (moveNumber_)
+    if (move_ && move_->isSent()) {
+        if (now < move_->sent + takeoverTime)
+            return move_->sent + takeoverTime;
+        if (!move_->connection->isConnected()) {
+            onMoveRejected(PlacementEnd::Unreachable);
+            return now + minMovePause;
+        }
+        connection_->close();
+        tried_.push_back(upstream_->id());
+        takeOver(PlacementEnd::Silent, "no byte came");
+        return now + minMovePause;
+    }
+    if (move_)
         return now + minMovePause;
     if (now < nextMoveAt_)
         return nextMoveAt_;
@@ -31,50 +61,106 @@
     auto avoid = tried_;
     avoid.push_back(upstream_->id());
     if (onEngine_) {
-        moveNumber_ = relay_.addExchange(*this);
-        requestEngine(*moveNumber_, std::move(avoid));
+        move_.emplace().number = relay_.addExchange(*this);
+        requestEngine(*move_->number, std::move(avoid));
         return now + minMovePause;
     }
     const auto* const other = relay_.balancer(service_).choose(now, relay_.failureDomain(), avoid);
-    if (other == nullptr)
+    if (other == nullptr) {
         postponeMove("no upstream is left to try", maxMovePause);
-    else
-        moveTo(*other, nullptr);
-    return now + minMovePause;
+    } else {
+        move_.emplace();
+        startMove(*other, nullptr);
+    }
+    return now + takeoverTime;
 }
 
 auto Exchange::onMovePlaced(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
 {
     if (!upstream.draining && mayMove() && relay_.retryBudget(service_).allows(steadyNow())) {
-        moveTo(upstream, copyFrom);
+        startMove(upstream, copyFrom);
         return;
     }
     withdrawMove();
     postponeMove(upstream.draining ? "the engine drains" : "no retry is allowed any more", minMovePause);
 }
 
-auto Exchange::moveTo(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
+auto Exchange::startMove(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
+{
+    const auto now = steadyNow();
+    static_cast<void>(relay_.retryBudget(service_).tryAcquire(now));
+    ++sends_;
+    if (!onEngine_)
+        relay_.balancer(service_).requestStarted(upstream.id());
+    move_->upstream = upstream;
+    move_->sent = now;
+    move_->listener = std::make_shared<TakeoverListener>(std::string(request_.attempt), answer_.hasBegun(),
+        TakeoverListener::Handlers {
+            .onRejected = [this](PlacementEnd end) { onMoveRejected(end); },
+            .onAccepted =
+                [this](const platform::ResponseHeader& header) {
+                    const auto self = shared_from_this();
+                    connection_->close();
+                    tried_.push_back(upstream_->id());
+                    takeOver(PlacementEnd::Silent, "no byte came");
+                    return headArrived(header);
+                },
+        });
+    auto bytes = serializeForUpstream(
+        routed(), upstream, copyFrom, inMilliseconds(timeLeft()), answer_.lastEventId());
+    move_->connection = relay_.pool().send(upstream, std::move(bytes), isHead(), false, *move_->listener);
+    relay_.scheduleCheck(shared_from_this(), now + takeoverTime);
+}
+
+auto Exchange::onMoveRejected(PlacementEnd end) -> void
+{
+    const auto self = shared_from_this();
+    const auto move = *std::exchange(move_, std::nullopt);
+    move.connection->close();
+    const auto counts = end != PlacementEnd::Unreachable && end != PlacementEnd::Misdirected;
+    sends_ -= counts ? 0 : 1;
+    tried_.push_back(move.upstream->id());
+    reportMoveEnd(move, end);
+    postponeMove(placementEndName(end), minMovePause);
+}
+
+auto Exchange::takeOver(PlacementEnd end, std::string_view reason) -> void
 {
-    static_cast<void>(relay_.retryBudget(service_).tryAcquire(steadyNow()));
-    const auto number = std::exchange(moveNumber_, std::nullopt);
-    connection_->close();
+    auto move = *std::exchange(move_, std::nullopt);
     mayHaveRun_ = true;
-    tried_.push_back(upstream_->id());
-    endFailedAttempt(PlacementEnd::Silent, "no byte came", true);
-    if (number) {
+    endFailedAttempt(end, reason, true);
+    if (move.number) {
         relay_.removeExchange(number_);
-        number_ = *number;
+        number_ = *move.number;
     }
-    send(upstream, copyFrom);
+    beginAttempt(*move.upstream, move.sent);
+    connection_ = std::move(move.connection);
+    connection_->setListener(*this);
+}
+
+auto Exchange::reportMoveEnd(const Takeover& move, PlacementEnd end) -> void
+{
+    relay_.metrics().attemptEnded(end);
+    if (!onEngine_) {
+        relay_.balancer(service_).requestEnded(steadyNow(), move.upstream->id(), end);
+        return;
+    }
+    relay_.reportEnd(*move.number, service_, end);
+    relay_.removeExchange(*move.number);
 }
 
 auto Exchange::withdrawMove() -> void
 {
-    if (!moveNumber_)
+    if (!move_)
         return;
-    relay_.withdraw(*moveNumber_, service_);
-    relay_.removeExchange(*moveNumber_);
-    moveNumber_.reset();
+    const auto move = *std::exchange(move_, std::nullopt);
+    if (move.isSent()) {
+        move.connection->close();
+        reportMoveEnd(move, PlacementEnd::Cancelled);
+    } else if (move.number) {
+        relay_.withdraw(*move.number, service_);
+        relay_.removeExchange(*move.number);
+    }
 }
 
 auto Exchange::postponeMove(std::string_view reason, Duration pause) -> void
--- /dev/null
+++ b/src/camphorshuntrouter/takeover.cpp
@@ -0,0 +1,44 @@
+#include "takeover.h"
+
+#include "answerintake.h"
+
+#include "platform/enginewire.h"
+
+namespace camphorshunt::router {
+
+namespace {
+
+constexpr auto firstServerError = 500U;
+
+} // namespace
+
+auto TakeoverListener::connectionFailed() -> void { reject(PlacementEnd::Unreachable); }
+
+auto TakeoverListener::headArrived(const platform::ResponseHeader& header) -> bool
+{
+    const auto self = shared_from_this();
+    const auto answer = platform::readEngineAnswer(header);
+    const auto lacksId = answer.notRun && answer.attempt.empty();
+    if (answer.attempt != attempt_ && !lacksId)
+        return false;
+    const auto isUnusable = answer.status >= firstServerError || !answer.hasSignature
+        || (continuesStream_ && !isSuccess(answer.status));
+    if (answer.notRun)
+        reject(answer.misdirected ? PlacementEnd::Misdirected : PlacementEnd::Full);
+    else if (isUnusable)
+        reject(PlacementEnd::Failed);
+    else
+        return std::exchange(handlers_, {}).onAccepted(header);
+    return true;
+}
+
+auto TakeoverListener::answerEnded(AnswerEnd /*end*/) -> void { reject(PlacementEnd::Broken); }
+
+auto TakeoverListener::reject(PlacementEnd end) -> void
+{
+    const auto self = shared_from_this();
+    if (const auto handler = std::exchange(handlers_, {}).onRejected)
+        handler(end);
+}
+
+} // namespace camphorshunt::router
--- /dev/null
+++ b/src/camphorshuntrouter/takeover.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "camphorshunt/placement.h"
+#include "camphorshunt/time.h"
+#include "camphorshunt/upstreamentry.h"
+
+#include "upstreamconnection.h"
+
+namespace camphorshunt::router {
+
+/**
+ * Takes the first step of an answer from an upstream that is to take a request over from a silent one:
+ * whether it accepts the request. Until then the silent upstream's attempt goes on.
+ */
+class TakeoverListener : public AnswerListener, public std::enable_shared_from_this<TakeoverListener> {
+public:
+    struct Handlers {
+        /** The upstream does not take the request, which has ended there in this way. */
+        std::function<void(PlacementEnd)> onRejected;
+        /** The head of the upstream's answer; returns what `AnswerListener::headArrived` returns. */
+        std::function<bool(const platform::ResponseHeader&)> onAccepted;
+    };
+
+    /** `continuesStream`: only another part of the same stream will do as an answer. */
+    TakeoverListener(std::string attempt, bool continuesStream, Handlers handlers)
+        : attempt_(std::move(attempt))
+        , continuesStream_(continuesStream)
+        , handlers_(std::move(handlers))
+    {
+    }
+
+    auto connectionFailed() -> void override;
+    auto headArrived(const platform::ResponseHeader& header) -> bool override;
+    auto bodyArrived(std::string_view /*bytes*/) -> void override { }
+    auto answerEnded(AnswerEnd end) -> void override;
+
+private:
+    auto reject(PlacementEnd end) -> void;
+
+    std::string attempt_;
+    bool continuesStream_;
+    Handlers handlers_;
+};
+
+/** The move of a request away from a silent upstream, from the search for another one to its acceptance. */
+struct Takeover {
+    /** Number under which an engine was requested; empty for plain services. */
+    std::optional<std::uint64_t> number;
+    /** Set once the request has been sent there. */
+    std::optional<UpstreamEntry> upstream;
+    std::shared_ptr<TakeoverListener> listener;
+    std::shared_ptr<UpstreamConnection> connection;
+    Time sent {};
+
+    auto isSent() const -> bool { return upstream.has_value(); }
+};
+
+} // namespace camphorshunt::router
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -85,6 +85,8 @@
     auto dial(std::string request, bool isHead, AnswerListener& listener) -> void;
     /** Sends on a connection that is open and idle; the listener must exist as with `dial`. */
     auto send(std::string request, bool isHead, AnswerListener& listener) -> void;
+    /** Calls another listener from now on, for the same answer. */
+    auto setListener(AnswerListener& listener) -> void { listener_ = &listener; }
     /** Closes the connection; the listener is not called any more. */
     auto close() -> void;
 
