Use an engine again after a silence while requests that it kept still run

What callers would see: after engines fell silent for a second, new requests are refused for seconds although places are free.

Cause: a request that is moved away for silence suspends its engine, and after the suspension an engine with a failure gets a probe only once nothing runs on it. Requests that a silent engine keeps hold it closed until the first of them ends. Besides, each request moved for the same silence counted as a further failure, so that eight of them suspended the engine for 2 s.

Change: only a request that has not started yet holds off the next one on an engine with a failure; ends for a silence during a suspension don't lengthen it. Other failures count as before.

--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -253,10 +253,14 @@
         suspend(now, misdirectedSuspension);
         break;
     case PlacementEnd::Unreachable:
-    case PlacementEnd::Silent:
         if (isEngineAtFault)
             suspend(now, minSuspension);
         break;
+    case PlacementEnd::Silent:
+        // One silence ends several requests, and is no longer for that.
+        if (isEngineAtFault && !isSuspended(now))
+            suspend(now, minSuspension);
+        break;
     case PlacementEnd::Broken:
     case PlacementEnd::Failed:
         // A stream that failed after its first token is no sign of a faulty engine: other requests may run
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -77,8 +77,9 @@
      * suspension ends, one request is placed as a probe.
      */
     auto isSuspended(Time now) const -> bool { return now < suspendedUntil_; }
-    /** True while requests run after a failure with no success since: the engine may still be faulty. */
-    auto isOnProbation() const -> bool { return failures_ > 0 && !running_.empty(); }
+    /** True while a request has not started after a failure with no success since: the engine may be faulty.
+     */
+    auto isOnProbation() const -> bool { return failures_ > 0 && !pendingPrefills_.empty(); }
     /** The request whose prefill is the oldest pending one, if its first token is long overdue. */
     auto overdueRequest(Time now) const -> std::optional<PlacementKey>;
     /** A request has started since the engine can have begun the oldest pending prefill: it is not stuck. */
