Refuse a request at once if no engine is left that it may try

What callers would see: a stream whose engine broke off, and a request that all engines of a small service have failed, wait until their deadline, though nothing can serve them. A stream that moves away from a silent engine waits at the placer in vain and counts as demand ahead of other organisations.

Cause: Placer::submit asked whether any engine could hold the request, and left out that the request avoids engines that it has tried.

Evidence: the test failed before (the request waited) and passes now.

--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -124,7 +124,8 @@
     waiting.request = std::move(request);
 
     const auto holds = [&waiting](const auto& engine) {
-        return !engine.second.entry().draining && !engine.second.isTooSmallFor(waiting.request.prompt);
+        return !engine.second.entry().draining && !engine.second.isTooSmallFor(waiting.request.prompt)
+            && !isAvoided(waiting.request, engine.second);
     };
     if (std::ranges::none_of(engines_, holds)) {
         refuse(now, waiting, RefusalReason::NoUpstream);
