Read what has arrived before a caller's connection is closed as idle

Callers would see a kept connection close without an answer just after they had sent a request on it: after an idle time that a new configuration shortens, in a drain, and at any time at a router whose relay is late. The timer that closes idle connections looked only at what had been read; a request in the kernel's buffer was read after the close and dropped. In the same way a request was refused with 408 whose rest had arrived in time.

Ruled out: reading in the timer itself. The read handler of a connection with unread bytes is due anyhow, so the timer leaves such a connection alone until its next turn.

Callers that send the next request before they have the answer (HTTP pipelining) lost it in a drain or an overload, as the answer before it announced the close. An answer now announces it only if no further input has arrived when its head is written. What arrives after the announcement or after the FIN is still dropped: its caller has been told, and no later than its last byte.

Tests: four cases with a relay whose event loop the test drives, so that the request arrives just before the timer's handler.

--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -118,11 +118,11 @@
                 return;
             continue;
         }
-        keepAlive_ = parser_->keep_alive() && relay_.keepsCallersAlive();
+        const auto keepAlive = parser_->keep_alive();
         auto request = parser_->release();
         parser_.reset();
         input_.shrink_to_fit();
-        exchange_ = Exchange::create(relay_, *this, std::move(request), keepAlive_);
+        exchange_ = Exchange::create(relay_, *this, std::move(request), keepAlive);
         const auto exchange = exchange_;
         exchange->start();
     }
@@ -235,10 +235,17 @@
     relay_.removeCaller(*this);
 }
 
-auto CallerConnection::logLoss(std::string_view reason) -> void
+auto CallerConnection::staysOpen() const -> bool { return relay_.keepsCallersAlive() || hasInput(); }
+
+auto CallerConnection::unreadBytes() const -> std::size_t
 {
     auto ignored = boost::system::error_code {};
-    const auto unread = socket_.available(ignored);
+    return socket_.available(ignored);
+}
+
+auto CallerConnection::logLoss(std::string_view reason) -> void
+{
+    const auto unread = unreadBytes();
     if (unread == 0 && output_.empty())
         return;
     relay_.log(LogLevel::Warning, "caller-closed",
@@ -248,7 +255,7 @@
 
 auto CallerConnection::closeIfIdle() -> void
 {
-    if (!open_ || exchange_ || closing_ || hasInput())
+    if (!open_ || exchange_ || closing_ || hasInput() || unreadBytes() > 0)
         return;
     logLoss("drain");
     closeGracefully();
@@ -268,17 +275,17 @@
         }
         return;
     }
-    if (!hasInput()) {
-        if (waited > limits.idleTimeout) {
-            logLoss("idle");
-            closeGracefully();
-        }
-        return;
-    }
     // A body may take as long as the idle timeout; a header has a timeout of its own.
-    const auto headerDone = parser_ && parser_->is_header_done();
-    if (waited > (headerDone ? limits.idleTimeout : limits.headerTimeout))
+    const auto readsHeader = hasInput() && !(parser_ && parser_->is_header_done());
+    // Bytes that have arrived are handled first: they may complete a request.
+    if (waited <= (readsHeader ? limits.headerTimeout : limits.idleTimeout) || unreadBytes() > 0)
+        return;
+    if (hasInput()) {
         refuse(408, "the request took too long to arrive");
+        return;
+    }
+    logLoss("idle");
+    closeGracefully();
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -47,6 +47,9 @@
     auto isOpen() const -> bool { return open_; }
     /** Part of a request has been received. */
     auto hasInput() const -> bool { return !input_.empty() || (parser_ && parser_->got_some()); }
+    /** Whether the connection is kept after an answer that begins now: also if another request has arrived.
+     */
+    auto staysOpen() const -> bool;
     auto closeIfIdle() -> void;
 
 private:
@@ -60,6 +63,8 @@
     auto flush() -> void;
     auto close() -> void;
     auto closeGracefully() -> void;
+    /** Bytes that have arrived but were not read. */
+    auto unreadBytes() const -> std::size_t;
     /** Logs what is lost with a connection that this router closes, if anything is. */
     auto logLoss(std::string_view reason) -> void;
 
@@ -75,7 +80,6 @@
     bool writePending_ = false;
     bool closing_ = false;
     bool continueSent_ = false;
-    bool keepAlive_ = true;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -173,7 +173,7 @@
     recordProgress();
     relay_.recordReach(lastByteAt_, true);
     if (!answer_.hasBegun())
-        keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
+        keepAlive_ = keepAlive_ && caller_->staysOpen();
     switch (answer_.consumeHead(header, { request_.attempt, *route_, isHead(), !keepAlive_ })) {
     case Head::Mismatched:
         relay_.log(LogLevel::Warning, "answer-of-another-request",
--- /dev/null
+++ b/tests/unit/callerconnectiontest.cpp
@@ -0,0 +1,144 @@
+#include "callerconnection.h"
+
+#include <string>
+#include <thread>
+
+#include <boost/asio/write.hpp>
+
+#include "clock.h"
+#include "drivenrelay.h"
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+
+/** Longer than the interval at which a relay checks its callers' times. */
+constexpr auto sweepTime = 300ms;
+constexpr auto head = std::string_view("GET /elsewhere HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n");
+const auto request = std::string(head) + "\r\n";
+
+auto limits(std::chrono::milliseconds idle, std::chrono::milliseconds header) -> CallerLimits
+{
+    auto limits = CallerLimits {};
+    limits.idleTimeout = idle;
+    limits.headerTimeout = header;
+    return limits;
+}
+
+auto send(Tcp::socket& client, std::string_view text) -> void
+{
+    boost::asio::write(client, boost::asio::buffer(text));
+}
+
+/** Reads what the client gets while the relay runs for this time. */
+auto receive(test::DrivenRelay& driven, Tcp::socket& client, std::chrono::milliseconds time) -> std::string
+{
+    auto received = std::string {};
+    auto buffer = std::string(std::size_t { 64 } * 1024, '\0');
+    client.non_blocking(true);
+    const auto end = steadyNow() + time;
+    while (steadyNow() < end) {
+        driven.context.run_for(1ms);
+        auto error = boost::system::error_code {};
+        received.append(buffer, 0, client.read_some(boost::asio::buffer(buffer), error));
+        if (error && error != boost::asio::error::would_block)
+            break;
+    }
+    return received;
+}
+
+auto countOf(std::string_view text, std::string_view part) -> std::size_t
+{
+    auto count = std::size_t { 0 };
+    for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
+
+/** Runs the relay so that `before` happens after it has seen what is due, and its timer's handler runs next.
+ */
+template <typename Before> auto runTimerAfter(test::DrivenRelay& driven, Before before) -> void
+{
+    boost::asio::post(driven.context, before);
+    driven.context.poll();
+}
+
+} // namespace
+
+TEST_CASE("A request that arrived on a kept connection before it is closed as idle is answered")
+{
+    auto driven = test::DrivenRelay {};
+    const auto isConfiguredLater = GENERATE(false, true);
+    const auto idle = limits(100ms, 3000ms);
+    driven.configure(test::oneRoute(true, isConfiguredLater ? CallerLimits {} : idle));
+    driven.connect(1);
+    driven.context.poll();
+    auto& client = driven.clients.front();
+    std::this_thread::sleep_for(sweepTime);
+    if (isConfiguredLater)
+        driven.configure(test::oneRoute(true, idle));
+    runTimerAfter(driven, [&client] { send(client, request); });
+    CHECK(countOf(receive(driven, client, 100ms), "HTTP/1.1 404") == 1);
+}
+
+TEST_CASE("A request that arrived on a kept connection before a drain closes it is answered")
+{
+    auto driven = test::DrivenRelay {};
+    driven.configure(test::oneRoute(true));
+    driven.connect(1);
+    driven.context.poll();
+    auto& client = driven.clients.front();
+    driven.relay->handleMessage(StartDrain {});
+    // The time for which new connections are accepted in a drain.
+    std::this_thread::sleep_for(3600ms);
+    runTimerAfter(driven, [&client] { send(client, request); });
+    const auto answer = receive(driven, client, 100ms);
+    CHECK(countOf(answer, "HTTP/1.1 404") == 1);
+    CHECK(countOf(answer, "Connection: close") == 1);
+}
+
+TEST_CASE("A request whose rest arrived before the relay looks at its header timeout is not refused as slow")
+{
+    auto driven = test::DrivenRelay {};
+    driven.configure(test::oneRoute(true, limits(5000ms, 100ms)));
+    driven.connect(1);
+    auto& client = driven.clients.front();
+    send(client, head);
+    driven.context.poll();
+    std::this_thread::sleep_for(sweepTime);
+    runTimerAfter(driven, [&client] { send(client, "\r\n"); });
+    CHECK(countOf(receive(driven, client, 100ms), "HTTP/1.1 404") == 1);
+}
+
+TEST_CASE("Requests that a caller sent together before a drain are all answered")
+{
+    auto driven = test::DrivenRelay {};
+    driven.configure(test::oneRoute(true));
+    driven.connect(1);
+    driven.context.poll();
+    auto& client = driven.clients.front();
+    driven.relay->handleMessage(StartDrain {});
+    send(client, request + request + request);
+    const auto answers = receive(driven, client, 200ms);
+    CHECK(countOf(answers, "HTTP/1.1 404") == 3);
+    CHECK(countOf(answers, "Connection: close") == 1);
+}
+
+TEST_CASE("An idle connection without input is still closed after its time")
+{
+    auto driven = test::DrivenRelay {};
+    driven.configure(test::oneRoute(true, limits(100ms, 3000ms)));
+    driven.connect(1);
+    driven.context.poll();
+    std::this_thread::sleep_for(sweepTime);
+    driven.context.poll();
+    auto byte = char {};
+    auto error = boost::system::error_code {};
+    driven.clients.front().non_blocking(true);
+    driven.clients.front().read_some(boost::asio::buffer(&byte, 1), error);
+    CHECK(error == boost::asio::error::eof);
+}
--- a/tests/unit/drivenrelay.h
+++ b/tests/unit/drivenrelay.h
@@ -12,6 +12,24 @@
 
 namespace camphorshunt::test {
 
+/** A route to the service `engines`, whose service has plain upstreams or engines. */
+inline auto oneRoute(bool hasEngines, const CallerLimits& limits = {}) -> std::shared_ptr<const RouteTable>
+{
+    auto route = Route {};
+    route.name = "route";
+    route.host = "a.example";
+    route.pathPrefix = "/x/";
+    route.timeout = std::chrono::milliseconds(5000);
+    route.targets = { { idOf<ServiceId>("engines"), 1 } };
+    auto configuration = FleetConfiguration {};
+    configuration.version = 1;
+    configuration.routes = { route };
+    configuration.services
+        = { { "engines", 10, hasEngines ? std::optional(EngineTraits {}) : std::nullopt } };
+    configuration.limits = limits;
+    return RouteTable::build(std::move(configuration));
+}
+
 /** A relay whose event loop the test drives, and clients that connect to it. */
 struct DrivenRelay {
     using Tcp = boost::asio::ip::tcp;
@@ -37,6 +55,14 @@
             clients.emplace_back(clientContext).connect({ loopback, port });
     }
 
+    auto configure(std::shared_ptr<const RouteTable> table,
+        std::shared_ptr<const router::UpstreamList> upstreams = {}) -> void
+    {
+        if (!upstreams)
+            upstreams = std::make_shared<const router::UpstreamList>();
+        relay->handleMessage(router::FleetChanged { std::move(table), std::move(upstreams), 1, {} });
+    }
+
     boost::asio::ip::address loopback = boost::asio::ip::make_address("127.0.0.1");
     std::uint16_t port = 0;
     boost::asio::io_context context;
--- a/tests/unit/relaystoptest.cpp
+++ b/tests/unit/relaystoptest.cpp
@@ -6,29 +6,10 @@
 using namespace camphorshunt;
 using namespace camphorshunt::router;
 
-namespace {
-
-auto oneRoute() -> std::shared_ptr<const RouteTable>
-{
-    auto route = Route {};
-    route.name = "route";
-    route.host = "a.example";
-    route.pathPrefix = "/x/";
-    route.timeout = std::chrono::milliseconds(5000);
-    route.targets = { { idOf<ServiceId>("engines"), 1 } };
-    auto configuration = FleetConfiguration {};
-    configuration.version = 1;
-    configuration.routes = { route };
-    configuration.services = { { "engines", 10, EngineTraits {} } };
-    return RouteTable::build(std::move(configuration));
-}
-
-} // namespace
-
 TEST_CASE("A relay that is destroyed while requests are in progress ends them while it still exists")
 {
     auto driven = test::DrivenRelay {};
-    driven.relay->handleMessage(FleetChanged { oneRoute(), std::make_shared<const UpstreamList>(), 1, {} });
+    driven.configure(test::oneRoute(true));
     driven.connect(2);
     for (auto& client : driven.clients)
         boost::asio::write(client,
