Deliver answers to callers that read slowly, and read upstreams no faster

Callers would see the last answer of a connection cut one second after it was handed over, also while its bytes were unsent; and at the end of a drain every open connection was reset, with what the kernel had not sent yet. A caller that read nothing while a large answer or stream went on made the router's memory grow without a bound, also through requests that it sent one after another.

The second counts now from when all bytes were handed to the kernel. A caller that takes no byte of its output for the idle timeout, or for 5 s if that is longer, is reset. A drain waits for output that is not handed over, within the stop time; the relay then resets only callers whose request or answer is incomplete and closes the others normally. Above 256 KiB of output the upstream is not read, below 64 KiB it is again, and the next request of the connection waits too. The time without reading is neither the upstream's silence nor part of the time limit for its answer; what upstreams are told as their deadline does not change. The log line `stop` names unfinished callers instead of requests in progress.

Ruled out: dropping the caller at a limit of its output, since a ready answer is delivered, also late. Not changed: TCP_USER_TIMEOUT of 2.5 s, with which the kernel may give a caller up that reads nothing sooner than the 5 s; not measured.

--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -1,5 +1,6 @@
 #include "callerconnection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/beast/http/error.hpp>
@@ -19,7 +20,13 @@
 
 /** Limit, in bytes, of later requests that are buffered while one is in progress. */
 constexpr auto maxReadAhead = std::size_t { 64 } * 1024;
-/** Time a caller has to close its end after the last answer; then the connection is closed. */
+/** Output, in bytes, above which a caller counts as congested, and below which it no longer does. */
+constexpr auto maxOutput = std::size_t { 256 } * 1024;
+constexpr auto resumedOutput = std::size_t { 64 } * 1024;
+/** A caller that takes no byte of its answer for the idle timeout, or at least this long, has failed. */
+constexpr auto minStallTime = Duration(std::chrono::milliseconds(5000));
+/** Time a caller has to close its end after the last answer was handed over; then the connection is closed.
+ */
 constexpr auto lingerTime = Duration(std::chrono::milliseconds(1000));
 
 struct Refusal {
@@ -52,13 +59,18 @@
     auto ignored = boost::system::error_code {};
     socket_.non_blocking(true, ignored);
     waitingSince_ = steadyNow();
-    read();
+    awaitInput();
 }
 
-auto CallerConnection::read() -> void
+auto CallerConnection::awaitInput() -> void
 {
+    const auto hasRoom = input_.size() < maxReadAhead || (!exchange_ && !isCongested());
+    if (!open_ || readPending_ || !hasRoom)
+        return;
+    readPending_ = true;
     socket_.async_wait(
         Socket::wait_read, [self = shared_from_this()](const boost::system::error_code& error) {
+            self->readPending_ = false;
             if (self->open_ && !error)
                 self->readReady();
         });
@@ -80,8 +92,7 @@
     }
     if (!exchange_ && !closing_)
         parse();
-    if (open_ && (input_.size() < maxReadAhead || !exchange_))
-        read();
+    awaitInput();
 }
 
 auto CallerConnection::beginRequest() -> void
@@ -97,7 +108,7 @@
 
 auto CallerConnection::parse() -> void
 {
-    while (open_ && !exchange_ && !closing_ && !input_.empty()) {
+    while (open_ && !exchange_ && !closing_ && !input_.empty() && !isCongested()) {
         if (!parser_)
             beginRequest();
         auto error = boost::beast::error_code {};
@@ -140,10 +151,12 @@
 {
     if (!open_)
         return;
-    if (output_.empty())
+    if (output_.empty()) {
         output_ = std::move(bytes);
-    else
+        outputProgressAt_ = steadyNow();
+    } else {
         output_ += bytes;
+    }
     if (!writePending_)
         flush();
 }
@@ -155,6 +168,8 @@
     while (written < output_.size() && !error)
         written += socket_.write_some(
             boost::asio::buffer(output_.data() + written, output_.size() - written), error);
+    if (written > 0)
+        outputProgressAt_ = steadyNow();
     output_.erase(0, written);
     if (output_.empty())
         output_.shrink_to_fit();
@@ -166,21 +181,35 @@
         return;
     }
     if (output_.empty()) {
-        if (closing_) {
-            auto ignored = boost::system::error_code {};
-            socket_.shutdown(Socket::shutdown_send, ignored);
-        }
+        if (closing_)
+            shutDown();
         return;
     }
     writePending_ = true;
     socket_.async_wait(
         Socket::wait_write, [self = shared_from_this()](const boost::system::error_code& waitError) {
             self->writePending_ = false;
-            if (self->open_ && !waitError)
-                self->flush();
+            if (!self->open_ || waitError)
+                return;
+            self->flush();
+            self->outputTaken();
         });
 }
 
+auto CallerConnection::outputTaken() -> void
+{
+    if (!open_ || output_.size() > resumedOutput)
+        return;
+    if (exchange_) {
+        exchange_->onCallerReady();
+    } else if (!closing_) {
+        if (output_.empty() && !hasInput())
+            waitingSince_ = steadyNow();
+        parse();
+    }
+    awaitInput();
+}
+
 auto CallerConnection::finishAnswer(bool keep) -> void
 {
     const auto self = shared_from_this();
@@ -190,15 +219,13 @@
         closeGracefully();
         return;
     }
-    const auto wasFull = input_.size() >= maxReadAhead;
     // Posted, so that the next request is not started from inside the exchange that is ending.
     if (!input_.empty()) {
-        boost::asio::post(socket_.get_executor(), [self, wasFull] {
+        boost::asio::post(socket_.get_executor(), [self] {
             if (!self->open_ || self->exchange_)
                 return;
             self->parse();
-            if (wasFull && self->open_)
-                self->read();
+            self->awaitInput();
         });
     }
 }
@@ -206,20 +233,37 @@
 auto CallerConnection::abort() -> void
 {
     exchange_.reset();
-    // Sends a reset: after a normal close, an answer that ends with its connection would look complete.
+    reset();
+}
+
+auto CallerConnection::reset() -> void
+{
+    // After a normal close, an answer that ends with its connection would look complete.
     auto ignored = boost::system::error_code {};
     socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     close();
 }
 
+auto CallerConnection::stop() -> void
+{
+    if (isUnfinished())
+        abort();
+    else
+        close();
+}
+
 auto CallerConnection::closeGracefully() -> void
 {
     closing_ = true;
-    waitingSince_ = steadyNow();
     input_.clear();
     parser_.reset();
-    if (!output_.empty())
-        return;
+    if (output_.empty())
+        shutDown();
+}
+
+auto CallerConnection::shutDown() -> void
+{
+    waitingSince_ = steadyNow();
     auto ignored = boost::system::error_code {};
     socket_.shutdown(Socket::shutdown_send, ignored);
 }
@@ -237,6 +281,13 @@
 
 auto CallerConnection::staysOpen() const -> bool { return relay_.keepsCallersAlive() || hasInput(); }
 
+auto CallerConnection::isCongested() const -> bool { return output_.size() > maxOutput; }
+
+auto CallerConnection::isUnfinished() const -> bool
+{
+    return exchange_ || !output_.empty() || (!closing_ && unreadBytes() > 0);
+}
+
 auto CallerConnection::unreadBytes() const -> std::size_t
 {
     auto ignored = boost::system::error_code {};
@@ -255,18 +306,26 @@
 
 auto CallerConnection::closeIfIdle() -> void
 {
-    if (!open_ || exchange_ || closing_ || hasInput() || unreadBytes() > 0)
+    if (!open_ || closing_ || hasInput() || isUnfinished())
         return;
-    logLoss("drain");
     closeGracefully();
 }
 
 auto CallerConnection::checkTimes(Time now) -> void
 {
-    if (!open_ || exchange_)
+    if (!open_)
         return;
     const auto self = shared_from_this();
     const auto& limits = relay_.limits();
+    if (!output_.empty()) {
+        if (now - outputProgressAt_ > std::max<Duration>(limits.idleTimeout, minStallTime)) {
+            logLoss("the caller takes no more bytes");
+            reset();
+        }
+        return;
+    }
+    if (exchange_)
+        return;
     const auto waited = now - waitingSince_;
     if (closing_) {
         if (waited > lingerTime) {
@@ -284,7 +343,6 @@
         refuse(408, "the request took too long to arrive");
         return;
     }
-    logLoss("idle");
     closeGracefully();
 }
 
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -18,8 +18,9 @@
 
 /**
  * A caller's connection: reads one request at a time and writes its answer. It waits for input also while a
- * request is in progress, so that a disconnect is noticed, until the read-ahead limit is reached. Idle
- * connections hold no buffer, as there may be many. Used on the relay's thread only.
+ * request is in progress, so that a disconnect is noticed, until the read-ahead limit is reached. Input and
+ * output are bounded: a caller that takes no answers is not read either. Idle connections hold no buffer, as
+ * there may be many. Used on the relay's thread only.
  */
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
@@ -44,6 +45,9 @@
     /** Resets the connection, so that the caller sees a truncated answer. */
     auto abort() -> void;
 
+    /** Closes the connection at the end of the relay; an answer that is incomplete looks truncated. */
+    auto stop() -> void;
+
     auto isOpen() const -> bool { return open_; }
     /** Part of a request has been received. */
     auto hasInput() const -> bool { return !input_.empty() || (parser_ && parser_->got_some()); }
@@ -51,18 +55,28 @@
      */
     auto staysOpen() const -> bool;
     auto closeIfIdle() -> void;
+    /** The caller has taken so little that no more should be written for now. */
+    auto isCongested() const -> bool;
+    /** A request is in progress or unread, or an answer has not been handed over yet. */
+    auto isUnfinished() const -> bool;
 
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
-    auto read() -> void;
+    /** Waits for input if there is room for it and no wait is pending. */
+    auto awaitInput() -> void;
     auto readReady() -> void;
     auto parse() -> void;
     auto beginRequest() -> void;
     auto refuse(unsigned status, std::string_view reason) -> void;
     auto flush() -> void;
+    /** Goes on with what waited until the caller took its answers. */
+    auto outputTaken() -> void;
     auto close() -> void;
+    auto reset() -> void;
+    /** Closes the connection once its output has been handed over; no further request is accepted. */
     auto closeGracefully() -> void;
+    auto shutDown() -> void;
     /** Bytes that have arrived but were not read. */
     auto unreadBytes() const -> std::size_t;
     /** Logs what is lost with a connection that this router closes, if anything is. */
@@ -74,9 +88,12 @@
     std::string output_;
     std::optional<Parser> parser_;
     std::shared_ptr<Exchange> exchange_;
-    /** When the connection became idle or began to close, or the first byte of a request was parsed. */
+    /** When the connection became idle or was shut down, or the first byte of a request was parsed. */
     Time waitingSince_ {};
+    /** When the caller last took bytes of the output, or the output began. */
+    Time outputProgressAt_ {};
     bool open_ = true;
+    bool readPending_ = false;
     bool writePending_ = false;
     bool closing_ = false;
     bool continueSent_ = false;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -18,6 +18,8 @@
 constexpr auto minTimeLeft = Duration(milliseconds(5));
 /** Limit of upstreams tried for one request, also without a connection, which does not count as a send. */
 constexpr auto maxUpstreamsTried = std::size_t { 4 };
+/** Interval of checks while the upstream is not read because its caller is congested. */
+constexpr auto pauseCheckInterval = Duration(milliseconds(100));
 
 } // namespace
 
@@ -218,6 +220,7 @@
     }
     state_ = State::Answering;
     caller_->write(std::move(text));
+    pauseIfCongested();
 }
 
 auto Exchange::answerEnded(AnswerEnd end) -> void
@@ -272,6 +275,7 @@
 {
     withdrawMove();
     recordSilence(steadyNow());
+    pausedAt_.reset();
     connection_.reset();
     relay_.metrics().attemptEnded(end);
     if (onEngine_)
@@ -356,7 +360,9 @@
     }
     if (state_ == State::Done)
         return std::nullopt;
-    const auto times = AttemptTimes { .deadline = deadline_,
+    if (pausedAt_)
+        return now + pauseCheckInterval;
+    const auto times = AttemptTimes { .deadline = deadline_ + pausedTime_,
         .sent = times_.sent,
         .lastByte = lastByteAt_,
         .goal = route_->goal,
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -52,6 +52,8 @@
     auto setPlacementInputs(const PlacementInputs& inputs) -> void { placementInputs_ = inputs; }
     auto onRefused(std::uint64_t number, RefusalReason reason, std::chrono::milliseconds retryAfter) -> void;
     auto onCallerDisconnected() -> void;
+    /** The caller, which was congested, takes bytes again. */
+    auto onCallerReady() -> void;
     /** Handles expired timeouts. Returns the time of the next check, or none if the request has ended. */
     auto check(Time now) -> std::optional<Time>;
 
@@ -85,6 +87,8 @@
     auto endFailedAttempt(PlacementEnd end, std::string_view reason, bool again) -> void;
     auto recordSilence(Time now) -> void;
     auto recordProgress() -> void;
+    /** Stops reading the upstream if the caller takes the answer more slowly than it arrives. */
+    auto pauseIfCongested() -> void;
 
     /** Whether the request may be sent or resumed elsewhere while its attempt still runs. */
     auto mayMove() const -> bool;
@@ -145,6 +149,10 @@
     std::optional<PlacementInputs> placementInputs_;
     std::optional<Duration> directoryAge_;
     Duration longestSilence_ {};
+    /** Since when the upstream is not read. */
+    std::optional<Time> pausedAt_;
+    /** Time without reading, which is neither the upstream's silence nor part of its time limit. */
+    Duration pausedTime_ {};
     std::optional<AnswerEnd> answerEnd_;
 
     AnswerIntake answer_;
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -73,7 +73,7 @@
     // relay.
     for (const auto& [key, weak] : std::exchange(callers_, {})) {
         if (const auto caller = weak.lock())
-            caller->abort();
+            caller->stop();
     }
 }
 
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -51,7 +51,7 @@
         Ring<RelayToScheduler>& toScheduler, RouterLog& log, RouterMetrics& metrics, SharedState& state)
         -> Result<std::unique_ptr<Relay>>;
 
-    /** Resets all connections of callers; requests that are in progress end. */
+    /** Closes all connections of callers; requests that are in progress end. */
     ~Relay();
     Relay(const Relay&) = delete;
     Relay(Relay&&) = delete;
@@ -102,6 +102,8 @@
     auto acceptsStreams() const -> bool;
     auto drawRandom() -> std::uint64_t { return random_(); }
     auto callers() const -> std::size_t { return callers_.size(); }
+    /** Callers with a request or an answer that is not complete. */
+    auto unfinishedCallers() const -> std::size_t;
     auto requestsInProgress() const -> std::size_t { return exchanges_.size(); }
 
 private:
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -125,7 +125,7 @@
     watchSettings();
     mainContext_.run();
     log_.write(LogLevel::Info, "stop",
-        { { "name", settings_.name }, { "requests-in-progress", std::to_string(busy_) } });
+        { { "name", settings_.name }, { "unfinished-callers", std::to_string(busy_) } });
     stopThreads();
     log_.drain();
 }
@@ -200,7 +200,7 @@
 
 auto Router::awaitDrain() -> void
 {
-    boost::asio::post(relayThread_.context(), [this] { busy_ = relay_->requestsInProgress(); });
+    boost::asio::post(relayThread_.context(), [this] { busy_ = relay_->unfinishedCallers(); });
     drainTimer_.expires_after(drainInterval);
     drainTimer_.async_wait([this](const boost::system::error_code& error) {
         const auto passed = std::chrono::steady_clock::now() - drainBegan_;
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -122,10 +122,20 @@
         });
 }
 
+auto UpstreamConnection::resumeReading() -> void
+{
+    paused_ = false;
+    if (open_ && connected_)
+        read();
+}
+
 auto UpstreamConnection::read() -> void
 {
+    if (paused_ || std::exchange(readPending_, true))
+        return;
     socket_.async_read_some(boost::asio::buffer(input_),
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
+            self->readPending_ = false;
             if (self->open_)
                 self->readDone(error, size);
         });
@@ -242,6 +252,7 @@
 {
     reusable_ = end == AnswerEnd::Framed && output_.empty() && pending_.empty() && parser_->keep_alive()
         && !parser_->need_eof();
+    paused_ = false;
     auto* const listener = std::exchange(listener_, nullptr);
     if (!reusable_)
         close();
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -72,8 +72,8 @@
 };
 
 /**
- * A connection to one upstream, with one request on it at a time. A read is always pending, so that the
- * connection is closed if the upstream closes it, or sends bytes, while it is idle.
+ * A connection to one upstream, with one request on it at a time. Unless paused, a read is always pending, so
+ * that the connection is closed if the upstream closes it, or sends bytes, while it is idle.
  */
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
@@ -88,6 +88,10 @@
     /** Closes the connection; the listener is not called any more. */
     auto close() -> void;
 
+    /** Stops reading the answer, until `resumeReading` or the end of what was read already. */
+    auto pauseReading() -> void { paused_ = true; }
+    auto resumeReading() -> void;
+
     auto isOpen() const -> bool { return open_; }
     /** Idle after a complete answer, and the upstream keeps the connection open. */
     auto isReusable() const -> bool { return open_ && listener_ == nullptr && reusable_; }
@@ -128,6 +132,8 @@
     Time idleUntil_ {};
     bool open_ = true;
     bool connected_ = false;
+    bool paused_ = false;
+    bool readPending_ = false;
     bool isHead_ = false;
     bool headReported_ = false;
     bool mismatched_ = false;
--- a/tests/unit/callerconnectiontest.cpp
+++ b/tests/unit/callerconnectiontest.cpp
@@ -3,8 +3,6 @@
 #include <string>
 #include <thread>
 
-#include <boost/asio/write.hpp>
-
 #include "clock.h"
 #include "drivenrelay.h"
 
@@ -29,28 +27,6 @@
     return limits;
 }
 
-auto send(Tcp::socket& client, std::string_view text) -> void
-{
-    boost::asio::write(client, boost::asio::buffer(text));
-}
-
-/** Reads what the client gets while the relay runs for this time. */
-auto receive(test::DrivenRelay& driven, Tcp::socket& client, std::chrono::milliseconds time) -> std::string
-{
-    auto received = std::string {};
-    auto buffer = std::string(std::size_t { 64 } * 1024, '\0');
-    client.non_blocking(true);
-    const auto end = steadyNow() + time;
-    while (steadyNow() < end) {
-        driven.context.run_for(1ms);
-        auto error = boost::system::error_code {};
-        received.append(buffer, 0, client.read_some(boost::asio::buffer(buffer), error));
-        if (error && error != boost::asio::error::would_block)
-            break;
-    }
-    return received;
-}
-
 auto countOf(std::string_view text, std::string_view part) -> std::size_t
 {
     auto count = std::size_t { 0 };
@@ -81,8 +57,8 @@
     std::this_thread::sleep_for(sweepTime);
     if (isConfiguredLater)
         driven.configure(test::oneRoute(true, idle));
-    runTimerAfter(driven, [&client] { send(client, request); });
-    CHECK(countOf(receive(driven, client, 100ms), "HTTP/1.1 404") == 1);
+    runTimerAfter(driven, [&client] { test::send(client, request); });
+    CHECK(countOf(driven.receive(client, 100ms), "HTTP/1.1 404") == 1);
 }
 
 TEST_CASE("A request that arrived on a kept connection before a drain closes it is answered")
@@ -95,8 +71,8 @@
     driven.relay->handleMessage(StartDrain {});
     // The time for which new connections are accepted in a drain.
     std::this_thread::sleep_for(3600ms);
-    runTimerAfter(driven, [&client] { send(client, request); });
-    const auto answer = receive(driven, client, 100ms);
+    runTimerAfter(driven, [&client] { test::send(client, request); });
+    const auto answer = driven.receive(client, 100ms);
     CHECK(countOf(answer, "HTTP/1.1 404") == 1);
     CHECK(countOf(answer, "Connection: close") == 1);
 }
@@ -107,11 +83,11 @@
     driven.configure(test::oneRoute(true, limits(5000ms, 100ms)));
     driven.connect(1);
     auto& client = driven.clients.front();
-    send(client, head);
+    test::send(client, head);
     driven.context.poll();
     std::this_thread::sleep_for(sweepTime);
-    runTimerAfter(driven, [&client] { send(client, "\r\n"); });
-    CHECK(countOf(receive(driven, client, 100ms), "HTTP/1.1 404") == 1);
+    runTimerAfter(driven, [&client] { test::send(client, "\r\n"); });
+    CHECK(countOf(driven.receive(client, 100ms), "HTTP/1.1 404") == 1);
 }
 
 TEST_CASE("Requests that a caller sent together before a drain are all answered")
@@ -122,8 +98,8 @@
     driven.context.poll();
     auto& client = driven.clients.front();
     driven.relay->handleMessage(StartDrain {});
-    send(client, request + request + request);
-    const auto answers = receive(driven, client, 200ms);
+    test::send(client, request + request + request);
+    const auto answers = driven.receive(client, 200ms);
     CHECK(countOf(answers, "HTTP/1.1 404") == 3);
     CHECK(countOf(answers, "Connection: close") == 1);
 }
--- a/tests/unit/drivenrelay.h
+++ b/tests/unit/drivenrelay.h
@@ -1,13 +1,18 @@
 #pragma once
 
+#include <chrono>
 #include <memory>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <prometheus/registry.h>
 
+#include "clock.h"
 #include "relay.h"
 
 namespace camphorshunt::test {
@@ -30,6 +35,11 @@
     return RouteTable::build(std::move(configuration));
 }
 
+inline auto send(boost::asio::ip::tcp::socket& client, std::string_view text) -> void
+{
+    boost::asio::write(client, boost::asio::buffer(text));
+}
+
 /** A relay whose event loop the test drives, and clients that connect to it. */
 struct DrivenRelay {
     using Tcp = boost::asio::ip::tcp;
@@ -63,6 +73,25 @@
         relay->handleMessage(router::FleetChanged { std::move(table), std::move(upstreams), 1, {} });
     }
 
+    /** Reads what the client gets while the relay runs for this time, or until the connection ends. */
+    auto receive(Tcp::socket& client, std::chrono::milliseconds time) -> std::string
+    {
+        auto received = std::string {};
+        auto buffer = std::string(std::size_t { 64 } * 1024, '\0');
+        client.non_blocking(true);
+        const auto end = router::steadyNow() + time;
+        while (router::steadyNow() < end) {
+            context.poll();
+            auto error = boost::system::error_code {};
+            received.append(buffer, 0, client.read_some(boost::asio::buffer(buffer), error));
+            if (error && error != boost::asio::error::would_block)
+                break;
+            if (error)
+                context.run_for(std::chrono::milliseconds(1));
+        }
+        return received;
+    }
+
     boost::asio::ip::address loopback = boost::asio::ip::make_address("127.0.0.1");
     std::uint16_t port = 0;
     boost::asio::io_context context;
