--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -18,6 +18,8 @@
 constexpr auto minTimeLeft = Duration(milliseconds(5));
 /** Limit of upstreams tried for one request, also without a connection, which does not count as a send. */
 constexpr auto maxUpstreamsTried = std::size_t { 4 };
+/** Interval of checks while the upstream is not read because its caller is congested. */
+constexpr auto pauseCheckInterval = Duration(milliseconds(100));
 
 } // namespace
 
@@ -178,7 +180,7 @@
     recordProgress();
     relay_.recordReach(lastByteAt_, true);
     if (!answer_.hasBegun())
-        keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
+        keepAlive_ = keepAlive_ && caller_->staysOpen();
     switch (answer_.consumeHead(header, { request_.attempt, *route_, isHead(), !keepAlive_ })) {
     case Head::Mismatched:
         relay_.log(LogLevel::Warning, "answer-of-another-request",
@@ -223,6 +225,7 @@
     }
     state_ = State::Answering;
     caller_->write(std::move(text));
+    pauseIfCongested();
 }
 
 auto Exchange::answerEnded(AnswerEnd end) -> void
@@ -264,6 +267,7 @@
 {
     withdrawMove();
     recordSilence(steadyNow());
+    pausedAt_.reset();
     connection_.reset();
     relay_.metrics().attemptEnded(end);
     if (onEngine_)
@@ -352,7 +356,9 @@
     }
     if (state_ == State::Done)
         return std::nullopt;
-    const auto times = AttemptTimes { .deadline = deadline_,
+    if (pausedAt_)
+        return now + pauseCheckInterval;
+    const auto times = AttemptTimes { .deadline = deadline_ + pausedTime_,
         .sent = times_.sent,
         .lastByte = lastByteAt_,
         .goal = route_->goal,
