--- a/include/camphorshunt/upstreamentry.h
+++ b/include/camphorshunt/upstreamentry.h
@@ -9,6 +9,23 @@
 
 namespace camphorshunt {
 
+/** Identifies one process of an upstream: a restarted one is another, and so is one at another address. */
+struct UpstreamProcess {
+    UpstreamId upstream;
+    /** Zero if unknown; the endpoint alone distinguishes processes then. */
+    std::chrono::milliseconds startedAt {};
+    Endpoint endpoint;
+
+    auto operator==(const UpstreamProcess&) const -> bool = default;
+    /** Whether this process replaces the other one under the same name. */
+    auto isLaterThan(const UpstreamProcess& other) const -> bool
+    {
+        if (startedAt.count() == 0 || other.startedAt.count() == 0)
+            return endpoint != other.endpoint;
+        return startedAt > other.startedAt;
+    }
+};
+
 /** An upstream's own entry in the platform's directory. */
 struct UpstreamEntry {
     std::string name;
@@ -23,6 +40,7 @@
     std::chrono::milliseconds startedAt {};
 
     auto id() const -> UpstreamId { return idOf<UpstreamId>(name); }
+    auto process() const -> UpstreamProcess { return { id(), startedAt, endpoint }; }
     auto operator==(const UpstreamEntry&) const -> bool = default;
 };
 
