Assert the result of the property on availability

The property test ran without checking its result, so that it could not fail. With the decision changed to "may always be sent to" it fails now; with the decision as it is, 100 runs pass.

--- a/tests/unit/upstreamavailabilitytest.cpp
+++ b/tests/unit/upstreamavailabilitytest.cpp
@@ -121,7 +121,7 @@
 TEST_CASE(
     "For any order of answers, pauses and directory pages, nothing is sent within a rest or after a leave")
 {
-    rc::check([] {
+    CHECK(rc::check([] {
         constexpr auto names = std::array { "a", "b", "c" };
         struct Said {
             bool leaving = false;
@@ -180,5 +180,5 @@
                 }
             }
         }
-    });
+    }));
 }
