Send nothing to upstreams that leave or rest, in the one place that sends

What callers saw: requests went to engines that said in each answer that they leave, and came back refused or were lost when the engine exited; engines that asked for rest got retries and new requests at once, and were suspended as if they were ill.

Change: Exchange::send, through which all requests pass, asks UpstreamAvailability last; so does the exchange when a connection was set up, as the header may have come meanwhile. A place at such an engine is given back as cancelled, and another engine asked for; after eight of these the request is refused. Copies are not asked of engines that leave. Balancers skip both kinds. If all upstreams of a plain service rest, requests that can be on time wait, spread over 250 ms at the end; others are refused at once with the soonest end as Retry-After, spread likewise. If all leave, requests are refused at once, with 1 s. A refusal by an upstream that leaves or rests is no fault of it. What another upstream at the address says (421, or another X-Instance-Id) is ignored. One line for each start and end, two gauges, two counters.

ServiceBalancer takes the router's availability when it is made, so that no caller of `choose` can leave it out; servicebalancertest constructs it so, with its checks unchanged. DrivenRelay takes the spare retries of its relay.

Not covered here: the placer learns nothing yet, so it may choose an engine that this router then gives back.

--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -12,13 +12,12 @@
 auto AnswerIntake::consumeHead(const platform::ResponseHeader& header, const Expected& expected) -> Head
 {
     const auto answer = platform::readEngineAnswer(header);
+    recordReceived(answer, expected.upstream);
     // Only a refusal may lack the id: an upstream refuses requests of which it could not read one.
     const auto lacksId = answer.notRun && answer.attempt.empty();
     if (answer.attempt != expected.attempt && !lacksId)
         return Head::Mismatched;
-    answer_ = answer;
-    // The id is a view into the header, which does not outlive this call.
-    answer_->attempt = {};
+    answer_ = received_;
     if (answer.notRun)
         return Head::NotRun;
     if (!answer.hasSignature || answer.encoded)
@@ -38,6 +37,19 @@
     return Head::Accepted;
 }
 
+auto AnswerIntake::recordReceived(const platform::EngineAnswer& answer, std::string_view upstream) -> void
+{
+    received_ = answer;
+    // Views into the header, which does not outlive this call.
+    received_.attempt = {};
+    received_.answeredBy = {};
+    if (!answer.misdirected && (answer.answeredBy.empty() || answer.answeredBy == upstream))
+        return;
+    received_.leaving = false;
+    received_.rest.reset();
+    received_.restDefect = platform::RestDefect::None;
+}
+
 auto AnswerIntake::consumeBody(std::string_view bytes) -> std::string
 {
     if (!answer_ || answer_->notRun || !relay_)
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -43,9 +43,15 @@
         bool isHead = false;
         /** The caller's connection closes after this answer. */
         bool lastAnswer = false;
+        /** Name of the upstream to which the request was sent. */
+        std::string_view upstream = {};
     };
 
-    auto beginAttempt() -> void { answer_.reset(); }
+    auto beginAttempt() -> void
+    {
+        answer_.reset();
+        received_ = {};
+    }
     auto consumeHead(const platform::ResponseHeader& header, const Expected& expected) -> Head;
     /** Bytes for the caller; empty if there are none yet. */
     auto consumeBody(std::string_view bytes) -> std::string;
@@ -56,6 +62,11 @@
     /** Drops the current answer, unless part of it has been passed on. */
     auto discardUnsent() -> void;
 
+    /**
+     * The last answer received, whether for this request or not. What it says about the upstream's
+     * availability is removed if another upstream sent it. Contains no views.
+     */
+    auto received() const -> const platform::EngineAnswer& { return received_; }
     auto hasHead() const -> bool { return answer_.has_value(); }
     auto isSuccessful() const -> bool { return answer_ && isSuccess(answer_->status); }
     auto notRun() const -> bool { return answer_ && answer_->notRun; }
@@ -93,7 +104,10 @@
     auto isFinalStream() const -> bool { return finalStream_; }
 
 private:
+    auto recordReceived(const platform::EngineAnswer& answer, std::string_view upstream) -> void;
+
     std::optional<platform::EngineAnswer> answer_;
+    platform::EngineAnswer received_;
     std::optional<AnswerRelay> relay_;
     bool finalStream_ = false;
     bool advanced_ = false;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -71,7 +71,7 @@
     state_ = State::Placing;
     times_.placementStarted = steadyNow();
     if (onEngine_)
-        requestEngine(number_, tried_);
+        requestEngine(number_, enginesToAvoid());
     else
         chooseUpstream();
 }
@@ -90,16 +90,6 @@
     relay_.requestPlacement(std::move(place));
 }
 
-auto Exchange::chooseUpstream() -> void
-{
-    const auto* const upstream
-        = relay_.balancer(service_).choose(steadyNow(), relay_.failureDomain(), tried_);
-    if (upstream == nullptr)
-        giveUp("no upstream is left to try");
-    else
-        send(*upstream, nullptr);
-}
-
 auto Exchange::onPlaced(std::uint64_t number, const UpstreamEntry& upstream, const UpstreamEntry* copyFrom)
     -> void
 {
@@ -140,6 +130,13 @@
         giveUp("no time is left");
         return;
     }
+    const auto now = steadyNow();
+    if (!relay_.availability().maySend(now, upstream)) {
+        withhold(upstream);
+        return;
+    }
+    if (copyFrom != nullptr && !relay_.availability().sendableFrom(now, copyFrom->process()))
+        copyFrom = nullptr;
     upstream_ = upstream;
     state_ = State::Sent;
     times_.sent = steadyNow();
@@ -174,7 +171,10 @@
     relay_.recordReach(lastByteAt_, true);
     if (!answer_.hasBegun())
         keepAlive_ = keepAlive_ && relay_.keepsCallersAlive();
-    switch (answer_.consumeHead(header, { request_.attempt, *route_, isHead(), !keepAlive_ })) {
+    const auto head
+        = answer_.consumeHead(header, { request_.attempt, *route_, isHead(), !keepAlive_, upstream_->name });
+    relay_.recordAvailability(*upstream_, answer_.received());
+    switch (head) {
     case Head::Mismatched:
         relay_.log(LogLevel::Warning, "answer-of-another-request",
             { { "id", std::string(request_.attempt) }, { "upstream", upstream_->name } });
@@ -233,13 +233,13 @@
         const auto refusal = answer_.misdirected() ? PlacementEnd::Misdirected : PlacementEnd::Full;
         if (answer_.misdirected())
             --sends_;
-        attemptFailed(refusal, false, placementEndName(refusal));
+        attemptFailed(endOfRefusal(refusal), false, placementEndName(refusal));
         return;
     }
     const auto status = answer_.status();
     if (promisesNotRun(status)) {
         // The status would promise the caller that nothing has run, which the engine has not proved.
-        attemptFailed(PlacementEnd::Failed, true, "the upstream refused without proof");
+        attemptFailed(endOfRefusal(PlacementEnd::Failed), true, "the upstream refused without proof");
         return;
     }
     if (status >= 500 && !answer_.hasBegun()) {
@@ -321,7 +321,7 @@
 {
     mayHaveRun_ = mayHaveRun_ || mayHaveRun;
     if (!retryElsewhere(end, reason))
-        giveUp(reason);
+        giveUp(reason, retryAfterRest());
 }
 
 auto Exchange::abandonAttempt(PlacementEnd end, std::string_view reason) -> void
@@ -347,6 +347,11 @@
 auto Exchange::check(Time now) -> std::optional<Time>
 {
     const auto self = shared_from_this();
+    if (state_ == State::Placing && waitUntil_ && now >= *waitUntil_ && now < deadline_) {
+        waitUntil_.reset();
+        assignUpstream();
+        return state_ == State::Done ? std::nullopt : std::optional(deadline_);
+    }
     if (state_ == State::Placing && now < deadline_)
         return deadline_;
     if (state_ == State::Placing) {
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -56,6 +56,7 @@
     auto check(Time now) -> std::optional<Time>;
 
     auto connectionFailed() -> void override;
+    auto connectionOpened() -> void override;
     auto headArrived(const platform::ResponseHeader& header) -> bool override;
     auto bodyArrived(std::string_view bytes) -> void override;
     auto answerEnded(AnswerEnd end) -> void override;
@@ -75,6 +76,20 @@
     auto send(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void;
     auto onDeadline() -> void;
 
+    /** Gives back a place at an upstream that leaves or rests, and asks for another one. */
+    auto withhold(const UpstreamEntry& upstream) -> void;
+    auto avoidWithheld(const UpstreamEntry& upstream) -> void;
+    auto enginesToAvoid() const -> std::vector<UpstreamId>;
+    /** Waits until an upstream has rested if the request can be on time then; otherwise ends it. */
+    auto waitForRest(Time now) -> void;
+    /** How an attempt ends that was refused; a refusal by an upstream that leaves or rests is no fault. */
+    auto endOfRefusal(PlacementEnd end) const -> PlacementEnd;
+    /** The caller's retry time if this upstream rests and all others do or leave. */
+    auto retryAfterRest() -> std::optional<std::chrono::milliseconds>;
+    /** Time from `now` to a moment soon after `end`, which differs between callers. */
+    auto retryAt(Time now, Time end) -> std::chrono::milliseconds;
+    auto drawSpread() -> std::chrono::milliseconds;
+
     /** Ends the attempt and starts another one at a different upstream; false if no retry is allowed. */
     auto retryElsewhere(PlacementEnd end, std::string_view reason) -> bool;
     /** Closes the connection to an upstream that may have run the request. */
@@ -136,6 +151,10 @@
     std::optional<UpstreamEntry> upstream_;
     std::shared_ptr<UpstreamConnection> connection_;
     std::vector<UpstreamId> tried_;
+    /** Engines that were chosen for this request while they left or rested. */
+    std::vector<UpstreamProcess> withheld_;
+    /** While no upstream may be sent to: when the next one may be. */
+    std::optional<Time> waitUntil_;
     /** Number under which an engine was requested for a move away from a silent upstream. */
     std::optional<std::uint64_t> moveNumber_;
     Time nextMoveAt_ {};
--- a/src/camphorshuntrouter/exchangemove.cpp
+++ b/src/camphorshuntrouter/exchangemove.cpp
@@ -45,12 +45,14 @@
 
 auto Exchange::onMovePlaced(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
 {
-    if (!upstream.draining && mayMove() && relay_.retryBudget(service_).allows(steadyNow())) {
+    const auto accepts = !upstream.draining && relay_.availability().maySend(steadyNow(), upstream);
+    if (accepts && mayMove() && relay_.retryBudget(service_).allows(steadyNow())) {
         moveTo(upstream, copyFrom);
         return;
     }
     withdrawMove();
-    postponeMove(upstream.draining ? "the engine drains" : "no retry is allowed any more", minMovePause);
+    postponeMove(
+        accepts ? "no retry is allowed any more" : "the engine drains, leaves or rests", minMovePause);
 }
 
 auto Exchange::moveTo(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -192,7 +192,7 @@
 
 auto Relay::balancer(ServiceId service) -> ServiceBalancer&
 {
-    return balancers_.try_emplace(service, random_()).first->second;
+    return balancers_.try_emplace(service, random_(), availability_).first->second;
 }
 
 auto Relay::retryBudget(ServiceId service) -> RetryWindow&
@@ -287,6 +287,7 @@
 {
     nextSweep_ = now + sweepInterval;
     pool_.sweep(now);
+    sweepAvailability(now);
     metrics_.setConnectionsOpened(pool_.opened());
     auto callers = std::vector<std::shared_ptr<CallerConnection>> {};
     callers.reserve(callers_.size());
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -29,6 +29,7 @@
 #include "servicebalancer.h"
 #include "sharedstate.h"
 #include "threadload.h"
+#include "upstreamavailability.h"
 #include "upstreampool.h"
 
 namespace camphorshunt::router {
@@ -73,6 +74,9 @@
     auto reportEnd(std::uint64_t number, ServiceId service, PlacementEnd end) -> void;
     /** An upstream answered, or a connection to one was not established in time. */
     auto recordReach(Time now, bool reached) -> void { overload_.recordReach(now, reached); }
+    auto availability() const -> const UpstreamAvailability& { return availability_; }
+    /** Records what the head of an upstream's answer says about its availability. */
+    auto recordAvailability(const UpstreamEntry& upstream, const platform::EngineAnswer& answer) -> void;
     auto log(LogLevel level, std::string_view event, std::vector<LogField> fields) -> void
     {
         log_.write(level, event, std::move(fields));
@@ -123,6 +127,7 @@
     auto watchOverload(Time now) -> void;
     auto checkExchanges(Time now) -> void;
     auto sweep(Time now) -> void;
+    auto sweepAvailability(Time now) -> void;
     auto handle(const PlacementDecided& decided) -> void;
     auto handle(const FleetChanged& changed) -> void;
     auto handle(const StartDrain& drain) -> void;
@@ -142,6 +147,8 @@
     absl::flat_hash_map<UpstreamId, const UpstreamEntry*> byId_;
     std::size_t routers_ = 1;
     UpstreamPool pool_;
+    /** The balancers refer to it. */
+    UpstreamAvailability availability_;
     std::map<ServiceId, ServiceBalancer> balancers_;
     std::map<ServiceId, RetryWindow> retryBudgets_;
     absl::flat_hash_map<std::uint64_t, Exchange*> exchanges_;
--- a/src/camphorshuntrouter/relayscheduler.cpp
+++ b/src/camphorshuntrouter/relayscheduler.cpp
@@ -82,6 +82,7 @@
     table_ = changed.table;
     upstreams_ = changed.upstreams;
     routers_ = std::max<std::size_t>(1, changed.routers);
+    availability_.setUpstreams(steadyNow(), *upstreams_);
     byId_.clear();
     auto byService = std::map<ServiceId, std::vector<UpstreamEntry>> {};
     for (const auto& entry : *upstreams_) {
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -23,6 +23,11 @@
     return &prometheus::BuildCounter().Name(name).Help(help).Register(registry);
 }
 
+auto counter(Registry& registry, const char* name, const char* help) -> prometheus::Counter*
+{
+    return &counters(registry, name, help)->Add({});
+}
+
 auto gauge(Registry& registry, const char* name, const char* help) -> prometheus::Gauge*
 {
     return &prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
@@ -48,6 +53,12 @@
     , refusals_(counters(registry, "router_refusals_total", "Requests refused by the placer, by reason"))
     , attempts_(counters(registry, "router_attempts_total", "Requests sent to upstreams, by how they ended"))
     , storeCalls_(counters(registry, "router_store_calls_total", "Calls to the platform's store, by result"))
+    , announcements_(counters(registry, "router_upstream_announcements_total",
+          "Upstreams that began to leave or to rest, as their answers said, by kind"))
+    , sendsWithheld_(counter(registry, "router_sends_withheld_total",
+          "Requests not sent to a chosen upstream, as it leaves or rests"))
+    , leaving_(gauge(registry, "router_upstreams_leaving", "Upstreams that get no requests as they leave"))
+    , resting_(gauge(registry, "router_upstreams_resting", "Upstreams that get no requests as they rest"))
     , requestTime_(histogram(
           registry, "router_request_seconds", "From a request to the end of its answer", timeBuckets()))
     , firstByteTime_(histogram(registry, "router_first_byte_seconds",
@@ -93,6 +104,16 @@
     storeCalls_->Add(label("result", succeeded ? "ok" : "failed")).Increment();
 }
 
+auto RouterMetrics::upstreamLeaves() -> void { announcements_->Add(label("kind", "leaving")).Increment(); }
+
+auto RouterMetrics::upstreamRests() -> void { announcements_->Add(label("kind", "rest")).Increment(); }
+
+auto RouterMetrics::setAvailability(std::size_t leaving, std::size_t resting) -> void
+{
+    leaving_->Set(double(leaving));
+    resting_->Set(double(resting));
+}
+
 auto RouterMetrics::setDirectoryAge(Duration age) -> void { directoryAge_->Set(seconds(age)); }
 
 auto RouterMetrics::schedulerTick(Duration late) -> void { schedulerLateTime_->Observe(seconds(late)); }
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -23,12 +23,18 @@
     auto refused(RefusalReason reason) -> void;
     auto attemptEnded(PlacementEnd end) -> void;
     auto storeCall(bool succeeded) -> void;
+    /** An upstream's answer was the first to say so. */
+    auto upstreamLeaves() -> void;
+    auto upstreamRests() -> void;
+    /** A request was not sent to the upstream that was chosen, as it leaves or rests. */
+    auto sendWithheld() -> void { sendsWithheld_->Increment(); }
 
     auto setConnectionsOpened(std::uint64_t count) -> void { connectionsOpened_->Set(double(count)); }
     auto setRouters(std::size_t count) -> void { routers_->Set(double(count)); }
     auto setConfiguration(std::uint64_t version) -> void { configuration_->Set(double(version)); }
     auto setWaiting(std::size_t count) -> void { waiting_->Set(double(count)); }
     auto setOwnedServices(std::size_t count) -> void { ownedServices_->Set(double(count)); }
+    auto setAvailability(std::size_t leaving, std::size_t resting) -> void;
     auto setDirectoryAge(Duration age) -> void;
     /** `late`: time from when a tick of the scheduler was due. */
     auto schedulerTick(Duration late) -> void;
@@ -42,6 +48,10 @@
     prometheus::Family<prometheus::Counter>* refusals_;
     prometheus::Family<prometheus::Counter>* attempts_;
     prometheus::Family<prometheus::Counter>* storeCalls_;
+    prometheus::Family<prometheus::Counter>* announcements_;
+    prometheus::Counter* sendsWithheld_;
+    prometheus::Gauge* leaving_;
+    prometheus::Gauge* resting_;
     prometheus::Histogram* requestTime_;
     prometheus::Histogram* firstByteTime_;
     prometheus::Gauge* connectionsOpened_;
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -50,6 +50,9 @@
         return;
     }
     connected_ = true;
+    listener_->connectionOpened();
+    if (!open_)
+        return;
     setConnectionOptions(socket_);
     auto ignored = boost::system::error_code {};
     socket_.non_blocking(true, ignored);
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -26,6 +26,8 @@
 
     /** No connection could be established, so nothing was sent. */
     virtual auto connectionFailed() -> void = 0;
+    /** A connection was established; the request is sent unless this closes the connection. */
+    virtual auto connectionOpened() -> void { }
     /** False if the answer belongs to another request: it is skipped, and the next one awaited. */
     virtual auto headArrived(const platform::ResponseHeader& header) -> bool = 0;
     virtual auto bodyArrived(std::string_view bytes) -> void = 0;
--- a/src/libcamphorshunt/servicebalancer.cpp
+++ b/src/libcamphorshunt/servicebalancer.cpp
@@ -56,7 +56,7 @@
     const auto* best = static_cast<const UpstreamEntry*>(nullptr);
     auto bestScore = std::numeric_limits<double>::max();
     for (const auto& [id, upstream] : upstreams_) {
-        if (std::ranges::find(avoid, id) != avoid.end())
+        if (std::ranges::find(avoid, id) != avoid.end() || !availability_.maySend(now, upstream.entry))
             continue;
         const auto penalty = now < upstream.suspendedUntil ? suspendedPenalty : 0.0;
         const auto total = score(upstream, failureDomain) + penalty;
@@ -68,6 +68,30 @@
     return best;
 }
 
+auto ServiceBalancer::outlook(Time now) const -> Outlook
+{
+    auto outlook = Outlook {};
+    for (const auto& [id, upstream] : upstreams_) {
+        const auto from = availability_.sendableFrom(now, upstream.entry.process());
+        if (!from)
+            outlook.leaving = true;
+        else if (*from == now)
+            outlook.usable = true;
+        else
+            outlook.restEnds = std::min(outlook.restEnds.value_or(*from), *from);
+    }
+    return outlook;
+}
+
+auto ServiceBalancer::rests(Time now, UpstreamId id) const -> bool
+{
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end())
+        return false;
+    const auto from = availability_.sendableFrom(now, found->second.entry.process());
+    return from && *from > now;
+}
+
 auto ServiceBalancer::requestStarted(UpstreamId upstream) -> void
 {
     const auto found = upstreams_.find(upstream);
--- a/src/libcamphorshunt/servicebalancer.h
+++ b/src/libcamphorshunt/servicebalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <span>
 #include <vector>
@@ -11,6 +12,8 @@
 #include "camphorshunt/time.h"
 #include "camphorshunt/upstreamentry.h"
 
+#include "upstreamavailability.h"
+
 namespace camphorshunt {
 
 /**
@@ -20,18 +23,33 @@
  */
 class ServiceBalancer {
 public:
-    explicit ServiceBalancer(std::uint64_t seed)
-        : random_(seed)
+    /** `availability`: of this router; must outlive the balancer. */
+    ServiceBalancer(std::uint64_t seed, const UpstreamAvailability& availability)
+        : availability_(availability)
+        , random_(seed)
     {
     }
 
     auto setUpstreams(std::span<const UpstreamEntry> entries) -> void;
-    /** Returns null if there is no upstream other than those to avoid. */
+    /**
+     * Returns null if there is no upstream other than those to avoid and those that leave or rest.
+     */
     auto choose(Time now, std::uint64_t failureDomain, std::span<const UpstreamId> avoid)
         -> const UpstreamEntry*;
     auto requestStarted(UpstreamId upstream) -> void;
     auto requestEnded(Time now, UpstreamId upstream, PlacementEnd end) -> void;
 
+    /** What callers can expect of the upstreams, those that failed included. */
+    struct Outlook {
+        /** One may be sent to now. */
+        bool usable = false;
+        bool leaving = false;
+        /** When the first of those that rest may be sent to again. */
+        std::optional<Time> restEnds;
+    };
+    auto outlook(Time now) const -> Outlook;
+    auto rests(Time now, UpstreamId upstream) const -> bool;
+
     auto size() const -> std::size_t { return upstreams_.size(); }
 
 private:
@@ -47,6 +65,7 @@
 
     auto score(const Upstream& upstream, std::uint64_t failureDomain) -> double;
 
+    const UpstreamAvailability& availability_;
     absl::flat_hash_map<UpstreamId, Upstream> upstreams_;
     std::mt19937_64 random_;
 };
--- a/tests/unit/drivenrelay.h
+++ b/tests/unit/drivenrelay.h
@@ -16,7 +16,8 @@
 struct DrivenRelay {
     using Tcp = boost::asio::ip::tcp;
 
-    DrivenRelay()
+    /** `retries`: that the relay may make beside those in proportion to its requests. */
+    explicit DrivenRelay(double retries = 0)
     {
         {
             auto other = boost::asio::io_context {};
@@ -25,6 +26,7 @@
         auto settings = router::Relay::Settings {};
         settings.listen = { "127.0.0.1", port };
         settings.maxCallers = 150;
+        settings.retries.burstAllowance = retries;
         auto listening = router::Relay::listen(context, settings, toScheduler, log, metrics, state);
         REQUIRE(listening);
         relay = std::move(listening.value());
--- a/tests/unit/servicebalancertest.cpp
+++ b/tests/unit/servicebalancertest.cpp
@@ -23,7 +23,8 @@
 
 TEST_CASE("Requests are spread over the upstreams by their requests in progress")
 {
-    auto balancer = ServiceBalancer(1);
+    auto availability = UpstreamAvailability {};
+    auto balancer = ServiceBalancer(1, availability);
     balancer.setUpstreams(entries());
     auto counts = std::map<std::string, int> {};
     for (auto round = 0; round < 30; ++round) {
@@ -38,7 +39,8 @@
 
 TEST_CASE("Failing upstreams are avoided, and upstreams to avoid and draining ones are never chosen")
 {
-    auto balancer = ServiceBalancer(1);
+    auto availability = UpstreamAvailability {};
+    auto balancer = ServiceBalancer(1, availability);
     auto list = entries();
     list[2].draining = true;
     balancer.setUpstreams(list);
@@ -56,7 +58,8 @@
 
 TEST_CASE("An upstream that fails part of its requests receives fewer of them")
 {
-    auto balancer = ServiceBalancer(1);
+    auto availability = UpstreamAvailability {};
+    auto balancer = ServiceBalancer(1, availability);
     const auto list = entries();
     balancer.setUpstreams(list);
     auto counts = std::map<std::string, int> {};
