Place nothing on engines that leave, nor on those that rest from the request's router

Placer::recordLeaving excludes an engine for all routers and as a source of copies; what runs there goes on in the model. Placer::recordRest excludes it for the requests of one router, and is no failure of it. Both hold for the engine's process, so that a directory entry of the same process doesn't undo them. If all engines that fit leave, or rest until a request can't be on time any more, the request is refused at once, also if it waits already, with a Retry-After of 1 s or of the soonest end, spread over 250 ms.

Nothing reports to the placer yet.

--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -29,6 +29,8 @@
 /** Bounds of the time after which the caller of a refused request should retry. */
 constexpr auto minRetryAfter = milliseconds(200);
 constexpr auto maxRetryAfter = milliseconds(4000);
+/** Callers that are to retry after the end of a rest return over this time. */
+constexpr auto returnSpread = milliseconds(250);
 /** Ratio of an engine's prefill rate to its total token throughput, used until its rate has been learnt. */
 constexpr auto prefillRateFactor = 1.5;
 /** Tokens per millisecond, used if the throughput of the service is not configured. */
@@ -78,6 +80,9 @@
     });
     absl::erase_if(upstreamOf_, [this](const auto& placed) { return !engines_.contains(placed.second); });
 
+    leaving_.setUpstreams(now, entries);
+    for (auto& [router, rests] : rests_)
+        rests.setUpstreams(now, entries);
     const auto rate = initialPrefillRate(listed.size());
     for (const auto& entry : entries) {
         auto& engine = engines_.try_emplace(entry.id(), entry, traits_, rate, *cacheIndex_).first->second;
@@ -123,14 +128,9 @@
     waiting.chains = PromptCache::chainsOf(request.prompt.parts);
     waiting.request = std::move(request);
 
-    const auto holds = [&waiting](const auto& engine) {
-        return !engine.second.entry().draining && !engine.second.isTooSmallFor(waiting.request.prompt);
-    };
-    if (std::ranges::none_of(engines_, holds)) {
-        refuse(now, waiting, RefusalReason::NoUpstream);
-        return;
-    }
     waiting.latestStart = waiting.request.goal - firstTokenTimeOf(waiting.request);
+    if (refuseUnavailable(now, waiting))
+        return;
     const auto wait = expectedWait(now, waiting);
     // A request of an underserved organisation is not refused merely because it will be late.
     const auto latest = queues_.isUnderserved(waiting.request.organisation)
@@ -208,6 +208,7 @@
         engine.removeRouter(now, router);
     absl::erase_if(upstreamOf_, [router](const auto& placed) { return placed.first.router == router; });
     reach_.erase(router);
+    rests_.erase(router);
     queues_.removeIf(
         [router](const WaitingRequest& waiting) { return waiting.request.key.router == router; });
 }
@@ -218,8 +219,9 @@
     for (auto chain = chains.rbegin(); chain != chains.rend(); ++chain) {
         for (const auto id : cacheIndex_->holdersOf(*chain)) {
             const auto& engine = engines_.at(id);
-            const auto tokens
-                = engine.isSuspended(now) ? 0 : engine.copyableTokens(waiting.request.prompt, chains);
+            const auto tokens = engine.isSuspended(now) || isLeaving(engine)
+                ? 0
+                : engine.copyableTokens(waiting.request.prompt, chains);
             if (tokens > 0)
                 return { id, tokens };
         }
@@ -231,7 +233,7 @@
 {
     openEngines_.clear();
     for (auto& [id, engine] : engines_) {
-        if (engine.hasRoom(now, settings_.backlogLimit))
+        if (!isLeaving(engine) && engine.hasRoom(now, settings_.backlogLimit))
             openEngines_.push_back(&engine);
     }
 }
@@ -240,12 +242,15 @@
 {
     const auto& request = waiting.request;
     const auto holder = findCacheHolder(now, waiting);
+    const auto* const rests = restsOf(request.key.router);
     auto bestFree = Choice {};
     auto bestFreeCost = Duration::max();
     for (auto* const candidate : openEngines_) {
         auto& engine = *candidate;
         if (engine.isTooSmallFor(request.prompt) || isAvoided(request, engine))
             continue;
+        if (rests != nullptr && !rests->maySend(now, engine.entry()))
+            continue;
         const auto cached = engine.cachedTokens(request.prompt, waiting.chains);
         const auto worthCopying = holder.tokens >= cached + minCopiedTokens;
         const auto cachedOrCopied = worthCopying ? holder.tokens : cached;
@@ -317,21 +322,27 @@
     return false;
 }
 
-auto Placer::retryAfter(Time now, const WaitingRequest& waiting) -> milliseconds
+auto Placer::retryAfter(Time now, const WaitingRequest& waiting, Time earliest) -> milliseconds
 {
     auto spread = std::uniform_real_distribution<double>(0.8, 1.6);
     const auto wait = std::chrono::duration<double, std::milli>(expectedWait(now, waiting)).count();
     const auto clearing = std::max(wait, double(minRetryAfter.count())) * spread(random_);
-    return std::clamp(milliseconds(static_cast<milliseconds::rep>(clearing)), minRetryAfter, maxRetryAfter);
+    const auto usual
+        = std::clamp(milliseconds(static_cast<milliseconds::rep>(clearing)), minRetryAfter, maxRetryAfter);
+    if (earliest <= now)
+        return usual;
+    auto later = std::uniform_int_distribution<milliseconds::rep>(1, returnSpread.count());
+    const auto pause = std::chrono::ceil<milliseconds>(earliest - now) + milliseconds(later(random_));
+    return std::max(usual, pause);
 }
 
-auto Placer::refuse(Time now, const WaitingRequest& waiting, RefusalReason reason) -> void
+auto Placer::refuse(Time now, const WaitingRequest& waiting, RefusalReason reason, Time earliest) -> void
 {
     const auto inputs
         = PlacementInputs { std::chrono::duration_cast<milliseconds>(expectedWait(now, waiting)), 0,
               static_cast<std::uint32_t>(queues_.size()) };
     decisions_.emplace_back(
-        PlacementRefused { waiting.request.key, reason, retryAfter(now, waiting), inputs });
+        PlacementRefused { waiting.request.key, reason, retryAfter(now, waiting, earliest), inputs });
 }
 
 auto Placer::refuseLate(Time now) -> void
@@ -348,6 +359,7 @@
 auto Placer::placeWaiting(Time now) -> std::vector<PlacementDecision>
 {
     checkOverdue(now);
+    sweepRests(now);
     if (queues_.size() > 0)
         findOpenEngines(now);
     for (const auto filter : { OrganisationFilter::Underserved, OrganisationFilter::All }) {
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -16,6 +16,7 @@
 #include "enginemodel.h"
 #include "failurerate.h"
 #include "organisationqueues.h"
+#include "upstreamavailability.h"
 
 namespace camphorshunt {
 
@@ -63,6 +64,12 @@
     auto onStarted(Time now, const PlacementKey& key) -> void;
     /** Handles the end of a placed request, which frees its slot. */
     auto onEnded(Time now, const PlacementKey& key, PlacementEnd end) -> void;
+    /** The engine leaves: it keeps what runs there and gets nothing more. */
+    auto recordLeaving(Time now, UpstreamId engine) -> void;
+    auto recordLeaving(Time now, const UpstreamProcess& process) -> void;
+    /** The engine wants no requests of this router until then, which is not a fault of it. */
+    auto recordRest(Time now, UpstreamId engine, RouterId router, Time until) -> void;
+    auto recordRest(Time now, const UpstreamProcess& process, RouterId router, Time until) -> void;
     /** Removes all waiting and placed requests of a router that was lost. */
     auto removeRouter(Time now, RouterId router) -> void;
 
@@ -114,12 +121,23 @@
     auto placeAll(Time now, OrganisationFilter filter, Timeliness timeliness) -> void;
     auto placeOneOf(Time now, OrganisationId organisation, Timeliness timeliness, std::size_t& scansLeft)
         -> bool;
-    auto refuse(Time now, const WaitingRequest& waiting, RefusalReason reason) -> void;
+    /** `earliest`: before which the caller's next try would fail as well. */
+    auto refuse(Time now, const WaitingRequest& waiting, RefusalReason reason, Time earliest = {}) -> void;
+    auto isLeaving(const EngineModel& engine) const -> bool;
+    /** Refuses a request that no engine can serve in time as they leave or rest. */
+    auto refuseUnavailable(Time now, const WaitingRequest& waiting) -> bool;
+    /** As `refuseUnavailable`, for all that wait. */
+    auto refuseAllUnavailable(Time now) -> void;
+    /** When the first engine that fits may get this request; none if all leave or fit nothing. */
+    auto firstAvailable(Time now, const WaitingRequest& waiting) const -> std::optional<Time>;
+    /** The router's engines at rest; null if there are none. */
+    auto restsOf(RouterId router) const -> const UpstreamAvailability*;
+    auto sweepRests(Time now) -> void;
     auto refuseLate(Time now) -> void;
     auto firstTokenTimeOf(const PlacementRequest& request) const -> Duration;
     /** Estimated time until a request would be placed; zero if none wait or nothing was placed recently. */
     auto expectedWait(Time now, const WaitingRequest& waiting) const -> Duration;
-    auto retryAfter(Time now, const WaitingRequest& waiting) -> std::chrono::milliseconds;
+    auto retryAfter(Time now, const WaitingRequest& waiting, Time earliest) -> std::chrono::milliseconds;
     auto initialPrefillRate(std::size_t engines) const -> double;
     /** Cost of recently placed requests, decayed to `now`. */
     auto decayedCost(Time now) const -> double;
@@ -137,6 +155,10 @@
     absl::flat_hash_map<PlacementKey, UpstreamId> upstreamOf_;
     /** By router: whether its requests reach their engines. */
     absl::flat_hash_map<RouterId, FailureRate> reach_;
+    UpstreamAvailability leaving_;
+    /** By router, as engines ask each router for rest by itself. */
+    absl::flat_hash_map<RouterId, UpstreamAvailability> rests_;
+    Time nextRestSweep_ {};
     OrganisationQueues queues_;
     std::vector<PlacementDecision> decisions_;
     /** Cost of recently placed requests as of `recentCostAt_`; decays over `throughputWindow`. */
--- /dev/null
+++ b/src/libcamphorshunt/placeravailability.cpp
@@ -0,0 +1,104 @@
+#include "placer.h"
+
+#include <algorithm>
+
+// Engines that leave, and engines that want rest from some of the routers.
+
+namespace camphorshunt {
+
+namespace {
+
+/** Time until another engine can be expected if all of them leave. */
+constexpr auto replacementTime = Duration(std::chrono::milliseconds(1000));
+constexpr auto restSweepInterval = Duration(std::chrono::milliseconds(1000));
+
+} // namespace
+
+auto Placer::recordLeaving(Time now, UpstreamId engine) -> void
+{
+    const auto found = engines_.find(engine);
+    if (found != engines_.end())
+        recordLeaving(now, found->second.entry().process());
+}
+
+auto Placer::recordLeaving(Time now, const UpstreamProcess& process) -> void
+{
+    if (leaving_.recordLeaving(now, process))
+        refuseAllUnavailable(now);
+}
+
+auto Placer::recordRest(Time now, UpstreamId engine, RouterId router, Time until) -> void
+{
+    const auto found = engines_.find(engine);
+    if (found != engines_.end())
+        recordRest(now, found->second.entry().process(), router, until);
+}
+
+auto Placer::recordRest(Time now, const UpstreamProcess& process, RouterId router, Time until) -> void
+{
+    rests_[router].recordRest(now, process, until);
+    refuseAllUnavailable(now);
+}
+
+auto Placer::isLeaving(const EngineModel& engine) const -> bool
+{
+    return engine.entry().draining || !leaving_.sendableFrom(Time {}, engine.entry().process());
+}
+
+auto Placer::restsOf(RouterId router) const -> const UpstreamAvailability*
+{
+    const auto found = rests_.find(router);
+    return found == rests_.end() ? nullptr : &found->second;
+}
+
+auto Placer::firstAvailable(Time now, const WaitingRequest& waiting) const -> std::optional<Time>
+{
+    const auto* const rests = restsOf(waiting.request.key.router);
+    auto first = std::optional<Time> {};
+    for (const auto& [id, engine] : engines_) {
+        if (isLeaving(engine) || engine.isTooSmallFor(waiting.request.prompt))
+            continue;
+        const auto from
+            = rests == nullptr ? now : rests->sendableFrom(now, engine.entry().process()).value_or(now);
+        first = std::min(first.value_or(from), from);
+        if (first == now)
+            break;
+    }
+    return first;
+}
+
+auto Placer::refuseUnavailable(Time now, const WaitingRequest& waiting) -> bool
+{
+    const auto first = firstAvailable(now, waiting);
+    if (!first) {
+        const auto allLeave = std::ranges::any_of(engines_, [this, &waiting](const auto& engine) {
+            return isLeaving(engine.second) && !engine.second.isTooSmallFor(waiting.request.prompt);
+        });
+        refuse(now, waiting, RefusalReason::NoUpstream, allLeave ? now + replacementTime : Time {});
+        return true;
+    }
+    if (*first == now || *first <= waiting.latestStart)
+        return false;
+    refuse(now, waiting, RefusalReason::NoUpstream, *first);
+    return true;
+}
+
+auto Placer::refuseAllUnavailable(Time now) -> void
+{
+    static_cast<void>(queues_.removeIf(
+        [this, now](const WaitingRequest& waiting) { return refuseUnavailable(now, waiting); }));
+}
+
+auto Placer::sweepRests(Time now) -> void
+{
+    if (now < nextRestSweep_)
+        return;
+    nextRestSweep_ = now + restSweepInterval;
+    leaving_.sweep(now);
+    absl::erase_if(rests_, [now](auto& rests) {
+        rests.second.sweep(now);
+        return rests.second.size() == 0;
+    });
+}
+
+} // namespace camphorshunt
--- a/src/libcamphorshunt/upstreamavailability.cpp
+++ b/src/libcamphorshunt/upstreamavailability.cpp
@@ -31,7 +31,7 @@
     if (state == nullptr)
         return false;
     const auto begins = state->restsUntil == Time {} && !state->leaving;
-    state->restsUntil = std::max(state->restsUntil, until);
+    state->restsUntil = std::max(state->restsUntil, std::min(until, now + longestRest));
     return begins;
 }
 
--- a/src/libcamphorshunt/upstreamavailability.h
+++ b/src/libcamphorshunt/upstreamavailability.h
@@ -28,6 +28,9 @@
      */
     static constexpr auto retention = Duration(std::chrono::minutes(10));
 
+    /** Longest rest that applies, as one without end would make the upstream useless. */
+    static constexpr auto longestRest = Duration(std::chrono::hours(1));
+
     /** Returns false if this is known already, or concerns an earlier process than the known one. */
     auto recordLeaving(Time now, const UpstreamProcess& process) -> bool;
     /** The longest of several rests applies. Returns false if the upstream rests already or leaves. */
