Merge the decision whether an upstream may be sent to, and kept connections of callers

A request that moves away from a silent upstream obeys both: its second sender (Exchange::startMove) asks the availability before it sends, after the connection is set up, and records what the new upstream says about itself. An engine that drains between the placer's choice and the send is avoided when the request is placed again; it could be chosen anew until the deadline.

--- a/include/camphorshunt/placement.h
+++ b/include/camphorshunt/placement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -42,6 +43,11 @@
     Time deadline;
     /** Engines at which attempts of this request failed. */
     std::vector<UpstreamId> avoid;
+
+    auto avoids(UpstreamId engine) const -> bool
+    {
+        return std::find(avoid.begin(), avoid.end(), engine) != avoid.end();
+    }
 };
 
 /** A request that a router has already sent to an engine, reported to a placer that did not place it. */
--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -12,13 +12,12 @@
 auto AnswerIntake::consumeHead(const platform::ResponseHeader& header, const Expected& expected) -> Head
 {
     const auto answer = platform::readEngineAnswer(header);
+    received_ = statedBy(answer, expected.upstream);
     // Only a refusal may lack the id: an upstream refuses requests of which it could not read one.
     const auto lacksId = answer.notRun && answer.attempt.empty();
     if (answer.attempt != expected.attempt && !lacksId)
         return Head::Mismatched;
-    answer_ = answer;
-    // The id is a view into the header, which does not outlive this call.
-    answer_->attempt = {};
+    answer_ = received_;
     if (answer.notRun)
         return Head::NotRun;
     if (!answer.hasSignature || answer.encoded)
@@ -38,6 +37,21 @@
     return Head::Accepted;
 }
 
+auto AnswerIntake::statedBy(platform::EngineAnswer answer, std::string_view upstream)
+    -> platform::EngineAnswer
+{
+    const auto isOther = answer.misdirected || (!answer.answeredBy.empty() && answer.answeredBy != upstream);
+    // Views into the header, which does not outlive the answer's arrival.
+    answer.attempt = {};
+    answer.answeredBy = {};
+    if (isOther) {
+        answer.leaving = false;
+        answer.rest.reset();
+        answer.restDefect = platform::RestDefect::None;
+    }
+    return answer;
+}
+
 auto AnswerIntake::consumeBody(std::string_view bytes) -> std::string
 {
     if (!answer_ || answer_->notRun || !relay_)
--- a/src/camphorshuntrouter/exchangemove.cpp
+++ b/src/camphorshuntrouter/exchangemove.cpp
@@ -58,7 +58,7 @@
         postponeMove("the retry budget is spent", minMovePause);
         return nextMoveAt_;
     }
-    auto avoid = tried_;
+    auto avoid = enginesToAvoid();
     avoid.push_back(upstream_->id());
     if (onEngine_) {
         move_.emplace().number = relay_.addExchange(*this);
@@ -77,17 +77,21 @@
 
 auto Exchange::onMovePlaced(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
 {
-    if (!upstream.draining && mayMove() && relay_.retryBudget(service_).allows(steadyNow())) {
+    const auto accepts = !upstream.draining && relay_.availability().maySend(steadyNow(), upstream);
+    if (accepts && mayMove() && relay_.retryBudget(service_).allows(steadyNow())) {
         startMove(upstream, copyFrom);
         return;
     }
     withdrawMove();
-    postponeMove(upstream.draining ? "the engine drains" : "no retry is allowed any more", minMovePause);
+    postponeMove(
+        accepts ? "no retry is allowed any more" : "the engine drains, leaves or rests", minMovePause);
 }
 
 auto Exchange::startMove(const UpstreamEntry& upstream, const UpstreamEntry* copyFrom) -> void
 {
     const auto now = steadyNow();
+    if (copyFrom != nullptr && !relay_.availability().sendableFrom(now, copyFrom->process()))
+        copyFrom = nullptr;
     static_cast<void>(relay_.retryBudget(service_).tryAcquire(now));
     ++sends_;
     if (!onEngine_)
@@ -96,6 +100,12 @@
     move_->sent = now;
     move_->listener = std::make_shared<TakeoverListener>(std::string(request_.attempt), answer_.hasBegun(),
         TakeoverListener::Handlers {
+            .maySend = [this] { return relay_.availability().maySend(steadyNow(), *move_->upstream); },
+            .onAnswer =
+                [this](const platform::EngineAnswer& answer) {
+                    const auto& target = *move_->upstream;
+                    relay_.recordAvailability(target, AnswerIntake::statedBy(answer, target.name));
+                },
             .onRejected = [this](PlacementEnd end) { onMoveRejected(end); },
             .onAccepted =
                 [this](const platform::ResponseHeader& header) {
@@ -117,7 +127,8 @@
     const auto self = shared_from_this();
     const auto move = *std::exchange(move_, std::nullopt);
     move.connection->close();
-    const auto counts = end != PlacementEnd::Unreachable && end != PlacementEnd::Misdirected;
+    const auto counts = end != PlacementEnd::Unreachable && end != PlacementEnd::Misdirected
+        && end != PlacementEnd::Cancelled;
     sends_ -= counts ? 0 : 1;
     tried_.push_back(move.upstream->id());
     reportMoveEnd(move, end);
--- a/src/camphorshuntrouter/takeover.cpp
+++ b/src/camphorshuntrouter/takeover.cpp
@@ -2,8 +2,6 @@
 
 #include "answerintake.h"
 
-#include "platform/enginewire.h"
-
 namespace camphorshunt::router {
 
 namespace {
@@ -12,12 +10,20 @@
 
 } // namespace
 
+auto TakeoverListener::connectionOpened() -> void
+{
+    if (handlers_.maySend && !handlers_.maySend())
+        reject(PlacementEnd::Cancelled);
+}
+
 auto TakeoverListener::connectionFailed() -> void { reject(PlacementEnd::Unreachable); }
 
 auto TakeoverListener::headArrived(const platform::ResponseHeader& header) -> bool
 {
     const auto self = shared_from_this();
     const auto answer = platform::readEngineAnswer(header);
+    if (handlers_.onAnswer)
+        handlers_.onAnswer(answer);
     const auto lacksId = answer.notRun && answer.attempt.empty();
     if (answer.attempt != attempt_ && !lacksId)
         return false;
--- a/src/camphorshuntrouter/takeover.h
+++ b/src/camphorshuntrouter/takeover.h
@@ -12,6 +12,8 @@
 
 #include "upstreamconnection.h"
 
+#include "platform/enginewire.h"
+
 namespace camphorshunt::router {
 
 /**
@@ -21,6 +23,10 @@
 class TakeoverListener : public AnswerListener, public std::enable_shared_from_this<TakeoverListener> {
 public:
     struct Handlers {
+        /** Whether the request may still be sent there, once the connection has been set up. */
+        std::function<bool()> maySend;
+        /** The head of any answer, for what it says about the upstream. */
+        std::function<void(const platform::EngineAnswer&)> onAnswer;
         /** The upstream does not take the request, which has ended there in this way. */
         std::function<void(PlacementEnd)> onRejected;
         /** The head of the upstream's answer; returns what `AnswerListener::headArrived` returns. */
@@ -35,6 +41,7 @@
     {
     }
 
+    auto connectionOpened() -> void override;
     auto connectionFailed() -> void override;
     auto headArrived(const platform::ResponseHeader& header) -> bool override;
     auto bodyArrived(std::string_view /*bytes*/) -> void override { }
--- a/tests/unit/drivenrelay.h
+++ b/tests/unit/drivenrelay.h
@@ -44,7 +44,8 @@
 struct DrivenRelay {
     using Tcp = boost::asio::ip::tcp;
 
-    DrivenRelay()
+    /** `retries`: that the relay may make beside those in proportion to its requests. */
+    explicit DrivenRelay(double retries = 0)
     {
         {
             auto other = boost::asio::io_context {};
@@ -53,6 +54,7 @@
         auto settings = router::Relay::Settings {};
         settings.listen = { "127.0.0.1", port };
         settings.maxCallers = 150;
+        settings.retries.burstAllowance = retries;
         auto listening = router::Relay::listen(context, settings, toScheduler, log, metrics, state);
         REQUIRE(listening);
         relay = std::move(listening.value());
