Let the platform engine stand-in leave and want rest

Tests need an engine that states in each answer that it leaves (Server-Leaving), refusals, errors and heads of streams included, and one that answers 503 with a Retry-After of a given text for some requests. The stand-in records when each request arrived and when and how it was answered, so that a test can tell which requests came after such an answer.

Both new unit tests fail on the stand-in before: no Server-Leaving in any answer, an unknown mode, no list of arrivals.

--- a/src/standins/faultswitch.cpp
+++ b/src/standins/faultswitch.cpp
@@ -31,6 +31,7 @@
         { "torn", FaultMode::Torn },
         { "trickle", FaultMode::Trickle },
         { "endless", FaultMode::Endless },
+        { "rest", FaultMode::Rest },
     });
     const auto* const found = std::ranges::find(modes, name, [](const auto& mode) { return mode.first; });
     return found == modes.end() ? std::nullopt : std::optional(found->second);
@@ -54,6 +55,7 @@
     fault_.mode = *mode;
     fault_.delay = std::chrono::milliseconds(field<std::int64_t>(*parsed, "delayMs", 0));
     fault_.afterEvents = field<std::uint64_t>(*parsed, "afterEvents", 0);
+    fault_.retryAfter = field(*parsed, "retryAfter", std::string());
     remaining_ = field<std::int64_t>(*parsed, "count", -1);
     affectsLoad_ = field(*parsed, "loadToo", false);
     return boost::outcome_v2::success();
--- a/src/standins/faultswitch.h
+++ b/src/standins/faultswitch.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 #include "camphorshunt/result.h"
@@ -24,6 +25,7 @@
  * `afterEvents`.
  * - Trickle (platform engine only): after `afterEvents` events sends a byte of the next one now and then.
  * - Endless (platform engine only): after `afterEvents` events sends bytes of the next one without end.
+ * - Rest (platform engine only): answers 503 without executing the request, with the given `Retry-After`.
  */
 enum class FaultMode {
     None,
@@ -40,13 +42,16 @@
     Unframed,
     Torn,
     Trickle,
-    Endless
+    Endless,
+    Rest
 };
 
 struct Fault {
     FaultMode mode = FaultMode::None;
     std::chrono::milliseconds delay { 0 };
     std::uint64_t afterEvents = 0;
+    /** Value of the header; an empty one is not sent. */
+    std::string retryAfter {};
 };
 
 /** LostAck and LateAck do not affect a Read. No fault affects a Load unless `"loadToo":true` is set. */
@@ -56,9 +61,9 @@
 class FaultSwitch {
 public:
     /**
-     * Parses `{"mode":"cut","delayMs":0,"afterEvents":3,"count":1,"loadToo":false}`; `count` is the number of
-     * requests that the fault affects, -1 (the default) for all. Without `mode`, as in `{"leaving":true}`,
-     * the active fault is unchanged.
+     * Parses `{"mode":"cut","delayMs":0,"afterEvents":3,"retryAfter":"","count":1,"loadToo":false}`; `count`
+     * is the number of requests that the fault affects, -1 (the default) for all. Without `mode`, as in
+     * `{"leaving":true}`, the active fault is unchanged.
      */
     auto set(std::string_view json) -> Result<void>;
     /** Returns the fault that affects this request, and counts the request against `count`. */
--- a/src/standins/platformengine.cpp
+++ b/src/standins/platformengine.cpp
@@ -39,25 +39,70 @@
     return headers;
 }
 
-auto PlatformEngine::refuse(const Exchange& exchange) -> void
+auto PlatformEngine::runningTime() const -> std::int64_t
 {
-    respondJson(
-        *exchange, statusUnavailable, json::object { { "error", "full" } }, { { "X-Not-Executed", "1" } });
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - startedAt_)
+        .count();
 }
 
+auto PlatformEngine::recordArrival(const Request& request, const Exchange& exchange) -> void
+{
+    unanswered_[exchange.get()] = arrivals_.size();
+    arrivals_.push_back(json::object { { "attempt", std::string(request.header("X-Attempt-Id")) },
+        { "at", runningTime() }, { "answeredAt", -1 }, { "status", 0 }, { "leaving", false } });
+}
+
+auto PlatformEngine::beginAnswer(const Exchange& exchange, std::uint16_t status, net::HttpHeaders headers)
+    -> net::HttpHeaders
+{
+    if (const auto found = unanswered_.find(exchange.get()); found != unanswered_.end()) {
+        auto& arrival = arrivals_[found->second].as_object();
+        arrival["answeredAt"] = runningTime();
+        arrival["status"] = status;
+        arrival["leaving"] = leaving();
+        unanswered_.erase(found);
+    }
+    if (leaving())
+        headers.push_back({ "Server-Leaving", "1" });
+    return headers;
+}
+
+auto PlatformEngine::refuseWith(const Exchange& exchange, std::uint16_t status, net::HttpHeaders headers)
+    -> void
+{
+    headers.push_back({ "X-Not-Executed", "1" });
+    respondJson(*exchange, status, json::object { { "error", "not executed" } },
+        beginAnswer(exchange, status, std::move(headers)));
+}
+
+auto PlatformEngine::refuse(const Exchange& exchange) -> void { refuseWith(exchange, statusUnavailable, {}); }
+
 auto PlatformEngine::serve(const Request& request, const Exchange& exchange, const Fault& fault) -> void
 {
     if (pathOf(request) == "/admin/runs") {
         respondJson(*exchange, statusOk, json::object { { "runs", runs_ }, { "working", working_ } });
         return;
     }
+    if (pathOf(request) == "/admin/arrivals") {
+        respondJson(*exchange, statusOk, json::object { { "arrivals", arrivals_ } });
+        return;
+    }
     if (request.header("X-Attempt-Id").empty()) {
-        respondJson(*exchange, statusBadRequest, json::object {}, { { "X-Not-Executed", "1" } });
+        refuseWith(exchange, statusBadRequest, {});
         return;
     }
     const auto expected = request.header("X-Expect-Instance");
     if (!expected.empty() && expected != options().name) {
-        respondJson(*exchange, statusMisdirected, json::object {}, { { "X-Instance-Id", options().name } });
+        respondJson(*exchange, statusMisdirected, json::object {},
+            beginAnswer(exchange, statusMisdirected, { { "X-Instance-Id", options().name } }));
+        return;
+    }
+    if (fault.mode == FaultMode::Rest) {
+        auto answer = net::HttpHeaders { { "X-Attempt-Id", std::string(request.header("X-Attempt-Id")) } };
+        if (!fault.retryAfter.empty())
+            answer.push_back({ "Retry-After", fault.retryAfter });
+        refuseWith(exchange, statusUnavailable, std::move(answer));
         return;
     }
     execute(request, exchange, fault);
@@ -100,22 +145,27 @@
     auto head = headers(request, fault);
     head.push_back({ "Content-Type", "text/event-stream" });
     const auto isUnframed = fault.mode == FaultMode::Unframed || fault.mode == FaultMode::Torn;
-    exchange->beginStream(
-        statusOk, std::move(head), isUnframed ? net::StreamFraming::Connection : net::StreamFraming::Chunks);
+    exchange->beginStream(statusOk, beginAnswer(exchange, statusOk, std::move(head)),
+        isUnframed ? net::StreamFraming::Connection : net::StreamFraming::Chunks);
     after(options().tokenTime, [this, stream] { sendEvent(stream); });
 }
 
 auto PlatformEngine::answer(const Request& request, const Exchange& exchange, const Fault& fault) -> void
 {
-    if (fault.mode == FaultMode::LostAck)
+    if (fault.mode == FaultMode::LostAck) {
         exchange->abort();
-    else if (fault.mode == FaultMode::Error)
-        respondJson(*exchange, statusError, json::object { { "error", "broken" } }, headers(request, fault));
-    else if (fault.mode == FaultMode::Unproved)
-        respondJson(*exchange, statusUnavailable, json::object {}, headers(request, fault));
+        return;
+    }
+    auto status = statusOk;
+    if (fault.mode == FaultMode::Error)
+        status = statusError;
+    if (fault.mode == FaultMode::Unproved)
+        status = statusUnavailable;
+    auto head = beginAnswer(exchange, status, headers(request, fault));
+    if (status == statusOk)
+        exchange->respond(status, std::move(head), "done " + std::string(request.header("X-Attempt-Id")));
     else
-        exchange->respond(
-            statusOk, headers(request, fault), "done " + std::string(request.header("X-Attempt-Id")));
+        respondJson(*exchange, status, json::object { { "error", "broken" } }, std::move(head));
 }
 
 auto PlatformEngine::sendEvent(const std::shared_ptr<Stream>& stream) -> void
--- a/src/standins/standin.cpp
+++ b/src/standins/standin.cpp
@@ -73,6 +73,8 @@
         return;
     }
     const auto isAdmin = pathOf(request).starts_with("/admin/");
+    if (!isAdmin)
+        recordArrival(request, exchange);
     const auto fault = isAdmin ? Fault {} : faults_.next(kindOf(request));
     if (fault.mode == FaultMode::Refuse)
         refuse(exchange);
--- a/src/standins/standin.h
+++ b/src/standins/standin.h
@@ -43,6 +43,8 @@
 protected:
     auto listen() -> Result<void>;
     virtual auto kindOf(const Request& request) const -> RequestKind;
+    /** Called for each request but those to `/admin/`, before a fault applies. */
+    virtual auto recordArrival(const Request&, const Exchange&) -> void { }
     /** Answers that a request was refused before it ran. */
     virtual auto refuse(const Exchange& exchange) -> void;
     /** Serves a request other than `/admin/faults`; the role itself must apply `fault`. */
--- a/tests/unit/standintest.cpp
+++ b/tests/unit/standintest.cpp
@@ -2,6 +2,7 @@
 #include "httptestsupport.h"
 #include "jsonfields.h"
 #include "logstandin.h"
+#include "platformengine.h"
 #include "servicestandin.h"
 #include "vmsstandin.h"
 
@@ -269,3 +270,40 @@
     CHECK(fixture.call("/admin/vms", list).head.status == 200);
     CHECK(runUntil(fixture.context, [&] { return fixture.call("/vms").body == list; }));
 }
+
+TEST_CASE("A platform engine that leaves says so in all its answers, and records when it gave them")
+{
+    auto fixture = StandInFixture<PlatformEngine> {};
+    const auto headers = HttpHeaders { { "X-Attempt-Id", "a1" } };
+    CHECK(fixture.call("/call", "{}", headers).head.header("Server-Leaving").empty());
+    const auto* const mode = GENERATE("none", "error", "refuse", "unproved", "rest");
+    const auto extra = GENERATE(HttpHeaders {}, HttpHeaders { { "X-Token-Count", "5,2" } },
+        HttpHeaders { { "X-Expect-Instance", "another" } });
+    fixture.setFault(R"({"leaving":true,"mode":")" + std::string(mode) + R"("})");
+    auto sent = headers;
+    sent.insert(sent.end(), extra.begin(), extra.end());
+    const auto answer = fixture.call("/call", "{}", sent);
+    CHECK(answer.head.header("Server-Leaving") == "1");
+    CHECK(fixture.call("/call", "{}").head.header("Server-Leaving") == "1");
+    const auto arrivals = parseObject(fixture.call("/admin/arrivals").body).value().at("arrivals").as_array();
+    REQUIRE(arrivals.size() == 3);
+    CHECK(!arrivals[0].at("leaving").as_bool());
+    CHECK(arrivals[1].at("leaving").as_bool());
+    CHECK(arrivals[1].at("status").to_number<std::uint16_t>() == answer.head.status);
+    CHECK(arrivals[1].at("answeredAt").as_int64() >= arrivals[1].at("at").as_int64());
+}
+
+TEST_CASE(
+    "A platform engine that wants rest refuses requests with the given time, until the count is reached")
+{
+    auto fixture = StandInFixture<PlatformEngine> {};
+    const auto headers = HttpHeaders { { "X-Attempt-Id", "a1" } };
+    const auto* const time = GENERATE("1.5", "Sun, 06 Nov 1994 08:49:37 GMT", "");
+    fixture.setFault(R"({"mode":"rest","count":1,"retryAfter":")" + std::string(time) + R"("})");
+    const auto refused = fixture.call("/call", "{}", headers);
+    CHECK(refused.head.status == 503);
+    CHECK(refused.head.header("Retry-After") == time);
+    CHECK(refused.head.header("X-Not-Executed") == "1");
+    CHECK(fixture.call("/call", "{}", headers).head.status == 200);
+    CHECK(parseObject(fixture.call("/admin/runs").body).value().at("runs").as_array().size() == 1);
+}
