Test engines that leave and engines that want rest from outside

What callers would see: requests go on to engines that have said in their answers that they leave or for how long they want none. Nothing reads either header yet.

The tests run real routers, a store and engines on loopback.

--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -172,6 +172,15 @@
     put("keyed.servers", upstream.name, json::serialize(entry));
 }
 
+auto RouterFleet::replaceUpstream(std::size_t index, const std::string& name) -> void
+{
+    auto& upstream = upstreams_.at(index);
+    upstream.process.reset();
+    upstream.name = name;
+    std::tie(upstream.process, upstream.endpoint) = startStandIn(
+        { "--role=platform-engine", "--name=" + name, "--listen=" + upstream.endpoint.text() });
+}
+
 auto RouterFleet::configuration(std::uint64_t version) -> json::object
 {
     auto resumable = route("resume", "stream", "model");
@@ -236,6 +245,18 @@
     return result;
 }
 
+auto RouterFleet::arrivals(std::size_t upstream) -> std::vector<Arrival>
+{
+    const auto value = json::parse(get(upstreams_.at(upstream).endpoint, "/admin/arrivals").body);
+    auto result = std::vector<Arrival> {};
+    for (const auto& arrival : value.at("arrivals").as_array()) {
+        result.push_back({ std::string(arrival.at("attempt").as_string()), arrival.at("at").as_int64(),
+            arrival.at("answeredAt").as_int64(), arrival.at("status").to_number<std::int64_t>(),
+            arrival.at("leaving").as_bool() });
+    }
+    return result;
+}
+
 auto RouterFleet::totalRuns() -> std::size_t
 {
     auto count = std::size_t { 0 };
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -36,6 +36,16 @@
         std::unique_ptr<ChildProcess> process;
         Endpoint endpoint;
     };
+    /** A request that reached an upstream; times are in milliseconds since the upstream started. */
+    struct Arrival {
+        std::string attempt;
+        std::int64_t at = 0;
+        /** -1 if there was no answer yet. */
+        std::int64_t answeredAt = -1;
+        std::int64_t status = 0;
+        /** Whether the answer said that the upstream leaves. */
+        bool leaving = false;
+    };
     struct Router {
         std::unique_ptr<ChildProcess> process;
         Endpoint callers;
@@ -62,6 +72,8 @@
     auto put(std::string_view topic, std::string_view key, const std::string& value) -> void;
     auto putConfiguration(const std::string& json) -> void { put("keyed.op", "config", json); }
     auto putUpstream(std::size_t index, std::string_view state = "ready", std::uint64_t born = 1) -> void;
+    /** Ends an upstream's process and starts one with this name at the same address. */
+    auto replaceUpstream(std::size_t index, const std::string& name) -> void;
     /**
      * The default configuration, with the routes `/plain/`, `/book/` (one attempt), `/pay/` (two attempts),
      * `/stream/`, `/resume/` and `/open/`.
@@ -74,6 +86,8 @@
     /** Requests that an upstream has executed so far, with their fields. */
     auto runs(std::size_t upstream) -> std::vector<std::map<std::string, std::string>>;
     auto totalRuns() -> std::size_t;
+    /** All requests that have reached an upstream so far, also those that it refused. */
+    auto arrivals(std::size_t upstream) -> std::vector<Arrival>;
     /** Number of requests that an upstream is executing. */
     auto working(std::size_t upstream) -> std::uint64_t;
     auto fault(std::size_t upstream, std::string_view json) -> void;
