Simulate a release and engines that want rest, with and without heeding their answers

Not known before: what callers gain by heeding Server-Leaving and Retry-After beside the directory.

A plan may take engines out of service one after another (mode 'release': says that it leaves, is listed later, ends, is replaced by another process) and let engines refuse everything for a time that they name (mode 'rest'). Routers use UpstreamAvailability and tell the placers, as in the product; 'heedsAnswers' switches that off. A report counts the requests sent in vain.

--- a/src/camphorshuntload/placingoutcome.cpp
+++ b/src/camphorshuntload/placingoutcome.cpp
@@ -214,7 +214,8 @@
     out << "worst share of an organisation in six seconds: " << worstShare() << "\n"
         << "returns in the busiest tenth of a second against the mean: " << retryPeak() << "\n"
         << "million tokens read: " << double(tokensRead_) / 1e6 << ", copied: " << double(tokensCopied_) / 1e6
-        << "; preempted: " << preemptions_ << "\n";
+        << "; preempted: " << preemptions_ << "\n"
+        << "sent to engines that refused or ended: " << sentInVain_ << "\n";
     for (const auto warmedUp : { false, true }) {
         out << "first token, seen less predicted, ms, " << (warmedUp ? "later" : "in the first seconds")
             << ":";
@@ -237,7 +238,8 @@
     return { { "seed", plan_.seed }, { "all", toJson(total()) }, { "kinds", kinds },
         { "organisations", organisations }, { "returns", toJson(retries_) }, { "worstShare", worstShare() },
         { "returnsPeak", retryPeak() }, { "tokensRead", tokensRead_ }, { "tokensCopied", tokensCopied_ },
-        { "preemptions", preemptions_ }, { "predictionErrorMedianMs", predictionError(0.5, true) },
+        { "preemptions", preemptions_ }, { "sentInVain", sentInVain_ },
+        { "predictionErrorMedianMs", predictionError(0.5, true) },
         { "predictionErrorMostMs", predictionError(0.95, true) } };
 }
 
--- a/src/camphorshuntload/placingoutcome.h
+++ b/src/camphorshuntload/placingoutcome.h
@@ -40,6 +40,8 @@
     /** Call when a request is refused, even if it is retried, or when its first token arrives late. */
     auto recordWait(Time now, const SimulatedRequest& request) -> void;
     auto recordRetry(Time now) -> void;
+    /** Call when an engine refuses a request, or ends while it runs. */
+    auto recordSentInVain() -> void { ++sentInVain_; }
     auto recordFirstToken(Time placed, Duration predicted, Duration seen) -> void;
     auto recordEngineTotals(std::uint64_t tokensRead, std::uint64_t tokensCopied, std::uint64_t preemptions)
         -> void;
@@ -58,6 +60,7 @@
      */
     auto worstShare() const -> double;
     auto retries() const -> const FateCounts& { return retries_; }
+    auto sentInVain() const -> std::uint64_t { return sentInVain_; }
     /** Retries in the busiest tenth of a second, relative to the mean over all tenths with a retry. */
     auto retryPeak() const -> double;
     /**
@@ -90,6 +93,7 @@
     std::uint64_t tokensRead_ = 0;
     std::uint64_t tokensCopied_ = 0;
     std::uint64_t preemptions_ = 0;
+    std::uint64_t sentInVain_ = 0;
 };
 
 } // namespace camphorshunt::load
--- a/src/camphorshuntload/placingplan.cpp
+++ b/src/camphorshuntload/placingplan.cpp
@@ -104,7 +104,8 @@
     failure.length = readMilliseconds(reader, "forMs", {});
     failure.mode = readName<Mode>(reader, "mode",
         { { "crash", Mode::Crash }, { "hang", Mode::Hang }, { "slow", Mode::Slow },
-            { "dispatcher-killed", Mode::DispatcherKilled } });
+            { "dispatcher-killed", Mode::DispatcherKilled }, { "rest", Mode::Rest },
+            { "release", Mode::Release } });
     failure.engines = reader.number("engines", 1, 0, maxEngines);
     failure.factor = reader.real("factor", 1.0, 1.0, maxFactor);
     reader.finish();
@@ -140,6 +141,9 @@
             { "groups", Dispatching::Groups } });
     plan.groups = reader.number("groups", 1, 1, plan.engines);
     plan.takeover = readMilliseconds(reader, "takeoverMs", plan.takeover);
+    plan.heedsAnswers = reader.number("heedsAnswers", 1, 0, 1) == 1;
+    plan.listingDelay = readMilliseconds(reader, "listingDelayMs", plan.listingDelay);
+    plan.drainTime = readMilliseconds(reader, "drainMs", plan.drainTime);
     plan.organisations = reader.number("organisations", 1, 1, maxOrganisations);
     plan.skew = reader.real("skew", plan.skew, 0.0, 10.0);
     plan.rate = reader.real("rate", plan.rate, 0.0, maxRate);
--- a/src/camphorshuntload/placingplan.h
+++ b/src/camphorshuntload/placingplan.h
@@ -50,9 +50,13 @@
     std::uint64_t organisations = 0;
 };
 
-/** Makes the first `engines` engines fail for a time, or kills the dispatcher, whatever `engines` is. */
+/**
+ * Makes the first `engines` engines fail for a time, or kills the dispatcher, whatever `engines` is. `Rest`:
+ * they refuse all requests, and say until when. `Release`: they are replaced one after another; each says
+ * that it leaves, is listed as leaving later, and ends after the drain time.
+ */
 struct PlannedFailure {
-    enum class Mode : std::uint8_t { Crash, Hang, Slow, DispatcherKilled };
+    enum class Mode : std::uint8_t { Crash, Hang, Slow, DispatcherKilled, Rest, Release };
 
     std::chrono::milliseconds at {};
     std::chrono::milliseconds length {};
@@ -89,6 +93,12 @@
     EngineTimes times;
     Dispatching dispatching = Dispatching::One;
     std::uint64_t groups = 1;
+    /** Whether routers heed what engines say in their answers: that they leave, and until when they rest. */
+    bool heedsAnswers = true;
+    /** Time until the directory lists an engine as leaving after its answers say so. */
+    std::chrono::milliseconds listingDelay { 1200 };
+    /** Time from then until the engine ends. */
+    std::chrono::milliseconds drainTime { 2000 };
     /** Time from the loss of a dispatcher until its successor has recovered the state of all requests. */
     std::chrono::milliseconds takeover { 450 };
     std::uint64_t organisations = 1;
--- a/src/camphorshuntload/placingrun.cpp
+++ b/src/camphorshuntload/placingrun.cpp
@@ -23,6 +23,7 @@
     : plan_(plan)
     , source_(plan)
     , outcome_(plan)
+    , availability_(plan.routers)
     , nextRetryNumber_(firstRetryNumber)
 {
     for (auto index = std::size_t { 0 }; index < plan.engines; ++index) {
@@ -51,18 +52,23 @@
     auto settings = plan_.placer;
     settings.seed = plan_.seed + index;
     auto placer = std::make_unique<Placer>(settings);
-    auto entries = std::vector<UpstreamEntry> {};
-    for (auto engine = std::size_t { 0 }; engine < engines_.size(); ++engine) {
-        if (plan_.dispatching != Dispatching::Groups || engine % plan_.groups == index)
-            entries.push_back(engines_[engine].entry);
-    }
     placer->setTraits(plan_.traits, 0);
-    placer->setUpstreams(now_, entries);
+    placer->setUpstreams(now_, entriesOf(index));
     if (plan_.dispatching == Dispatching::EachRouter)
         placer->setFraction(1.0 / double(plan_.routers));
     return placer;
 }
 
+auto PlacingRun::entriesOf(std::size_t placer) const -> std::vector<UpstreamEntry>
+{
+    auto entries = std::vector<UpstreamEntry> {};
+    for (auto engine = std::size_t { 0 }; engine < engines_.size(); ++engine) {
+        if (plan_.dispatching != Dispatching::Groups || engine % plan_.groups == placer)
+            entries.push_back(engines_[engine].entry);
+    }
+    return entries;
+}
+
 auto PlacingRun::hopTime(std::size_t domain, std::size_t other) const -> Duration
 {
     const auto same = domain % plan_.failureDomains == other % plan_.failureDomains;
@@ -96,12 +102,18 @@
         killDispatcher(0);
         return;
     }
+    if (failure.mode == PlannedFailure::Mode::Release) {
+        beginRelease(failure);
+        return;
+    }
     for (auto index = std::size_t { 0 }; index < std::min(failure.engines, engines_.size()); ++index) {
         auto& engine = engines_[index];
         if (failure.mode == PlannedFailure::Mode::Slow)
             engine.simulated.setSlowness(failure.factor);
         if (failure.mode == PlannedFailure::Mode::Hang)
             engine.simulated.setHung(now_, true);
+        if (failure.mode == PlannedFailure::Mode::Rest)
+            engine.restsUntil = now_ + failure.length;
         if (failure.mode != PlannedFailure::Mode::Crash)
             continue;
         engine.crashed = true;
@@ -112,7 +124,8 @@
 
 auto PlacingRun::endFailure(const PlannedFailure& failure) -> void
 {
-    if (failure.mode == PlannedFailure::Mode::DispatcherKilled)
+    if (failure.mode == PlannedFailure::Mode::DispatcherKilled
+        || failure.mode == PlannedFailure::Mode::Release)
         return;
     for (auto index = std::size_t { 0 }; index < std::min(failure.engines, engines_.size()); ++index) {
         engines_[index].crashed = false;
@@ -135,8 +148,7 @@
         for (const auto& key : keys) {
             const auto& live = live_.at(key);
             if (live.engine) {
-                const auto& entry = engines_[*live.engine].entry;
-                placers_[index]->adoptRequest(now_, { live.request.request, entry.id(), live.started });
+                placers_[index]->adoptRequest(now_, { live.request.request, live.upstream, live.started });
             } else {
                 placers_[index]->submit(now_, live.request.request);
             }
@@ -242,6 +254,7 @@
         return;
     auto& live = found->second;
     live.engine = engineIndex_.at(placed.upstream);
+    live.upstream = placed.upstream;
     live.placedAt = now_;
     const auto& model = placers_[live.placer]->engines().at(placed.upstream);
     live.predicted = model.estimate(now_, {}, 0).backlog;
@@ -257,6 +270,15 @@
         return;
     auto& live = found->second;
     auto& engine = engines_[*live.engine];
+    if (!maySend(live)) {
+        handleEngineFailure(key, PlacementEnd::Cancelled);
+        return;
+    }
+    if (engine.entry.id() != live.upstream) {
+        outcome_.recordSentInVain();
+        handleEngineFailure(key, PlacementEnd::Misdirected);
+        return;
+    }
     if (engine.crashed) {
         schedule(now_ + connectFailure, [this, key] { handleEngineFailure(key, PlacementEnd::Unreachable); });
         return;
@@ -268,8 +290,12 @@
         const auto kept = engine.simulated.cachedTokens(prompt);
         tokensCopied_ += copied > kept ? copied - kept : 0;
     }
-    if (!engine.simulated.submit(now_, key, prompt, live.request.output, copied)) {
-        handleEngineFailure(key, PlacementEnd::Full);
+    const auto rests = now_ < engine.restsUntil;
+    if (rests || !engine.simulated.submit(now_, key, prompt, live.request.output, copied)) {
+        outcome_.recordSentInVain();
+        heedAnswer(live.request.router, *live.engine);
+        // A refusal by an engine that leaves or rests is no fault of it.
+        handleEngineFailure(key, maySend(live) ? PlacementEnd::Full : PlacementEnd::Cancelled);
         return;
     }
     outcome_.recordExecutionStart(now_, live.request);
@@ -309,6 +335,7 @@
     const auto seen = event.at + hopTime(live.request.router, engine);
     if (event.kind == EngineEvent::Kind::Started) {
         live.started = true;
+        heedAnswer(live.request.router, engine);
         live.late = seen > live.request.firstSent + plan_.kinds[live.request.kind].goal;
         if (live.late)
             outcome_.recordWait(now_, live.request);
@@ -339,7 +366,7 @@
         finish(found, RequestFate::Failed);
         return;
     }
-    live.request.request.avoid.push_back(engines_[*live.engine].entry.id());
+    live.request.request.avoid.push_back(live.upstream);
     live.engine.reset();
     live.started = false;
     const auto delay = hopTime(live.request.router, live.placer) * 2;
--- a/tests/unit/placingruntest.cpp
+++ b/tests/unit/placingruntest.cpp
@@ -10,16 +10,18 @@
 
 namespace {
 
-/** The sample plan with heavy load, shortened to 16 s. */
-auto heavyPlan(std::uint64_t seed) -> PlacingPlan
+/** A sample plan, shortened to 16 s. */
+auto samplePlan(const std::string& name, std::uint64_t seed) -> PlacingPlan
 {
-    auto plan = PlacingPlan::load(std::string(CAMPHORSHUNT_SAMPLES) + "/placing-heavy.json");
+    auto plan = PlacingPlan::load(std::string(CAMPHORSHUNT_SAMPLES) + "/" + name);
     REQUIRE(plan);
     plan.value().seed = seed;
     plan.value().duration = 16s;
     return plan.value();
 }
 
+auto heavyPlan(std::uint64_t seed) -> PlacingPlan { return samplePlan("placing-heavy.json", seed); }
+
 auto play(const PlacingPlan& plan) -> PlacingOutcome
 {
     auto run = PlacingRun(plan);
@@ -93,7 +95,8 @@
 TEST_CASE("Each simulated request ends exactly once under every kind of failure")
 {
     for (const auto mode : { PlannedFailure::Mode::Crash, PlannedFailure::Mode::Hang,
-             PlannedFailure::Mode::Slow, PlannedFailure::Mode::DispatcherKilled }) {
+             PlannedFailure::Mode::Slow, PlannedFailure::Mode::DispatcherKilled, PlannedFailure::Mode::Rest,
+             PlannedFailure::Mode::Release }) {
         auto plan = heavyPlan(3);
         plan.duration = 4s;
         plan.failures = { { 1s, 1s, mode, 6, 5.0 } };
@@ -150,3 +153,34 @@
         CHECK(shortQueues.total().late < longQueues.total().late);
     }
 }
+
+TEST_CASE(
+    "Fewer requests are lost in a release of half of the engines if their word that they leave is heeded")
+{
+    for (const auto seed : seeds) {
+        auto plan = samplePlan("placing-release.json", seed);
+        const auto heeded = play(plan);
+        plan.heedsAnswers = false;
+        const auto ignored = play(plan);
+        CAPTURE(seed);
+        CHECK(heeded.total().requested == ignored.total().requested);
+        CHECK(heeded.total().inTime > ignored.total().inTime);
+        CHECK(heeded.total().failed <= ignored.total().failed);
+        CHECK(heeded.sentInVain() < ignored.sentInVain());
+    }
+}
+
+TEST_CASE("More requests are served in a burst if engines that want rest are left alone until it ends")
+{
+    for (const auto seed : seeds) {
+        auto plan = samplePlan("placing-rest.json", seed);
+        const auto heeded = play(plan);
+        plan.heedsAnswers = false;
+        const auto ignored = play(plan);
+        CAPTURE(seed);
+        CHECK(heeded.total().requested == ignored.total().requested);
+        CHECK(heeded.total().inTime > ignored.total().inTime);
+        CHECK(heeded.total().refused < ignored.total().refused);
+        CHECK(heeded.sentInVain() < ignored.sentInVain());
+    }
+}
