Take the plan of a router's connections out of PeerMesh

Which routers to dial and when, which of two connections to keep, and which hubs and standby routers to pass on were decided among sockets and timers, so that no fleet could be simulated with the real code. MeshPlan holds these decisions without sockets or a clock; PeerMesh carries them out.

A move without a change of behaviour. Ruled out: an abstract socket in PeerMesh, which would have left the decisions spread over callbacks.

Evidence: the two tests of a flooded scheduler and six process tests of routers (killed and suspended placer, start without the store, configuration, planned stop) pass.

--- a/src/camphorshuntrouter/peermesh.cpp
+++ b/src/camphorshuntrouter/peermesh.cpp
@@ -1,6 +1,5 @@
 #include "peermesh.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "clock.h"
@@ -12,14 +11,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr auto minBackoff = Duration(100ms);
-constexpr auto maxBackoff = Duration(2s);
 constexpr auto dialCheckInterval = 50ms;
-constexpr auto dialTimeout = Duration(1s);
-/** Addresses unreachable for this long are removed; a router that returns there dials the others. */
-constexpr auto removePeerAfter = Duration(60s);
-/** A connection is kept for this long after neither end is a hub. */
-constexpr auto surplusTime = Duration(10s);
 /** Accepted connections without a hello; beyond this the oldest is closed. */
 constexpr auto maxUnidentified = std::size_t { 512 };
 
@@ -32,24 +24,21 @@
 
 } // namespace
 
-PeerMesh::PeerMesh(boost::asio::io_context& context, PeerHello hello, Handlers handlers)
+PeerMesh::PeerMesh(boost::asio::io_context& context, MeshPlan& plan, Handlers handlers)
     : context_(context)
-    , hello_(std::move(hello))
-    , self_(idOf<RouterId>(hello_.endpoint))
+    , plan_(plan)
     , handlers_(std::move(handlers))
     , acceptor_(context)
     , timer_(context)
-    , hubs_({ hello_.endpoint, hello_.processorShare, hello_.failureDomain })
-    , random_(static_cast<std::minstd_rand::result_type>(hello_.incarnation ^ self_.value))
 {
 }
 
 PeerMesh::~PeerMesh() { stop(); }
 
-auto PeerMesh::listen(boost::asio::io_context& context, const Endpoint& endpoint, PeerHello self,
+auto PeerMesh::listen(boost::asio::io_context& context, const Endpoint& endpoint, MeshPlan& plan,
     Handlers handlers) -> Result<std::unique_ptr<PeerMesh>>
 {
-    auto mesh = std::unique_ptr<PeerMesh>(new PeerMesh(context, std::move(self), std::move(handlers)));
+    auto mesh = std::unique_ptr<PeerMesh>(new PeerMesh(context, plan, std::move(handlers)));
     const auto opened = net::listenOn(mesh->acceptor_, endpoint, "listen.peers");
     if (!opened)
         return opened.error();
@@ -85,68 +74,40 @@
             }
             const auto link = makeLink(std::move(socket), false);
             unidentified_.push_back(link);
-            link->start(helloFrame(hello_));
+            link->start(helloFrame(plan_.hello()));
         }
         accept();
     });
 }
 
-auto PeerMesh::addPeer(const RouterAddress& address) -> void
+auto PeerMesh::dial(RouterId router) -> void
 {
-    if (!hubs_.knows(idOf<RouterId>(address.endpoint)) && !Endpoint::parse(address.endpoint, "peer"))
-        return;
-    hubs_.learn(address);
-}
-
-auto PeerMesh::setResponsive(RouterId router, bool responsive) -> void
-{
-    hubs_.setReachable(steadyNow(), router, responsive);
-}
-
-auto PeerMesh::dial(RouterId router, Peer& peer) -> void
-{
-    const auto endpoint = Endpoint::parse(hubs_.address(router).endpoint, "peer");
+    const auto endpoint = Endpoint::parse(plan_.hubs().address(router).endpoint, "peer");
     const auto remote = endpoint ? net::tcpEndpointOf(endpoint.value(), "peer")
                                  : Result<boost::asio::ip::tcp::endpoint>(endpoint.error());
     if (!remote) {
-        hubs_.setReachable(steadyNow(), router, false);
-        redialAfter(peer);
+        plan_.dialFailed(steadyNow(), router);
         return;
     }
-    peer.nextDial = steadyNow() + dialTimeout;
+    auto& peer = peers_[router];
     peer.dialling = makeLink(Tcp::socket(context_), true);
-    peer.dialling->dial(remote.value(), helloFrame(hello_));
-}
-
-auto PeerMesh::redialAfter(Peer& peer) -> void
-{
-    // Jittered, so that the routers of a fleet do not dial a router that returned all at once.
-    auto jitter = std::uniform_real_distribution<double>(0.5, 1.5);
-    peer.nextDial = steadyNow() + scaled(peer.backoff, jitter(random_));
+    peer.dialling->dial(remote.value(), helloFrame(plan_.hello()));
 }
 
 auto PeerMesh::dialDue() -> void
 {
-    const auto time = steadyNow();
-    hubs_.removeUnreachable(time, removePeerAfter);
-    std::erase_if(peers_, [this](const auto& entry) {
-        const auto& peer = entry.second;
-        return !peer.link && !peer.dialling && !hubs_.knows(entry.first);
-    });
-    // A failed dial changes the targets.
-    const auto targets = hubs_.dialTargets();
-    for (const auto router : targets) {
-        auto& peer = peers_[router];
-        if (peer.link || time < peer.nextDial)
-            continue;
-        if (peer.dialling) {
-            std::exchange(peer.dialling, nullptr)->close();
-            hubs_.setReachable(time, router, false);
-        }
-        peer.backoff = std::clamp(peer.backoff * 2, minBackoff, maxBackoff);
-        dial(router, peer);
+    const auto due = plan_.takeDue(steadyNow());
+    for (const auto router : due.expired) {
+        if (auto& dialling = peers_[router].dialling)
+            std::exchange(dialling, nullptr)->close();
     }
-    closeSurplus(time);
+    for (const auto router : due.dials)
+        dial(router);
+    for (const auto router : due.surplus) {
+        std::exchange(peers_[router].link, nullptr)->close();
+        handlers_.onDisconnected(router, "neither router is a hub");
+    }
+    std::erase_if(peers_, [](const auto& entry) { return !entry.second.link && !entry.second.dialling; });
     timer_.expires_after(dialCheckInterval);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error)
@@ -154,22 +115,6 @@
     });
 }
 
-auto PeerMesh::closeSurplus(Time now) -> void
-{
-    const auto selfIsHub = hubs_.isHub(self_);
-    for (auto& [router, peer] : peers_) {
-        if (!peer.link || !peer.link->isDialled())
-            continue;
-        if (selfIsHub || hubs_.isHub(router) || peer.neededAt == Time {})
-            peer.neededAt = now;
-        if (now - peer.neededAt <= surplusTime)
-            continue;
-        std::exchange(peer.link, nullptr)->close();
-        hubs_.setConnected(router, false);
-        handlers_.onDisconnected(router, "neither router is a hub");
-    }
-}
-
 auto PeerMesh::makeLink(Tcp::socket socket, bool dialled) -> std::shared_ptr<MeshLink>
 {
     auto handlers = MeshLink::Handlers {
@@ -186,30 +131,19 @@
 {
     std::erase(unidentified_, link);
     const auto router = link->router();
-    if (router == self_) {
-        link->close();
-        return;
-    }
-    hubs_.learn({ hello.endpoint, hello.processorShare, hello.failureDomain });
+    const auto admission = plan_.admit(steadyNow(), hello, link->isDialled());
     auto& peer = peers_[router];
     if (peer.dialling == link)
         peer.dialling.reset();
-    if (peer.link) {
-        // Both routers dialled: both ends keep the connection dialled by the smaller address.
-        const auto keepDialled = hello_.endpoint < hello.endpoint;
-        const auto isSecond = peer.link->isDialled() != link->isDialled();
-        if (isSecond && link->isDialled() != keepDialled) {
-            link->close();
-            return;
-        }
+    if (admission == MeshPlan::Admission::Rejected) {
+        link->close();
+        return;
+    }
+    if (admission == MeshPlan::Admission::Replaces) {
         std::exchange(peer.link, nullptr)->close();
         handlers_.onDisconnected(router, "replaced");
     }
     peer.link = link;
-    peer.backoff = minBackoff;
-    peer.neededAt = {};
-    hubs_.setConnected(router, true);
-    hubs_.setReachable(steadyNow(), router, true);
     handlers_.onConnected(router, hello);
 }
 
@@ -222,13 +156,13 @@
         if (!isLink && peer.dialling != shared)
             continue;
         (isLink ? peer.link : peer.dialling).reset();
-        redialAfter(peer);
-        hubs_.setReachable(steadyNow(), router, false);
         if (isLink) {
-            hubs_.setConnected(router, false);
+            plan_.disconnected(steadyNow(), router);
             handlers_.onDisconnected(router, reason);
-        } else if (link.wasRefused()) {
-            handlers_.onRefused(router);
+        } else {
+            plan_.dialFailed(steadyNow(), router);
+            if (link.wasRefused())
+                handlers_.onRefused(router);
         }
         return;
     }
@@ -243,29 +177,4 @@
     link->send(frame);
 }
 
-auto PeerMesh::isConnected(RouterId router) const -> bool
-{
-    const auto found = peers_.find(router);
-    return found != peers_.end() && found->second.link;
-}
-
-auto PeerMesh::candidates() const -> std::vector<RouterAddress>
-{
-    auto addresses = std::vector<RouterAddress> {};
-    for (const auto router : hubs_.candidates())
-        addresses.push_back(hubs_.address(router));
-    return addresses;
-}
-
-auto PeerMesh::takeNewCandidates() -> std::vector<RouterAddress>
-{
-    auto added = std::vector<RouterAddress> {};
-    for (const auto router : hubs_.candidates()) {
-        if (announced_.insert(router).second)
-            added.push_back(hubs_.address(router));
-    }
-    std::erase_if(announced_, [this](RouterId router) { return !hubs_.knows(router); });
-    return added;
-}
-
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/peermesh.h
+++ b/src/camphorshuntrouter/peermesh.h
@@ -4,8 +4,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -16,19 +14,14 @@
 #include "camphorshunt/endpoint.h"
 #include "camphorshunt/ids.h"
 #include "camphorshunt/result.h"
-#include "camphorshunt/time.h"
 
-#include "hubregistry.h"
 #include "meshlink.h"
+#include "meshplan.h"
 #include "peerframe.h"
 
 namespace camphorshunt::router {
 
-/**
- * Connections to the hubs of the fleet, and those that other routers open to this one. A router is identified
- * by the address on which it listens for peers. Either end may dial; of two connections between the same
- * routers, the one dialled by the router with the smaller address is kept. Not thread-safe.
- */
+/** Connections to other routers: opens, accepts and closes them as its `MeshPlan` says. Not thread-safe. */
 class PeerMesh {
 public:
     struct Handlers {
@@ -39,7 +32,8 @@
         std::function<void(RouterId)> onRefused;
     };
 
-    static auto listen(boost::asio::io_context& context, const Endpoint& endpoint, PeerHello self,
+    /** `plan` must outlive the mesh. */
+    static auto listen(boost::asio::io_context& context, const Endpoint& endpoint, MeshPlan& plan,
         Handlers handlers) -> Result<std::unique_ptr<PeerMesh>>;
     ~PeerMesh();
     PeerMesh(const PeerMesh&) = delete;
@@ -47,19 +41,8 @@
     auto operator=(const PeerMesh&) -> PeerMesh& = delete;
     auto operator=(PeerMesh&&) -> PeerMesh& = delete;
 
-    /** Connects to the router if it is a hub, and reconnects when the connection is lost. */
-    auto addPeer(const RouterAddress& address) -> void;
-    /** A connected router that is silent is no hub until it is heard again. */
-    auto setResponsive(RouterId router, bool responsive) -> void;
     /** Drops the frame if the router is not connected. */
     auto send(RouterId router, const PeerFrame& frame) -> void;
-    auto hubs() const -> const HubRegistry& { return hubs_; }
-    /** Hubs and standby routers that were not returned before. */
-    auto takeNewCandidates() -> std::vector<RouterAddress>;
-    /** All hubs and standby routers. */
-    auto candidates() const -> std::vector<RouterAddress>;
-    auto isConnected(RouterId router) const -> bool;
-    auto self() const -> RouterId { return self_; }
     auto stop() -> void;
 
 private:
@@ -68,34 +51,24 @@
     struct Peer {
         std::shared_ptr<MeshLink> link;
         std::shared_ptr<MeshLink> dialling;
-        Time nextDial {};
-        Duration backoff {};
-        /** When the router was last a hub, or this one was. */
-        Time neededAt {};
     };
 
-    PeerMesh(boost::asio::io_context& context, PeerHello hello, Handlers handlers);
+    PeerMesh(boost::asio::io_context& context, MeshPlan& plan, Handlers handlers);
 
     auto accept() -> void;
-    auto dial(RouterId router, Peer& peer) -> void;
+    auto dial(RouterId router) -> void;
     auto dialDue() -> void;
-    auto closeSurplus(Time now) -> void;
-    auto redialAfter(Peer& peer) -> void;
     auto makeLink(Tcp::socket socket, bool dialled) -> std::shared_ptr<MeshLink>;
     auto helloReceived(const std::shared_ptr<MeshLink>& link, const PeerHello& hello) -> void;
     auto closed(MeshLink& link, std::string_view reason) -> void;
 
     boost::asio::io_context& context_;
-    PeerHello hello_;
-    RouterId self_;
+    MeshPlan& plan_;
     Handlers handlers_;
     Tcp::acceptor acceptor_;
     boost::asio::steady_timer timer_;
-    HubRegistry hubs_;
     std::map<RouterId, Peer> peers_;
     std::vector<std::shared_ptr<MeshLink>> unidentified_;
-    std::set<RouterId> announced_;
-    std::minstd_rand random_;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -43,6 +43,8 @@
     , metrics_(metrics)
     , state_(state)
     , timer_(context)
+    , plan_({ settings.listen.text(), settings.incarnation, settings.processorShare,
+          hashName(settings.failureDomain) })
     , sync_({ settings.listen.text(), settings.processorShare, hashName(settings.failureDomain) },
           { .send = [this](RouterId router, const PeerFrame& frame) { mesh_->send(router, frame); },
               .publish = [this](const PeerFrame& frame) { sendUpdate(frame, true); },
@@ -80,13 +82,11 @@
                 routersChanged(steadyNow());
             },
     };
-    const auto self = PeerHello { settings_.listen.text(), settings_.incarnation, settings_.processorShare,
-        hashName(settings_.failureDomain) };
-    auto mesh = PeerMesh::listen(context_, settings_.listen, self, std::move(handlers));
+    auto mesh = PeerMesh::listen(context_, settings_.listen, plan_, std::move(handlers));
     if (!mesh)
         return mesh.error();
     mesh_ = std::move(mesh.value());
-    placement_ = std::make_unique<PlacementCoordinator>(mesh_->self(), settings_.placing);
+    placement_ = std::make_unique<PlacementCoordinator>(plan_.self(), settings_.placing);
     routersChanged(steadyNow());
     boost::asio::post(context_, [this] {
         addSeeds(settings_.seeds);
@@ -98,7 +98,7 @@
 auto Scheduler::addSeeds(std::span<const Endpoint> seeds) -> void
 {
     for (const auto& seed : seeds)
-        mesh_->addPeer({ seed.text() });
+        plan_.addPeer({ seed.text() });
 }
 
 auto Scheduler::startDrain() -> void
@@ -145,7 +145,7 @@
         routersChanged(now);
     }
     checkLiveness(now);
-    sync_.tick(now, { peers_.size() > 0, mesh_->hubs().isHub(mesh_->self()), fleetSize_ });
+    sync_.tick(now, { peers_.size() > 0, plan_.hubs().isHub(plan_.self()), fleetSize_ });
     placeAndSend();
     armTick();
 }
@@ -178,7 +178,7 @@
         { { "peer", hello.endpoint }, { "router", std::to_string(router.value) },
             { "run", std::to_string(hello.incarnation) }, { "peers", std::to_string(peers_.size()) } });
     auto frame = PeerFrame {};
-    frame.addresses = mesh_->candidates();
+    frame.addresses = plan_.candidates();
     const auto isOldBuild = hello.failureDomain == 0;
     for (const auto& address : frame.addresses) {
         if (isOldBuild)
@@ -210,11 +210,11 @@
     if (frame.presence)
         peers_.updatePresence(router, *frame.presence);
     for (const auto& address : frame.addresses)
-        mesh_->addPeer(address);
+        plan_.addPeer(address);
     for (const auto& member : frame.members)
-        mesh_->addPeer({ member });
+        plan_.addPeer({ member });
     if (changed) {
-        mesh_->setResponsive(router, true);
+        plan_.setResponsive(now, router, true);
         routersChanged(now);
     }
     sync_.handleFrame(now, router, frame);
@@ -257,7 +257,7 @@
     if (!joined.routers)
         return;
     for (const auto& address : joined.routers.value())
-        mesh_->addPeer(address);
+        plan_.addPeer(address);
 }
 
 auto Scheduler::fleetChanged(Time now) -> void
@@ -287,7 +287,7 @@
             { { "service", std::to_string(change.service.value) },
                 { "router", std::to_string(change.now.value) },
                 { "before", std::to_string(change.before.value) },
-                { "self", change.now == mesh_->self() ? "true" : "false" } });
+                { "self", change.now == plan_.self() ? "true" : "false" } });
     }
 }
 
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -15,6 +15,7 @@
 #include "camphorshunt/ring.h"
 
 #include "fleetsync.h"
+#include "meshplan.h"
 #include "peermesh.h"
 #include "peertable.h"
 #include "placementcoordinator.h"
@@ -85,7 +86,7 @@
     auto updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void;
     /** Routers that may hold roles for the fleet; not empty. */
     auto roleCandidates(Time now) const -> std::vector<LiveRouter>;
-    auto isReader() const -> bool { return reader_ == mesh_->self(); }
+    auto isReader() const -> bool { return reader_ == plan_.self(); }
 
     auto handle(RequestPlacement request) -> void;
     auto handle(const PeerReport& report) -> void;
@@ -107,6 +108,7 @@
     RouterMetrics& metrics_;
     SharedState& state_;
     boost::asio::steady_timer timer_;
+    MeshPlan plan_;
     FleetSync sync_;
     std::unique_ptr<PeerMesh> mesh_;
     std::unique_ptr<PlacementCoordinator> placement_;
--- a/src/camphorshuntrouter/schedulerroles.cpp
+++ b/src/camphorshuntrouter/schedulerroles.cpp
@@ -41,7 +41,7 @@
 
 auto Scheduler::sendDueHeartbeats(Time now) -> void
 {
-    for (const auto& [router, interval] : peers_.takeDueHeartbeats(now, mesh_->hubs(), mesh_->self()))
+    for (const auto& [router, interval] : peers_.takeDueHeartbeats(now, plan_.hubs(), plan_.self()))
         sendHeartbeat(router, interval);
     metrics_.setWaiting(placement_->waiting());
 }
@@ -54,7 +54,7 @@
 
 auto Scheduler::sendUpdate(const PeerFrame& frame, bool withHubs) -> void
 {
-    for (const auto router : peers_.updateTargets(mesh_->hubs(), withHubs))
+    for (const auto router : peers_.updateTargets(plan_.hubs(), withHubs))
         mesh_->send(router, frame);
 }
 
@@ -64,8 +64,8 @@
         return;
     nextAnnouncement_ = now + announcementInterval;
     auto frame = PeerFrame {};
-    frame.addresses = mesh_->takeNewCandidates();
-    if (frame.addresses.empty() || !mesh_->hubs().isHub(mesh_->self()))
+    frame.addresses = plan_.takeNewCandidates();
+    if (frame.addresses.empty() || !plan_.hubs().isHub(plan_.self()))
         return;
     for (const auto router : peers_.connectedRouters())
         mesh_->send(router, frame);
@@ -73,17 +73,17 @@
 
 auto Scheduler::roleCandidates(Time now) const -> std::vector<LiveRouter>
 {
-    auto candidates = peers_.live(mesh_->hubs());
-    const auto mayHoldRoles = !draining_ && now >= rejoinAt_ && mesh_->hubs().isHub(mesh_->self());
+    auto candidates = peers_.live(plan_.hubs());
+    const auto mayHoldRoles = !draining_ && now >= rejoinAt_ && plan_.hubs().isHub(plan_.self());
     if (mayHoldRoles || candidates.empty())
-        candidates.push_back({ mesh_->self(), settings_.processorShare, hashName(settings_.failureDomain) });
+        candidates.push_back({ plan_.self(), settings_.processorShare, hashName(settings_.failureDomain) });
     return candidates;
 }
 
 auto Scheduler::routersChanged(Time now) -> void
 {
     const auto candidates = roleCandidates(now);
-    const auto live = peers_.liveHubs(mesh_->hubs()) + (draining_ ? 0 : 1);
+    const auto live = peers_.liveHubs(plan_.hubs()) + (draining_ ? 0 : 1);
     placement_->setRouters(
         now, { candidates, std::max<std::size_t>(live, 1), live + peers_.missingHubs(now) });
     electReader(candidates);
@@ -98,10 +98,10 @@
 {
     auto readers = std::vector<LiveRouter> {};
     std::ranges::copy_if(candidates, std::back_inserter(readers), [this](const LiveRouter& candidate) {
-        return candidate.router == mesh_->self() ? sync_.isStoreReachable()
-                                                 : peers_.reachesStore(candidate.router);
+        return candidate.router == plan_.self() ? sync_.isStoreReachable()
+                                                : peers_.reachesStore(candidate.router);
     });
-    const auto reader = readers.empty() ? mesh_->self() : placerOf(readerRole, readers);
+    const auto reader = readers.empty() ? plan_.self() : placerOf(readerRole, readers);
     if (reader != reader_) {
         reader_ = reader;
         log_.write(LogLevel::Info, "store-reader",
@@ -112,7 +112,7 @@
 
 auto Scheduler::chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId
 {
-    if (mesh_->hubs().isHub(mesh_->self()) || isReader())
+    if (plan_.hubs().isHub(plan_.self()) || isReader())
         return reader_;
     auto own = std::vector<LiveRouter> {};
     std::ranges::copy_if(candidates, std::back_inserter(own), [this](const LiveRouter& candidate) {
@@ -120,7 +120,7 @@
     });
     // Spreads the routers of a failure domain over its hubs.
     return placerOf(
-        ServiceId { mesh_->self().value }, own.empty() ? candidates : std::span<const LiveRouter>(own));
+        ServiceId { plan_.self().value }, own.empty() ? candidates : std::span<const LiveRouter>(own));
 }
 
 auto Scheduler::updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void
@@ -140,7 +140,7 @@
         log_.write(LogLevel::Warning, "peer-silent",
             { { "router", std::to_string(router.value) },
                 { "ms", std::to_string(inMilliseconds(silence).count()) } });
-        mesh_->setResponsive(router, false);
+        plan_.setResponsive(now, router, false);
     }
     if (change.others || !change.silent.empty())
         routersChanged(now);
