Take the control plane of a router out of Scheduler

Heartbeats, liveness, elections, updates and placing were reachable only with an io_context, sockets and the steady clock, so that membership and duties could not be tried at hundreds of routers. FleetControl holds them and gets the time with each call; Scheduler connects it to the network, the clock and the rings, and measures its load. schedulerroles.cpp is fleetroles.cpp now.

One difference: a call uses the time of its event throughout, where the clock was read several times before. Ruled out: a clock interface inside the control code, which would have hidden which decisions depend on time.

--- /dev/null
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "camphorshunt/ids.h"
+#include "camphorshunt/time.h"
+
+#include "fleetsync.h"
+#include "meshplan.h"
+#include "peertable.h"
+#include "placementcoordinator.h"
+#include "relaymessages.h"
+#include "routerlog.h"
+#include "routermetrics.h"
+#include "sharedstate.h"
+#include "storegateway.h"
+
+namespace camphorshunt::router {
+
+/**
+ * A router's part in the fleet: heartbeats, which routers are reachable, who holds roles, the configuration
+ * and the upstream directory, and the placing of requests. Uses no sockets and no clock: `Scheduler` connects
+ * it to the network, the store and the relay.
+ */
+class FleetControl {
+public:
+    struct Settings {
+        PeerHello self;
+        Placer::Settings placing;
+    };
+    struct Handlers {
+        /** Drops the frame if the router is not connected. */
+        std::function<void(RouterId, const PeerFrame&)> send;
+        std::function<void(SchedulerToStore)> callStore;
+        std::function<void(SchedulerToRelay)> tellRelay;
+    };
+
+    FleetControl(const Settings& settings, Handlers handlers, RouterLog& log, RouterMetrics& metrics,
+        SharedState& state);
+
+    /** Call once connections can be made. */
+    auto start(Time now) -> void;
+    /** If the last tick was so long ago that the process was paused, the time since then. */
+    auto checkPause(Time now) -> std::optional<Duration>;
+    auto tick(Time now) -> void;
+    /** Time until the next tick: shorter while requests or frames wait. */
+    auto tickPeriod() const -> Duration;
+
+    auto connected(Time now, RouterId router, const PeerHello& hello) -> void;
+    auto disconnected(Time now, RouterId router, std::string_view reason) -> void;
+    /** The host of a router that was connected answers, but the process is gone. */
+    auto refused(Time now, RouterId router) -> void;
+    auto frameArrived(Time now, RouterId router, PeerFrame frame) -> void;
+    auto handleMessage(Time now, RelayToScheduler message) -> void;
+    auto handleMessage(Time now, StoreToScheduler message) -> void;
+    /** Announces that this router is leaving, so that the others assume its roles. */
+    auto startDrain(Time now) -> void;
+
+    auto placeWaiting(Time now) -> void { placement_.placeWaiting(now); }
+    /** Passes decisions to the relay, and frames to peers if one is urgent or the flush interval is over. */
+    auto sendOutputs(Time now) -> void;
+
+    auto plan() -> MeshPlan& { return plan_; }
+    auto plan() const -> const MeshPlan& { return plan_; }
+    auto placement() const -> const PlacementCoordinator& { return placement_; }
+    auto fleet() const -> const FleetState& { return sync_.fleet(); }
+    /** The router that reads the store for the fleet. */
+    auto reader() const -> RouterId { return reader_; }
+
+private:
+    auto heartbeat() const -> PeerHeartbeat;
+    auto sendHeartbeat(Time now, RouterId router, Duration interval) -> void;
+    auto sendDueHeartbeats(Time now) -> void;
+    /** Tells all peers about a change of this router at once. */
+    auto sendHeartbeats(Time now) -> void;
+    /** Sends a frame to the routers that depend on this one, and to the hubs if `withHubs`. */
+    auto sendUpdate(const PeerFrame& frame, bool withHubs) -> void;
+    auto announceCandidates(Time now) -> void;
+
+    auto checkLiveness(Time now) -> void;
+    auto routersChanged(Time now) -> void;
+    auto electReader(std::span<const LiveRouter> candidates) -> void;
+    /** The router from which this one gets updates of the configuration and the directory. */
+    auto chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId;
+    auto updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void;
+    /** Routers that may hold roles for the fleet; not empty. */
+    auto roleCandidates(Time now) const -> std::vector<LiveRouter>;
+    auto isReader() const -> bool { return reader_ == plan_.self(); }
+
+    auto handle(Time now, RequestPlacement request) -> void;
+    auto handle(Time now, const PeerReport& report) -> void;
+    auto handle(Time now, DirectoryRead read) -> void;
+    auto handle(Time now, ConfigurationRead read) -> void;
+    auto handle(Time now, const FleetJoined& joined) -> void;
+
+    auto fleetChanged(Time now) -> void;
+    auto relayChanged(Time now) -> void;
+    auto logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void;
+    auto flushFrames(Time now) -> void;
+
+    Handlers handlers_;
+    RouterLog& log_;
+    RouterMetrics& metrics_;
+    SharedState& state_;
+    MeshPlan plan_;
+    FleetSync sync_;
+    PlacementCoordinator placement_;
+    PeerTable peers_;
+    /** Non-urgent frames; sent with the next urgent one, or after the flush interval. */
+    std::map<RouterId, PeerFrame> unsent_;
+    RouterId reader_;
+    Time lastTick_ {};
+    /** This router takes no role until then, as the others took it for silent. */
+    Time rejoinAt_ {};
+    Time nextAnnouncement_ {};
+    std::size_t fleetSize_ = 1;
+    Time nextFlush_ {};
+    bool draining_ = false;
+};
+
+} // namespace camphorshunt::router
--- a/src/camphorshuntrouter/schedulerroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -1,4 +1,4 @@
-#include "scheduler.h"
+#include "fleetcontrol.h"
 
 #include <algorithm>
 #include <iterator>
@@ -6,7 +6,7 @@
 
 #include "clock.h"
 
-// The scheduler's part in the fleet: heartbeats, liveness, and who holds roles.
+// Heartbeats, liveness, and who holds roles.
 
 namespace camphorshunt::router {
 
@@ -20,45 +20,45 @@
 
 } // namespace
 
-auto Scheduler::heartbeat() const -> PeerHeartbeat
+auto FleetControl::heartbeat() const -> PeerHeartbeat
 {
     const auto& fleet = sync_.fleet();
     return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_ };
 }
 
-auto Scheduler::sendHeartbeat(RouterId router, Duration interval) -> void
+auto FleetControl::sendHeartbeat(Time now, RouterId router, Duration interval) -> void
 {
     auto frame = PeerFrame {};
     frame.heartbeat = heartbeat();
     auto presence = PeerPresence {};
     presence.routers = static_cast<std::uint32_t>(peers_.liveCount() + 1);
     presence.interval = inMilliseconds(interval);
-    presence.configurationAge = inMilliseconds(sync_.configurationAge(steadyNow()));
+    presence.configurationAge = inMilliseconds(sync_.configurationAge(now));
     presence.dependsOnReceiver = peers_.isDependency(router);
     frame.presence = presence;
-    mesh_->send(router, frame);
+    handlers_.send(router, frame);
 }
 
-auto Scheduler::sendDueHeartbeats(Time now) -> void
+auto FleetControl::sendDueHeartbeats(Time now) -> void
 {
     for (const auto& [router, interval] : peers_.takeDueHeartbeats(now, plan_.hubs(), plan_.self()))
-        sendHeartbeat(router, interval);
-    metrics_.setWaiting(placement_->waiting());
+        sendHeartbeat(now, router, interval);
+    metrics_.setWaiting(placement_.waiting());
 }
 
-auto Scheduler::sendHeartbeats() -> void
+auto FleetControl::sendHeartbeats(Time now) -> void
 {
     peers_.hastenHeartbeats();
-    sendDueHeartbeats(steadyNow());
+    sendDueHeartbeats(now);
 }
 
-auto Scheduler::sendUpdate(const PeerFrame& frame, bool withHubs) -> void
+auto FleetControl::sendUpdate(const PeerFrame& frame, bool withHubs) -> void
 {
     for (const auto router : peers_.updateTargets(plan_.hubs(), withHubs))
-        mesh_->send(router, frame);
+        handlers_.send(router, frame);
 }
 
-auto Scheduler::announceCandidates(Time now) -> void
+auto FleetControl::announceCandidates(Time now) -> void
 {
     if (now < nextAnnouncement_)
         return;
@@ -68,23 +68,23 @@
     if (frame.addresses.empty() || !plan_.hubs().isHub(plan_.self()))
         return;
     for (const auto router : peers_.connectedRouters())
-        mesh_->send(router, frame);
+        handlers_.send(router, frame);
 }
 
-auto Scheduler::roleCandidates(Time now) const -> std::vector<LiveRouter>
+auto FleetControl::roleCandidates(Time now) const -> std::vector<LiveRouter>
 {
     auto candidates = peers_.live(plan_.hubs());
     const auto mayHoldRoles = !draining_ && now >= rejoinAt_ && plan_.hubs().isHub(plan_.self());
     if (mayHoldRoles || candidates.empty())
-        candidates.push_back({ plan_.self(), settings_.processorShare, hashName(settings_.failureDomain) });
+        candidates.push_back({ plan_.self(), plan_.hello().processorShare, plan_.hello().failureDomain });
     return candidates;
 }
 
-auto Scheduler::routersChanged(Time now) -> void
+auto FleetControl::routersChanged(Time now) -> void
 {
     const auto candidates = roleCandidates(now);
     const auto live = peers_.liveHubs(plan_.hubs()) + (draining_ ? 0 : 1);
-    placement_->setRouters(
+    placement_.setRouters(
         now, { candidates, std::max<std::size_t>(live, 1), live + peers_.missingHubs(now) });
     electReader(candidates);
     updateDependencies(now, candidates);
@@ -94,7 +94,7 @@
         relayChanged(now);
 }
 
-auto Scheduler::electReader(std::span<const LiveRouter> candidates) -> void
+auto FleetControl::electReader(std::span<const LiveRouter> candidates) -> void
 {
     auto readers = std::vector<LiveRouter> {};
     std::ranges::copy_if(candidates, std::back_inserter(readers), [this](const LiveRouter& candidate) {
@@ -110,30 +110,30 @@
     }
 }
 
-auto Scheduler::chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId
+auto FleetControl::chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId
 {
     if (plan_.hubs().isHub(plan_.self()) || isReader())
         return reader_;
     auto own = std::vector<LiveRouter> {};
     std::ranges::copy_if(candidates, std::back_inserter(own), [this](const LiveRouter& candidate) {
-        return candidate.failureDomain == hashName(settings_.failureDomain);
+        return candidate.failureDomain == plan_.hello().failureDomain;
     });
     // Spreads the routers of a failure domain over its hubs.
     return placerOf(
         ServiceId { plan_.self().value }, own.empty() ? candidates : std::span<const LiveRouter>(own));
 }
 
-auto Scheduler::updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void
+auto FleetControl::updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void
 {
     const auto feed = chooseFeed(candidates);
     sync_.setFeed(feed, isReader());
-    auto needed = placement_->placers();
+    auto needed = placement_.placers();
     needed.insert(feed);
     for (const auto router : peers_.setDependencies(now, needed))
-        sendHeartbeat(router, PeerTable::rareInterval);
+        sendHeartbeat(now, router, PeerTable::rareInterval);
 }
 
-auto Scheduler::checkLiveness(Time now) -> void
+auto FleetControl::checkLiveness(Time now) -> void
 {
     const auto change = peers_.checkSilence(now);
     for (const auto& [router, silence] : change.silent) {
--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -30,7 +30,7 @@
 auto FleetSync::tick(Time now, const FleetView& view) -> void
 {
     if (fleet_.removeExpired(now))
-        handlers_.onFleetChanged();
+        handlers_.onFleetChanged(now);
     const auto state = StorePacer::RouterState { .directoryEnd = fleet_.directoryEnd(),
         .hasConfiguration = fleet_.table() != nullptr,
         .isReader = isReader_,
@@ -50,7 +50,7 @@
 auto FleetSync::handleFrame(Time now, RouterId from, PeerFrame& frame) -> void
 {
     if (frame.configuration)
-        applyConfiguration(std::move(*frame.configuration), from);
+        applyConfiguration(now, std::move(*frame.configuration), from);
     if (frame.directory)
         applyDirectoryPage(now, *frame.directory, from);
     if (frame.heartbeat)
@@ -107,7 +107,7 @@
     const auto wasReachable = pacer_.isReachable();
     pacer_.directoryRead(now, read.page);
     metrics_.storeCall(static_cast<bool>(read.page));
-    checkStoreReachability(wasReachable);
+    checkStoreReachability(now, wasReachable);
     if (!read.page)
         return;
     applyDirectoryPage(now, read.page.value(), std::nullopt);
@@ -123,9 +123,9 @@
     const auto wasReachable = pacer_.isReachable();
     pacer_.configurationRead(now, read.content);
     metrics_.storeCall(static_cast<bool>(read.content));
-    checkStoreReachability(wasReachable);
+    checkStoreReachability(now, wasReachable);
     if (read.content && read.content.value().configuration)
-        applyConfiguration(std::move(*read.content.value().configuration), std::nullopt);
+        applyConfiguration(now, std::move(*read.content.value().configuration), std::nullopt);
 }
 
 auto FleetSync::fleetJoined(Time now, bool succeeded) -> void
@@ -134,7 +134,7 @@
     metrics_.storeCall(succeeded);
 }
 
-auto FleetSync::checkStoreReachability(bool wasReachable) -> void
+auto FleetSync::checkStoreReachability(Time now, bool wasReachable) -> void
 {
     if (wasReachable == pacer_.isReachable())
         return;
@@ -142,10 +142,10 @@
         pacer_.isReachable() ? "store-regained" : "store-lost",
         { { "directory-end", std::to_string(fleet_.directoryEnd().value_or(0)) },
             { "configuration", std::to_string(fleet_.version()) } });
-    handlers_.onStoreReachabilityChanged();
+    handlers_.onStoreReachabilityChanged(now);
 }
 
-auto FleetSync::applyConfiguration(std::string json, std::optional<RouterId> from) -> void
+auto FleetSync::applyConfiguration(Time now, std::string json, std::optional<RouterId> from) -> void
 {
     if (!fleet_.applyConfiguration(std::move(json), from ? "peer" : "store"))
         return;
@@ -157,7 +157,7 @@
         handlers_.publish(frame);
     else
         handlers_.forward(frame);
-    handlers_.onFleetChanged();
+    handlers_.onFleetChanged(now);
 }
 
 auto FleetSync::applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from) -> void
@@ -177,7 +177,7 @@
     if (from == feed_)
         forwardDirectory(now, page, changed);
     if (changed)
-        handlers_.onFleetChanged();
+        handlers_.onFleetChanged(now);
 }
 
 auto FleetSync::forwardDirectory(Time now, const DirectoryPage& page, bool changed) -> void
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -32,8 +32,8 @@
         std::function<void(const PeerFrame&)> forward;
         std::function<void(SchedulerToStore)> callStore;
         /** The configuration or the directory has changed. */
-        std::function<void()> onFleetChanged;
-        std::function<void()> onStoreReachabilityChanged;
+        std::function<void(Time now)> onFleetChanged;
+        std::function<void(Time now)> onStoreReachabilityChanged;
     };
 
     FleetSync(RouterAddress self, Handlers handlers, RouterLog& log, RouterMetrics& metrics);
@@ -63,13 +63,13 @@
     auto isStoreReachable() const -> bool { return pacer_.isReachable(); }
 
 private:
-    auto applyConfiguration(std::string json, std::optional<RouterId> from) -> void;
+    auto applyConfiguration(Time now, std::string json, std::optional<RouterId> from) -> void;
     auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from) -> void;
     auto compareHeartbeat(Time now, RouterId from, const PeerFrame& frame) -> void;
     auto queryIfBehind(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void;
     auto forwardDirectory(Time now, const DirectoryPage& page, bool changed) -> void;
     auto answerPeer(RouterId router, const PeerFrame& frame) -> void;
-    auto checkStoreReachability(bool wasReachable) -> void;
+    auto checkStoreReachability(Time now, bool wasReachable) -> void;
 
     Handlers handlers_;
     RouterLog& log_;
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -1,7 +1,5 @@
 #include "scheduler.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -14,24 +12,11 @@
 
 using namespace std::chrono_literals;
 
-/** Tick period while requests or frames wait; engines make prefill progress meanwhile. */
-constexpr auto busyTick = 5ms;
-constexpr auto idleTick = 40ms;
-/** Batching period for reports that no request waits for. */
-constexpr auto flushInterval = Duration(4ms);
-/** A longer time between ticks means that this process was paused. */
-constexpr auto maxTickDelay = Duration(300ms);
-
 /** A scheduler whose ticks are delayed by less is not reported while no request waits. */
 constexpr auto reportedDelay = Duration(50ms);
 
 auto milliseconds(Duration time) -> std::string { return std::to_string(inMilliseconds(time).count()); }
 
-template <typename Item> auto append(std::vector<Item>& to, std::vector<Item>& from) -> void
-{
-    std::ranges::move(from, std::back_inserter(to));
-}
-
 } // namespace
 
 Scheduler::Scheduler(boost::asio::io_context& context, const Settings& settings, const Rings& rings,
@@ -43,20 +28,13 @@
     , metrics_(metrics)
     , state_(state)
     , timer_(context)
-    , plan_({ settings.listen.text(), settings.incarnation, settings.processorShare,
-          hashName(settings.failureDomain) })
-    , sync_({ settings.listen.text(), settings.processorShare, hashName(settings.failureDomain) },
+    , control_({ { settings.listen.text(), settings.incarnation, settings.processorShare,
+                     hashName(settings.failureDomain) },
+                   settings.placing },
           { .send = [this](RouterId router, const PeerFrame& frame) { mesh_->send(router, frame); },
-              .publish = [this](const PeerFrame& frame) { sendUpdate(frame, true); },
-              .forward = [this](const PeerFrame& frame) { sendUpdate(frame, false); },
               .callStore = [this](SchedulerToStore call) { rings_.toStore.push(std::move(call)); },
-              .onFleetChanged = [this] { fleetChanged(steadyNow()); },
-              .onStoreReachabilityChanged =
-                  [this] {
-                      sendHeartbeats();
-                      routersChanged(steadyNow());
-                  } },
-          log, metrics)
+              .tellRelay = [this](SchedulerToRelay message) { rings_.toRelay.push(std::move(message)); } },
+          log, metrics, state)
 {
 }
 
@@ -73,21 +51,29 @@
 auto Scheduler::open() -> Result<void>
 {
     auto handlers = PeerMesh::Handlers {
-        .onConnected = [this](RouterId router, const PeerHello& hello) { connected(router, hello); },
-        .onDisconnected = [this](RouterId router, std::string_view reason) { disconnected(router, reason); },
-        .onFrame = [this](RouterId router, PeerFrame frame) { frameArrived(router, std::move(frame)); },
-        .onRefused =
-            [this](RouterId router) {
-                peers_.forget(router);
-                routersChanged(steadyNow());
+        .onConnected =
+            [this](RouterId router, const PeerHello& hello) {
+                control_.connected(steadyNow(), router, hello);
+                placeAndSend();
             },
+        .onDisconnected =
+            [this](RouterId router, std::string_view reason) {
+                control_.disconnected(steadyNow(), router, reason);
+                placeAndSend();
+            },
+        .onFrame =
+            [this](RouterId router, PeerFrame frame) {
+                ++work_.frames;
+                control_.frameArrived(steadyNow(), router, std::move(frame));
+                placeAndSend();
+            },
+        .onRefused = [this](RouterId router) { control_.refused(steadyNow(), router); },
     };
-    auto mesh = PeerMesh::listen(context_, settings_.listen, plan_, std::move(handlers));
+    auto mesh = PeerMesh::listen(context_, settings_.listen, control_.plan(), std::move(handlers));
     if (!mesh)
         return mesh.error();
     mesh_ = std::move(mesh.value());
-    placement_ = std::make_unique<PlacementCoordinator>(plan_.self(), settings_.placing);
-    routersChanged(steadyNow());
+    control_.start(steadyNow());
     boost::asio::post(context_, [this] {
         addSeeds(settings_.seeds);
         tick();
@@ -98,24 +84,20 @@
 auto Scheduler::addSeeds(std::span<const Endpoint> seeds) -> void
 {
     for (const auto& seed : seeds)
-        plan_.addPeer({ seed.text() });
+        control_.plan().addPeer({ seed.text() });
 }
 
 auto Scheduler::startDrain() -> void
 {
-    draining_ = true;
-    state_.ready = false;
-    routersChanged(steadyNow());
-    sendHeartbeats();
+    control_.startDrain(steadyNow());
     placeAndSend();
 }
 
 auto Scheduler::armTick() -> void
 {
-    ticksOften_ = placement_->waiting() > 0 || !unsent_.empty();
-    const auto period = Duration(ticksOften_ ? busyTick : idleTick);
-    tickDue_ = steadyNow() + period;
-    timer_.expires_after(period);
+    tickPeriod_ = control_.tickPeriod();
+    tickDue_ = steadyNow() + tickPeriod_;
+    timer_.expires_after(tickPeriod_);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error)
             tick();
@@ -125,27 +107,13 @@
 auto Scheduler::tick() -> void
 {
     const auto now = steadyNow();
-    if (lastTick_ != Time {} && now - lastTick_ > maxTickDelay) {
+    if (const auto pause = control_.checkPause(now)) {
         log_.write(LogLevel::Warning, "stood-still",
-            { { "ms", milliseconds(now - lastTick_) },
-                { "processor-ms", milliseconds(load_.processorSinceTick()) },
-                { "waiting", std::to_string(placement_->waiting()) } });
-        peers_.resetSilence(now);
-        if (now - lastTick_ > PeerTable::silenceLimit) {
-            rejoinAt_ = now + PeerTable::rejoinTime;
-            routersChanged(now);
-        }
+            { { "ms", milliseconds(*pause) }, { "processor-ms", milliseconds(load_.processorSinceTick()) },
+                { "waiting", std::to_string(control_.placement().waiting()) } });
     }
     reportLoad(now);
-    lastTick_ = now;
-    sendDueHeartbeats(now);
-    announceCandidates(now);
-    if (rejoinAt_ != Time {} && now >= rejoinAt_) {
-        rejoinAt_ = {};
-        routersChanged(now);
-    }
-    checkLiveness(now);
-    sync_.tick(now, { peers_.size() > 0, plan_.hubs().isHub(plan_.self()), fleetSize_ });
+    control_.tick(now);
     placeAndSend();
     armTick();
 }
@@ -160,168 +128,41 @@
     const auto directoryReadAt = state_.directoryReadAt.load();
     if (directoryReadAt != Time {})
         metrics_.setDirectoryAge(now - directoryReadAt);
-    metrics_.setOwnedServices(placement_->ownedServices());
-    if (placement_->waiting() == 0 && report->late < reportedDelay)
+    metrics_.setOwnedServices(control_.placement().ownedServices());
+    if (control_.placement().waiting() == 0 && report->late < reportedDelay)
         return;
     log_.write(LogLevel::Info, "scheduler-load",
         { { "late-ms", milliseconds(report->late) }, { "processor-ms", milliseconds(report->processor) },
             { "placing-ms", milliseconds(work.placing) }, { "passes", std::to_string(work.passes) },
             { "frames", std::to_string(work.frames) },
-            { "waiting", std::to_string(placement_->waiting()) } });
-}
-
-auto Scheduler::connected(RouterId router, const PeerHello& hello) -> void
-{
-    const auto now = steadyNow();
-    peers_.connected(now, router, hello);
-    log_.write(LogLevel::Info, "peer-connected",
-        { { "peer", hello.endpoint }, { "router", std::to_string(router.value) },
-            { "run", std::to_string(hello.incarnation) }, { "peers", std::to_string(peers_.size()) } });
-    auto frame = PeerFrame {};
-    frame.addresses = plan_.candidates();
-    const auto isOldBuild = hello.failureDomain == 0;
-    for (const auto& address : frame.addresses) {
-        if (isOldBuild)
-            frame.members.push_back(address.endpoint);
-    }
-    frame.heartbeat = heartbeat();
-    mesh_->send(router, frame);
-    routersChanged(now);
-    placeAndSend();
-}
-
-auto Scheduler::disconnected(RouterId router, std::string_view reason) -> void
-{
-    const auto now = steadyNow();
-    log_.write(LogLevel::Warning, "peer-lost",
-        { { "router", std::to_string(router.value) }, { "reason", std::string(reason) } });
-    peers_.lost(router);
-    unsent_.erase(router);
-    placement_->removeRouter(now, router);
-    routersChanged(now);
-    placeAndSend();
-}
-
-auto Scheduler::frameArrived(RouterId router, PeerFrame frame) -> void
-{
-    const auto now = steadyNow();
-    ++work_.frames;
-    const auto changed = peers_.updateLastSeen(now, router, frame.heartbeat);
-    if (frame.presence)
-        peers_.updatePresence(router, *frame.presence);
-    for (const auto& address : frame.addresses)
-        plan_.addPeer(address);
-    for (const auto& member : frame.members)
-        plan_.addPeer({ member });
-    if (changed) {
-        plan_.setResponsive(now, router, true);
-        routersChanged(now);
-    }
-    sync_.handleFrame(now, router, frame);
-    state_.directoryReadAt = sync_.directoryReadAt();
-    if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty())
-        placement_->handleFrame(now, router, frame);
-    placeAndSend();
+            { "waiting", std::to_string(control_.placement().waiting()) } });
 }
 
 auto Scheduler::handleMessage(RelayToScheduler message) -> void
 {
-    std::visit([this](auto& item) { handle(std::move(item)); }, message);
+    control_.handleMessage(steadyNow(), std::move(message));
     placeAndSend();
 }
 
 auto Scheduler::handleMessage(StoreToScheduler message) -> void
 {
-    std::visit([this](auto& item) { handle(std::move(item)); }, message);
+    control_.handleMessage(steadyNow(), std::move(message));
     placeAndSend();
 }
 
-auto Scheduler::handle(RequestPlacement request) -> void
-{
-    placement_->requestPlacement(steadyNow(), std::move(request.place));
-}
-
-auto Scheduler::handle(const PeerReport& report) -> void { placement_->report(steadyNow(), report); }
-
-auto Scheduler::handle(DirectoryRead read) -> void
-{
-    sync_.handle(steadyNow(), std::move(read));
-    state_.directoryReadAt = sync_.directoryReadAt();
-}
-
-auto Scheduler::handle(ConfigurationRead read) -> void { sync_.handle(steadyNow(), std::move(read)); }
-
-auto Scheduler::handle(const FleetJoined& joined) -> void
-{
-    sync_.fleetJoined(steadyNow(), static_cast<bool>(joined.routers));
-    if (!joined.routers)
-        return;
-    for (const auto& address : joined.routers.value())
-        plan_.addPeer(address);
-}
-
-auto Scheduler::fleetChanged(Time now) -> void
-{
-    const auto& fleet = sync_.fleet();
-    if (!fleet.table())
-        return;
-    const auto upstreams = fleet.upstreams();
-    placement_->setFleet(now, *fleet.table(), *upstreams);
-    relayChanged(now);
-    updateDependencies(now, roleCandidates(now));
-    if (fleet.directoryEnd() && !draining_ && !state_.ready.exchange(true))
-        log_.write(LogLevel::Info, "ready", { { "configuration", std::to_string(fleet.version()) } });
-}
-
-auto Scheduler::relayChanged(Time now) -> void
-{
-    const auto& fleet = sync_.fleet();
-    if (fleet.table())
-        rings_.toRelay.push(FleetChanged { fleet.table(), fleet.upstreams(), fleetSize_, now });
-}
-
-auto Scheduler::logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void
-{
-    for (const auto& change : changes) {
-        log_.write(LogLevel::Info, "placer",
-            { { "service", std::to_string(change.service.value) },
-                { "router", std::to_string(change.now.value) },
-                { "before", std::to_string(change.before.value) },
-                { "self", change.now == plan_.self() ? "true" : "false" } });
-    }
-}
-
 /** Places waiting requests, and sends the decisions to the relay and to peers. */
 auto Scheduler::placeAndSend() -> void
 {
     const auto now = steadyNow();
-    placement_->placeWaiting(now);
+    control_.placeWaiting(now);
     const auto passTime = steadyNow() - now;
     ++work_.passes;
     work_.placing += passTime;
-    if (placement_->ownedServices() > 0)
+    if (control_.placement().ownedServices() > 0)
         metrics_.placingPass(passTime);
-    auto outputs = placement_->takeOutputs();
-    logPlacerChanges(outputs.placerChanges);
-    for (auto& decision : outputs.placementDecisions)
-        rings_.toRelay.push(PlacementDecided { decision });
-    for (auto& [router, frame] : outputs.frames) {
-        auto& unsent = unsent_[router];
-        append(unsent.placementRequests, frame.placementRequests);
-        append(unsent.placementDecisions, frame.placementDecisions);
-        append(unsent.reports, frame.reports);
-    }
-    if (outputs.urgent || now >= nextFlush_)
-        flushFrames();
-    if (!ticksOften_ && (placement_->waiting() > 0 || !unsent_.empty()))
+    control_.sendOutputs(now);
+    if (control_.tickPeriod() < tickPeriod_)
         armTick();
 }
 
-auto Scheduler::flushFrames() -> void
-{
-    nextFlush_ = steadyNow() + flushInterval;
-    for (const auto& [router, frame] : std::exchange(unsent_, {}))
-        mesh_->send(router, frame);
-}
-
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <memory>
-#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -14,11 +12,8 @@
 #include "camphorshunt/result.h"
 #include "camphorshunt/ring.h"
 
-#include "fleetsync.h"
-#include "meshplan.h"
+#include "fleetcontrol.h"
 #include "peermesh.h"
-#include "peertable.h"
-#include "placementcoordinator.h"
 #include "relaymessages.h"
 #include "routerlog.h"
 #include "routermetrics.h"
@@ -29,9 +24,8 @@
 namespace camphorshunt::router {
 
 /**
- * Control plane of a router, used on the scheduler thread. Maintains the configuration, the upstream
- * directory and the set of reachable routers, elects the router that reads the store, and places requests for
- * engines.
+ * Control plane of a router, used on the scheduler thread: connects `FleetControl` to the network, the clock
+ * and the other threads, and measures its work.
  */
 class Scheduler {
 public:
@@ -66,40 +60,8 @@
     auto open() -> Result<void>;
     auto tick() -> void;
     auto armTick() -> void;
-    auto heartbeat() const -> PeerHeartbeat;
-    auto sendHeartbeat(RouterId router, Duration interval) -> void;
-    auto sendDueHeartbeats(Time now) -> void;
-    /** Tells all peers about a change of this router at once. */
-    auto sendHeartbeats() -> void;
-    /** Sends a frame to the routers that depend on this one, and to the hubs if `withHubs`. */
-    auto sendUpdate(const PeerFrame& frame, bool withHubs) -> void;
-    auto announceCandidates(Time now) -> void;
-
-    auto connected(RouterId router, const PeerHello& hello) -> void;
-    auto disconnected(RouterId router, std::string_view reason) -> void;
-    auto frameArrived(RouterId router, PeerFrame frame) -> void;
-    auto checkLiveness(Time now) -> void;
-    auto routersChanged(Time now) -> void;
-    auto electReader(std::span<const LiveRouter> candidates) -> void;
-    /** The router from which this one gets updates of the configuration and the directory. */
-    auto chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId;
-    auto updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void;
-    /** Routers that may hold roles for the fleet; not empty. */
-    auto roleCandidates(Time now) const -> std::vector<LiveRouter>;
-    auto isReader() const -> bool { return reader_ == plan_.self(); }
-
-    auto handle(RequestPlacement request) -> void;
-    auto handle(const PeerReport& report) -> void;
-    auto handle(DirectoryRead read) -> void;
-    auto handle(ConfigurationRead read) -> void;
-    auto handle(const FleetJoined& joined) -> void;
-
-    auto fleetChanged(Time now) -> void;
-    auto relayChanged(Time now) -> void;
-    auto logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void;
     auto reportLoad(Time now) -> void;
     auto placeAndSend() -> void;
-    auto flushFrames() -> void;
 
     boost::asio::io_context& context_;
     Settings settings_;
@@ -108,14 +70,8 @@
     RouterMetrics& metrics_;
     SharedState& state_;
     boost::asio::steady_timer timer_;
-    MeshPlan plan_;
-    FleetSync sync_;
+    FleetControl control_;
     std::unique_ptr<PeerMesh> mesh_;
-    std::unique_ptr<PlacementCoordinator> placement_;
-    PeerTable peers_;
-    /** Non-urgent frames; sent with the next urgent one, or after the flush interval. */
-    std::map<RouterId, PeerFrame> unsent_;
-    RouterId reader_;
     ThreadLoad load_;
     /** Work since the last report of the load. */
     struct {
@@ -124,14 +80,7 @@
         std::uint64_t frames = 0;
     } work_;
     Time tickDue_ {};
-    Time lastTick_ {};
-    /** This router takes no role until then, as the others took it for silent. */
-    Time rejoinAt_ {};
-    Time nextAnnouncement_ {};
-    std::size_t fleetSize_ = 1;
-    Time nextFlush_ {};
-    bool ticksOften_ = false;
-    bool draining_ = false;
+    Duration tickPeriod_ {};
 };
 
 } // namespace camphorshunt::router
