--- a/src/camphorshuntload/main.cpp
+++ b/src/camphorshuntload/main.cpp
@@ -7,9 +7,11 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "fleetrun.h"
 #include "latencyprobe.h"
 #include "loadrun.h"
 #include "placingrun.h"
@@ -18,6 +20,7 @@
 
 ABSL_FLAG(std::string, plan, "", "load plan file, JSON with comments");
 ABSL_FLAG(std::string, placing, "", "plan file to simulate with the placement code, JSON with comments");
+ABSL_FLAG(std::string, fleet, "", "plan file to simulate with the control code, JSON with comments");
 ABSL_FLAG(std::uint64_t, seed, 0, "overrides the seed of the simulated plan; 0: the seed of the plan");
 ABSL_FLAG(std::string, name, "run", "name of the run in the table");
 ABSL_FLAG(std::string, report, "", "output file for the measurements, JSON");
@@ -87,6 +90,23 @@
     return writeReport(run.outcome().json());
 }
 
+auto runFleet() -> int
+{
+    auto plan = FleetPlan::load(absl::GetFlag(FLAGS_fleet));
+    if (!plan)
+        return fail(plan.error());
+    if (absl::GetFlag(FLAGS_seed) != 0)
+        plan.value().seed = absl::GetFlag(FLAGS_seed);
+    auto fleets = boost::json::array {};
+    for (const auto size : plan.value().sizes) {
+        auto run = FleetRun(plan.value(), size);
+        run.run();
+        std::cout << run.outcome().text() << std::endl;
+        fleets.push_back(run.outcome().json());
+    }
+    return writeReport({ { "fleets", std::move(fleets) } });
+}
+
 auto runLatency(const Plan& plan) -> int
 {
     auto probe = LatencyProbe(plan);
@@ -103,10 +123,13 @@
                                  "  camphorshuntload --plan=FILE [--name=NAME] [--report=FILE]\n"
                                  "  camphorshuntload --plan=FILE --latency=CALLS\n"
                                  "  camphorshuntload --placing=FILE [--seed=N] [--report=FILE]\n"
+                                 "  camphorshuntload --fleet=FILE [--seed=N] [--report=FILE]\n"
                                  "  camphorshuntload [--base=NAME] REPORT...");
     const auto files = absl::ParseCommandLine(argc, argv);
     if (!absl::GetFlag(FLAGS_placing).empty())
         return runPlacing();
+    if (!absl::GetFlag(FLAGS_fleet).empty())
+        return runFleet();
     if (absl::GetFlag(FLAGS_plan).empty())
         return compare(files);
     const auto plan = Plan::load(absl::GetFlag(FLAGS_plan));
--- a/src/camphorshuntload/placingplan.cpp
+++ b/src/camphorshuntload/placingplan.cpp
@@ -1,7 +1,6 @@
 #include "placingplan.h"
 
-#include <map>
-
+#include "namedvalue.h"
 #include "settingsfile.h"
 
 namespace camphorshunt::load {
@@ -23,24 +22,6 @@
     return reader.milliseconds(name, fallback, 0, maxDurationMs);
 }
 
-/** Maps an optional text field to its value; a missing field maps to the first value. */
-template <typename Value>
-auto readName(SettingsReader& reader, std::string_view name,
-    const std::vector<std::pair<std::string_view, Value>>& values) -> Value
-{
-    const auto text = reader.optionalText(name);
-    if (text.empty())
-        return values.front().second;
-    auto allowed = std::string {};
-    for (const auto& [known, value] : values) {
-        if (known == text)
-            return value;
-        allowed += (allowed.empty() ? "" : ", ") + std::string(known);
-    }
-    reader.refuse(name, "must be one of " + allowed);
-    return values.front().second;
-}
-
 auto readEngine(SettingsReader reader, PlacingPlan& plan) -> void
 {
     auto& times = plan.times;
--- a/tests/unit/schedulerfloodtest.cpp
+++ b/tests/unit/schedulerfloodtest.cpp
@@ -6,14 +6,12 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/json/array.hpp>
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 #include <prometheus/registry.h>
 
 #include "clock.h"
 #include "framereader.h"
+#include "simulatedstore.h"
 #include "worker.h"
 
 using namespace camphorshunt;
@@ -22,8 +20,6 @@
 
 namespace {
 
-namespace json = boost::json;
-
 using Tcp = boost::asio::ip::tcp;
 
 constexpr auto engineCount = std::size_t { 140 };
@@ -38,31 +34,6 @@
     return Tcp::acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 }).local_endpoint().port();
 }
 
-auto configuration(std::uint64_t version) -> std::string
-{
-    const auto engine = json::object { { "slots", 12 }, { "kv_capacity", 337851 },
-        { "kv_token_bytes", 163840 }, { "link_mbps", 740000.0 } };
-    const auto route
-        = json::object { { "name", "chat" }, { "host", "fleet.example" }, { "path_prefix", "/chat/" },
-              { "kind", "stream" }, { "timeout_ms", 12000 }, { "latency_goal_ms", 800 }, { "priority", 1 },
-              { "service", "model" }, { "attempts", 1 }, { "public", true } };
-    const auto service = json::object { { "name", "model" }, { "health_path", "/health" },
-        { "max_connections", 600 }, { "engine", engine } };
-    const auto limits = json::object { { "max_header_bytes", 8192 }, { "max_body_bytes", 100000 },
-        { "header_timeout_ms", 1000 }, { "idle_timeout_ms", 4000 }, { "tokens_per_s", 2800000 } };
-    return json::serialize(json::object { { "version", version }, { "routes", json::array { route } },
-        { "services", json::array { service } }, { "limits", limits } });
-}
-
-auto directoryEntry(std::size_t index, std::string_view state) -> DirectoryRecord
-{
-    const auto entry
-        = json::object { { "service", "model" }, { "address", "10.0.0.1:" + std::to_string(8000 + index) },
-              { "zone", "zone-a" }, { "version", "v1" }, { "slots", 12 }, { "state", std::string(state) },
-              { "cold_remaining_ms", 0 }, { "sequence", 1 }, { "born", 1 } };
-    return { "engine-" + std::to_string(index), json::serialize(entry), 0 };
-}
-
 /** A router at the other end of a connection to the scheduler; the test writes its frames. */
 class FakePeer {
 public:
@@ -127,10 +98,10 @@
         for (auto index = std::size_t { 0 }; index < peerCount; ++index)
             peers.push_back(std::make_unique<FakePeer>(peerContext, settings.listen, index));
         auto frame = PeerFrame {};
-        frame.configuration = configuration(1);
+        frame.configuration = load::SimulatedStore::configuration(1);
         frame.directory = DirectoryPage { true, 0, engineCount, {} };
         for (auto index = std::size_t { 0 }; index < engineCount; ++index)
-            frame.directory->records.push_back(directoryEntry(index, "ready"));
+            frame.directory->records.push_back(load::SimulatedStore::directoryRecord(index, "ready"));
         peers.front()->send(frame);
         REQUIRE(waitFor([this] { return fleet.upstreams && fleet.upstreams->size() == engineCount; }));
     }
@@ -196,8 +167,8 @@
     flooded.sendRequests();
     const auto before = flooded.processorTime();
     auto frame = PeerFrame {};
-    frame.directory
-        = DirectoryPage { false, engineCount, engineCount + 1, { directoryEntry(7, "draining") } };
+    frame.directory = DirectoryPage { false, engineCount, engineCount + 1,
+        { load::SimulatedStore::directoryRecord(7, "draining") } };
     frame.directory->records.front().offset = engineCount;
     flooded.peers.front()->send(frame);
     REQUIRE(flooded.waitFor(
@@ -211,7 +182,7 @@
     flooded.sendRequests();
     const auto before = flooded.processorTime();
     auto frame = PeerFrame {};
-    frame.configuration = configuration(2);
+    frame.configuration = load::SimulatedStore::configuration(2);
     flooded.peers.front()->send(frame);
     REQUIRE(flooded.waitFor([&flooded] { return flooded.fleet.table->version() == 2; }));
     CHECK((flooded.processorTime() - before).count() < processorBound.count());
