Keep a connected router as a hub when this router's own dial to it fails

Found while the plan of connections was split off: two routers that start together dial each other. If the other's connection arrived first, the end of the second dial marked the connected router as unreachable, so that it was no hub for this one, and could hold no role, until the connection was made anew or its state changed.

--- a/src/camphorshuntrouter/meshplan.cpp
+++ b/src/camphorshuntrouter/meshplan.cpp
@@ -113,7 +113,9 @@
     auto& peer = peers_[router];
     peer.isDialling = false;
     redialAfter(now, peer);
-    hubs_.setReachable(now, router, false);
+    // The other router may have dialled, too, and this dial be the one that is not needed.
+    if (!peer.isConnected)
+        hubs_.setReachable(now, router, false);
 }
 
 auto MeshPlan::disconnected(Time now, RouterId router) -> void
