Ask hubs and standby routers for a sign of life when a dependency falls silent

What callers would see: when the placer and its successors lose power together, requests wait for seconds.

Cause: heartbeats of hubs that a router does not depend on come once a second, and their silence counts after 3 s. So each dead successor was taken in turn, and found silent 420 ms after the one before it.

Evidence: fleetruntest; the cases for all hubs, all larger routers, halves and routers that are not heard failed before and pass.

--- a/src/camphorshuntrouter/fleetroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -34,7 +34,7 @@
     presence.routers = static_cast<std::uint32_t>(peers_.liveCount() + 1);
     presence.interval = inMilliseconds(interval);
     presence.configurationAge = inMilliseconds(sync_.configurationAge(now));
-    presence.dependsOnReceiver = peers_.isDependency(router);
+    presence.dependsOnReceiver = peers_.needsHeartbeats(router);
     frame.presence = presence;
     handlers_.send(router, frame);
 }
@@ -142,6 +142,10 @@
                 { "ms", std::to_string(inMilliseconds(silence).count()) } });
         plan_.setResponsive(now, router, false);
     }
+    if (change.dependencyLost) {
+        for (const auto router : peers_.probeCandidates(now, plan_.hubs()))
+            sendHeartbeat(now, router, PeerTable::rareInterval);
+    }
     if (change.others || !change.silent.empty())
         routersChanged(now);
 }
--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -25,6 +25,7 @@
     peer.fleetSize = 0;
     peer.dependsOnThis = false;
     peer.isDependency = false;
+    peer.isProbed = false;
     peer.nextHeartbeat = now;
     peer.lastSeenAt = now;
     peer.liveSince = now;
@@ -46,6 +47,7 @@
 {
     auto& peer = peers_[router];
     peer.lastSeenAt = now;
+    peer.isProbed = false;
     const auto returned = !std::exchange(peer.isLive, true);
     if (returned)
         peer.liveSince = now;
@@ -78,17 +80,35 @@
         if (std::exchange(peer.isDependency, isNeeded) == isNeeded)
             continue;
         // Its frequent heartbeats begin once it has been told.
-        if (isNeeded && peer.interval > frequentInterval)
+        if (isNeeded && peer.interval > frequentInterval && !peer.isProbed)
             peer.lastSeenAt = now;
         changed.push_back(router);
     }
     return changed;
 }
 
-auto PeerTable::isDependency(RouterId router) const -> bool
+auto PeerTable::needsHeartbeats(RouterId router) const -> bool
 {
     const auto peer = peers_.find(router);
-    return peer != peers_.end() && peer->second.isDependency;
+    return peer != peers_.end() && (peer->second.isDependency || peer->second.isProbed);
+}
+
+auto PeerTable::probeCandidates(Time now, const HubRegistry& hubs) -> std::vector<RouterId>
+{
+    auto probed = std::vector<RouterId> {};
+    for (const auto router : hubs.candidates()) {
+        const auto found = peers_.find(router);
+        if (found == peers_.end())
+            continue;
+        auto& peer = found->second;
+        const auto isFrequent = peer.isDependency || peer.isProbed || peer.interval <= frequentInterval;
+        if (!peer.isLive || isFrequent || now - peer.lastSeenAt < frequentInterval)
+            continue;
+        peer.isProbed = true;
+        peer.lastSeenAt = now;
+        probed.push_back(router);
+    }
+    return probed;
 }
 
 auto PeerTable::takeDueHeartbeats(Time now, const HubRegistry& hubs, RouterId self)
@@ -143,6 +163,8 @@
 
 auto PeerTable::silenceLimitOfPeer(const Peer& peer) -> Duration
 {
+    if (peer.isProbed)
+        return probeLimit;
     return 3 * (peer.isDependency ? frequentInterval : peer.interval) + silenceAllowance;
 }
 
@@ -161,6 +183,8 @@
         if (now - peer.lastSeenAt >= silenceLimitOfPeer(peer)) {
             peer.isLive = false;
             peer.isSteady = false;
+            peer.isProbed = false;
+            change.dependencyLost = change.dependencyLost || peer.isDependency;
             change.silent.emplace_back(router, now - peer.lastSeenAt);
         } else if (!peer.isSteady && now - peer.liveSince >= rejoinTime) {
             peer.isSteady = true;
--- a/src/camphorshuntrouter/peertable.h
+++ b/src/camphorshuntrouter/peertable.h
@@ -31,6 +31,8 @@
      * allowance for the network.
      */
     static constexpr auto silenceLimit = 3 * frequentInterval + silenceAllowance;
+    /** Time for a probed router to answer, with its first frequent heartbeat or any other frame. */
+    static constexpr auto probeLimit = 2 * frequentInterval + silenceAllowance;
 
     struct Peer {
         double processorShare = 1;
@@ -52,6 +54,8 @@
         bool dependsOnThis = false;
         /** This router needs its frequent heartbeats. */
         bool isDependency = false;
+        /** It has been asked for a heartbeat at once, and has not been heard since. */
+        bool isProbed = false;
         Time nextHeartbeat {};
     };
 
@@ -66,7 +70,13 @@
      * they are to be told.
      */
     auto setDependencies(Time now, const std::set<RouterId>& routers) -> std::vector<RouterId>;
-    auto isDependency(RouterId router) const -> bool;
+    /** Whether frequent heartbeats are asked of the router. */
+    auto needsHeartbeats(RouterId router) const -> bool;
+    /**
+     * Asks connected hubs and standby routers with rare heartbeats for one at once, as they may have been
+     * lost together with a dependency. Returns those that are to be told.
+     */
+    auto probeCandidates(Time now, const HubRegistry& hubs) -> std::vector<RouterId>;
     /** Routers to which a heartbeat is due, with the time until the next one to them. */
     auto takeDueHeartbeats(Time now, const HubRegistry& hubs, RouterId self)
         -> std::vector<std::pair<RouterId, Duration>>;
@@ -86,6 +96,8 @@
     struct Change {
         /** Routers that exceeded the silence limit since the last check, and the length of their silence. */
         std::vector<std::pair<RouterId, Duration>> silent;
+        /** One of them was a dependency. */
+        bool dependencyLost = false;
         /** Other peers take roles or count again, or no longer. */
         bool others = false;
     };
