--- a/src/camphorshuntrouter/schedulerroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -1,4 +1,4 @@
-#include "scheduler.h"
+#include "fleetcontrol.h"
 
 #include <algorithm>
 #include <iterator>
@@ -6,7 +6,7 @@
 
 #include "clock.h"
 
-// The scheduler's part in the fleet: heartbeats, liveness, and who holds roles.
+// Heartbeats, liveness, and who holds roles.
 
 namespace camphorshunt::router {
 
@@ -20,71 +20,71 @@
 
 } // namespace
 
-auto Scheduler::heartbeat() const -> PeerHeartbeat
+auto FleetControl::heartbeat() const -> PeerHeartbeat
 {
     const auto& fleet = sync_.fleet();
     return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_ };
 }
 
-auto Scheduler::sendHeartbeat(RouterId router, Duration interval) -> void
+auto FleetControl::sendHeartbeat(Time now, RouterId router, Duration interval) -> void
 {
     auto frame = PeerFrame {};
     frame.heartbeat = heartbeat();
     auto presence = PeerPresence {};
     presence.routers = static_cast<std::uint32_t>(peers_.liveCount() + 1);
     presence.interval = inMilliseconds(interval);
-    presence.configurationAge = inMilliseconds(sync_.configurationAge(steadyNow()));
-    presence.dependsOnReceiver = peers_.isDependency(router);
+    presence.configurationAge = inMilliseconds(sync_.configurationAge(now));
+    presence.dependsOnReceiver = peers_.needsHeartbeats(router);
     frame.presence = presence;
-    mesh_->send(router, frame);
+    handlers_.send(router, frame);
 }
 
-auto Scheduler::sendDueHeartbeats(Time now) -> void
+auto FleetControl::sendDueHeartbeats(Time now) -> void
 {
-    for (const auto& [router, interval] : peers_.takeDueHeartbeats(now, mesh_->hubs(), mesh_->self()))
-        sendHeartbeat(router, interval);
-    metrics_.setWaiting(placement_->waiting());
+    for (const auto& [router, interval] : peers_.takeDueHeartbeats(now, plan_.hubs(), plan_.self()))
+        sendHeartbeat(now, router, interval);
+    metrics_.setWaiting(placement_.waiting());
 }
 
-auto Scheduler::sendHeartbeats() -> void
+auto FleetControl::sendHeartbeats(Time now) -> void
 {
     peers_.hastenHeartbeats();
-    sendDueHeartbeats(steadyNow());
+    sendDueHeartbeats(now);
 }
 
-auto Scheduler::sendUpdate(const PeerFrame& frame, bool withHubs) -> void
+auto FleetControl::sendUpdate(const PeerFrame& frame, bool withHubs) -> void
 {
-    for (const auto router : peers_.updateTargets(mesh_->hubs(), withHubs))
-        mesh_->send(router, frame);
+    for (const auto router : peers_.updateTargets(plan_.hubs(), withHubs))
+        handlers_.send(router, frame);
 }
 
-auto Scheduler::announceCandidates(Time now) -> void
+auto FleetControl::announceCandidates(Time now) -> void
 {
     if (now < nextAnnouncement_)
         return;
     nextAnnouncement_ = now + announcementInterval;
     auto frame = PeerFrame {};
-    frame.addresses = mesh_->takeNewCandidates();
-    if (frame.addresses.empty() || !mesh_->hubs().isHub(mesh_->self()))
+    frame.addresses = plan_.takeNewCandidates();
+    if (frame.addresses.empty() || !plan_.hubs().isHub(plan_.self()))
         return;
     for (const auto router : peers_.connectedRouters())
-        mesh_->send(router, frame);
+        handlers_.send(router, frame);
 }
 
-auto Scheduler::roleCandidates(Time now) const -> std::vector<LiveRouter>
+auto FleetControl::roleCandidates(Time now) const -> std::vector<LiveRouter>
 {
-    auto candidates = peers_.live(mesh_->hubs());
-    const auto mayHoldRoles = !draining_ && now >= rejoinAt_ && mesh_->hubs().isHub(mesh_->self());
+    auto candidates = peers_.live(plan_.hubs());
+    const auto mayHoldRoles = !draining_ && now >= rejoinAt_ && plan_.hubs().isHub(plan_.self());
     if (mayHoldRoles || candidates.empty())
-        candidates.push_back({ mesh_->self(), settings_.processorShare, hashName(settings_.failureDomain) });
+        candidates.push_back({ plan_.self(), plan_.hello().processorShare, plan_.hello().failureDomain });
     return candidates;
 }
 
-auto Scheduler::routersChanged(Time now) -> void
+auto FleetControl::routersChanged(Time now) -> void
 {
     const auto candidates = roleCandidates(now);
-    const auto live = peers_.liveHubs(mesh_->hubs()) + (draining_ ? 0 : 1);
-    placement_->setRouters(
+    const auto live = peers_.liveHubs(plan_.hubs()) + (draining_ ? 0 : 1);
+    placement_.setRouters(
         now, { candidates, std::max<std::size_t>(live, 1), live + peers_.missingHubs(now) });
     electReader(candidates);
     updateDependencies(now, candidates);
@@ -94,14 +94,14 @@
         relayChanged(now);
 }
 
-auto Scheduler::electReader(std::span<const LiveRouter> candidates) -> void
+auto FleetControl::electReader(std::span<const LiveRouter> candidates) -> void
 {
     auto readers = std::vector<LiveRouter> {};
     std::ranges::copy_if(candidates, std::back_inserter(readers), [this](const LiveRouter& candidate) {
-        return candidate.router == mesh_->self() ? sync_.isStoreReachable()
-                                                 : peers_.reachesStore(candidate.router);
+        return candidate.router == plan_.self() ? sync_.isStoreReachable()
+                                                : peers_.reachesStore(candidate.router);
     });
-    const auto reader = readers.empty() ? mesh_->self() : placerOf(readerRole, readers);
+    const auto reader = readers.empty() ? plan_.self() : placerOf(readerRole, readers);
     if (reader != reader_) {
         reader_ = reader;
         log_.write(LogLevel::Info, "store-reader",
@@ -110,37 +110,41 @@
     }
 }
 
-auto Scheduler::chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId
+auto FleetControl::chooseFeed(std::span<const LiveRouter> candidates) const -> RouterId
 {
-    if (mesh_->hubs().isHub(mesh_->self()) || isReader())
+    if (plan_.hubs().isHub(plan_.self()) || isReader())
         return reader_;
     auto own = std::vector<LiveRouter> {};
     std::ranges::copy_if(candidates, std::back_inserter(own), [this](const LiveRouter& candidate) {
-        return candidate.failureDomain == hashName(settings_.failureDomain);
+        return candidate.failureDomain == plan_.hello().failureDomain;
     });
     // Spreads the routers of a failure domain over its hubs.
     return placerOf(
-        ServiceId { mesh_->self().value }, own.empty() ? candidates : std::span<const LiveRouter>(own));
+        ServiceId { plan_.self().value }, own.empty() ? candidates : std::span<const LiveRouter>(own));
 }
 
-auto Scheduler::updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void
+auto FleetControl::updateDependencies(Time now, std::span<const LiveRouter> candidates) -> void
 {
     const auto feed = chooseFeed(candidates);
     sync_.setFeed(feed, isReader());
-    auto needed = placement_->placers();
+    auto needed = placement_.placers();
     needed.insert(feed);
     for (const auto router : peers_.setDependencies(now, needed))
-        sendHeartbeat(router, PeerTable::rareInterval);
+        sendHeartbeat(now, router, PeerTable::rareInterval);
 }
 
-auto Scheduler::checkLiveness(Time now) -> void
+auto FleetControl::checkLiveness(Time now) -> void
 {
     const auto change = peers_.checkSilence(now);
     for (const auto& [router, silence] : change.silent) {
         log_.write(LogLevel::Warning, "peer-silent",
             { { "router", std::to_string(router.value) },
                 { "ms", std::to_string(inMilliseconds(silence).count()) } });
-        mesh_->setResponsive(router, false);
+        plan_.setResponsive(now, router, false);
+    }
+    if (change.dependencyLost) {
+        for (const auto router : peers_.probeCandidates(now, plan_.hubs()))
+            sendHeartbeat(now, router, PeerTable::rareInterval);
     }
     if (change.others || !change.silent.empty())
         routersChanged(now);
