Answer GET /fleet with the fleet as the router sees it

Change: FleetReport (libcamphorshunt) holds the view and writes and reads its JSON. describeFleet makes it from the hub registry, the peer table, the configuration and the placement, without sockets or clock. The scheduler makes one a second and posts it to the telemetry thread, which adds its age and serves it on the metrics address. New metrics: router_hub, router_links, router_links_silent, router_roles, router_configuration_age_seconds.

--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -60,6 +60,9 @@
     auto fleet() const -> const FleetState& { return fleet_; }
     /** Time since this router's configuration was last confirmed to be the newest. */
     auto configurationAge(Time now) const -> Duration { return now - pacer_.lastConfigurationUpdate(); }
+    /** Zero before the first confirmation. */
+    auto configurationConfirmedAt() const -> Time { return pacer_.lastConfigurationUpdate(); }
+    auto feed() const -> RouterId { return feed_; }
     auto isStoreReachable() const -> bool { return pacer_.isReachable(); }
 
 private:
--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -143,7 +143,7 @@
 
 auto PeerTable::silenceLimitOfPeer(const Peer& peer) -> Duration
 {
-    return 3 * (peer.isDependency ? frequentInterval : peer.interval) + silenceAllowance;
+    return 3 * peer.expectedInterval() + silenceAllowance;
 }
 
 auto PeerTable::resetSilence(Time now) -> void
--- a/src/camphorshuntrouter/peertable.h
+++ b/src/camphorshuntrouter/peertable.h
@@ -53,6 +53,9 @@
         /** This router needs its frequent heartbeats. */
         bool isDependency = false;
         Time nextHeartbeat {};
+
+        /** Interval of the heartbeats that this router expects of it. */
+        auto expectedInterval() const -> Duration { return isDependency ? frequentInterval : interval; }
     };
 
     auto connected(Time now, RouterId router, const PeerHello& hello) -> void;
@@ -108,6 +111,7 @@
      */
     auto missingHubs(Time now) const -> std::size_t;
     auto size() const -> std::size_t { return peers_.size(); }
+    auto peers() const -> const std::map<RouterId, Peer>& { return peers_; }
 
 private:
     static auto takesPart(const Peer& peer) -> bool { return peer.isLive && !peer.heartbeat.leaving; }
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -283,6 +283,12 @@
     return static_cast<std::size_t>(owned);
 }
 
+auto PlacementCoordinator::placerOfService(ServiceId service) const -> std::optional<RouterId>
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? std::nullopt : std::optional(found->second.owner);
+}
+
 auto PlacementCoordinator::placers() const -> std::set<RouterId>
 {
     auto owners = std::set<RouterId> {};
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -83,6 +83,8 @@
     auto waiting() const -> std::size_t;
     /** Number of services whose requests this router places. */
     auto ownedServices() const -> std::size_t;
+    /** The router that places the requests of the service; empty if none have been placed yet. */
+    auto placerOfService(ServiceId service) const -> std::optional<RouterId>;
     /** The routers that place the requests of this one; may include this router. */
     auto placers() const -> std::set<RouterId>;
 
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -106,6 +106,11 @@
         return telemetry.error();
     telemetry_ = std::move(telemetry.value());
 
+    scheduler_->onFleetReport([this](FleetReport report) {
+        boost::asio::post(telemetryThread_.context(),
+            [this, report = std::move(report)]() mutable { telemetry_->setFleetReport(std::move(report)); });
+    });
+
     relayToScheduler_.onItem([this](RelayToScheduler item) { scheduler_->handleMessage(std::move(item)); });
     schedulerToRelay_.onItem([this](SchedulerToRelay item) { relay_->handleMessage(std::move(item)); });
     schedulerToStore_.onItem([this](const SchedulerToStore& item) { store_->handleMessage(item); });
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -60,6 +60,12 @@
     , ownedServices_(gauge(registry, "router_services_placed", "Services whose requests this router places"))
     , directoryAge_(gauge(registry, "router_directory_age_seconds",
           "Time since a read of the upstream directory was applied"))
+    , configurationAge_(gauge(registry, "router_configuration_age_seconds",
+          "Time since the configuration was confirmed to be the newest"))
+    , hub_(gauge(registry, "router_hub", "1 if this router is a hub, otherwise 0"))
+    , links_(gauge(registry, "router_links", "Routers that this one is connected to or tries to reach"))
+    , silentLinks_(gauge(registry, "router_links_silent", "Of these, routers that are not heard"))
+    , roles_(gauge(registry, "router_roles", "Roles that this router holds for the fleet"))
     , schedulerLateTime_(histogram(
           registry, "router_scheduler_late_seconds", "Delay of the scheduler's ticks", stepBuckets()))
     , placingPassTime_(histogram(
@@ -95,6 +101,16 @@
 
 auto RouterMetrics::setDirectoryAge(Duration age) -> void { directoryAge_->Set(seconds(age)); }
 
+auto RouterMetrics::setFleet(const FleetReport& report) -> void
+{
+    if (report.configurationAge)
+        configurationAge_->Set(seconds(*report.configurationAge));
+    hub_->Set(report.isHub ? 1 : 0);
+    links_->Set(double(report.links.size() + report.linksLeftOut));
+    silentLinks_->Set(double(report.silentLinks));
+    roles_->Set(double(report.rolesHeld().size()));
+}
+
 auto RouterMetrics::schedulerTick(Duration late) -> void { schedulerLateTime_->Observe(seconds(late)); }
 
 auto RouterMetrics::relayTick(Duration late) -> void { relayLateTime_->Observe(seconds(late)); }
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "camphorshunt/fleetreport.h"
 #include "camphorshunt/placement.h"
 #include "camphorshunt/time.h"
 
@@ -30,6 +31,7 @@
     auto setWaiting(std::size_t count) -> void { waiting_->Set(double(count)); }
     auto setOwnedServices(std::size_t count) -> void { ownedServices_->Set(double(count)); }
     auto setDirectoryAge(Duration age) -> void;
+    auto setFleet(const FleetReport& report) -> void;
     /** `late`: time from when a tick of the scheduler was due. */
     auto schedulerTick(Duration late) -> void;
     auto placingPass(Duration time) -> void;
@@ -50,6 +52,11 @@
     prometheus::Gauge* waiting_;
     prometheus::Gauge* ownedServices_;
     prometheus::Gauge* directoryAge_;
+    prometheus::Gauge* configurationAge_;
+    prometheus::Gauge* hub_;
+    prometheus::Gauge* links_;
+    prometheus::Gauge* silentLinks_;
+    prometheus::Gauge* roles_;
     prometheus::Histogram* schedulerLateTime_;
     prometheus::Histogram* placingPassTime_;
     prometheus::Histogram* relayLateTime_;
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -147,6 +147,7 @@
     checkLiveness(now);
     sync_.tick(now, { peers_.size() > 0, mesh_->hubs().isHub(mesh_->self()), fleetSize_ });
     placeAndSend();
+    reportFleet(now);
     armTick();
 }
 
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "camphorshunt/fleetreport.h"
 #include "camphorshunt/result.h"
 #include "camphorshunt/ring.h"
 
@@ -57,6 +59,11 @@
     /** Announces that this router is leaving, so that the others assume its roles. */
     auto startDrain() -> void;
     auto addSeeds(std::span<const Endpoint> seeds) -> void;
+    /** Sets a handler that is called on this thread, once a second, with the fleet as this router sees it. */
+    auto onFleetReport(std::function<void(FleetReport)> handler) -> void
+    {
+        onFleetReport_ = std::move(handler);
+    }
 
 private:
     Scheduler(boost::asio::io_context& context, const Settings& settings, const Rings& rings, RouterLog& log,
@@ -97,6 +104,7 @@
     auto relayChanged(Time now) -> void;
     auto logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void;
     auto reportLoad(Time now) -> void;
+    auto reportFleet(Time now) -> void;
     auto placeAndSend() -> void;
     auto flushFrames() -> void;
 
@@ -128,6 +136,8 @@
     Time nextAnnouncement_ {};
     std::size_t fleetSize_ = 1;
     Time nextFlush_ {};
+    std::function<void(FleetReport)> onFleetReport_;
+    Time nextFleetReport_ {};
     bool ticksOften_ = false;
     bool draining_ = false;
 };
--- a/src/camphorshuntrouter/schedulerroles.cpp
+++ b/src/camphorshuntrouter/schedulerroles.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "clock.h"
+#include "fleetdescription.h"
 
 // The scheduler's part in the fleet: heartbeats, liveness, and who holds roles.
 
@@ -16,6 +17,7 @@
 
 /** Batching period for changes of the hubs and standby routers, which are frequent while a fleet starts. */
 constexpr auto announcementInterval = Duration(250ms);
+constexpr auto fleetReportInterval = Duration(1s);
 const auto readerRole = idOf<ServiceId>("store reader");
 
 } // namespace
@@ -133,6 +135,22 @@
         sendHeartbeat(router, PeerTable::rareInterval);
 }
 
+auto Scheduler::reportFleet(Time now) -> void
+{
+    if (now < nextFleetReport_)
+        return;
+    nextFleetReport_ = now + fleetReportInterval;
+    auto report = FleetReport {};
+    report.address = settings_.listen.text();
+    report.failureDomain = settings_.failureDomain;
+    report.isDraining = draining_;
+    report.storeReader = reader_;
+    describeFleet(now, { mesh_->hubs(), peers_, sync_, *placement_ }, report);
+    metrics_.setFleet(report);
+    if (onFleetReport_)
+        onFleetReport_(std::move(report));
+}
+
 auto Scheduler::checkLiveness(Time now) -> void
 {
     const auto change = peers_.checkSilence(now);
--- a/src/camphorshuntrouter/telemetryserver.cpp
+++ b/src/camphorshuntrouter/telemetryserver.cpp
@@ -1,7 +1,11 @@
 #include "telemetryserver.h"
 
+#include <utility>
+
 #include <prometheus/text_serializer.h>
 
+#include "clock.h"
+
 namespace camphorshunt::router {
 
 namespace {
@@ -13,8 +17,10 @@
 
 } // namespace
 
-TelemetryServer::TelemetryServer(boost::asio::io_context& context, RouterLog& log)
+TelemetryServer::TelemetryServer(
+    boost::asio::io_context& context, prometheus::Registry& registry, RouterLog& log)
     : timer_(context)
+    , registry_(registry)
     , log_(log)
 {
 }
@@ -23,7 +29,7 @@
     const SharedState& state, prometheus::Registry& registry, RouterLog& log)
     -> Result<std::unique_ptr<TelemetryServer>>
 {
-    auto server = std::unique_ptr<TelemetryServer>(new TelemetryServer(context, log));
+    auto server = std::unique_ptr<TelemetryServer>(new TelemetryServer(context, registry, log));
     auto limits = net::HttpServerLimits {};
     limits.connections = connectionLimit;
     auto readiness = net::HttpServer::listen(context, endpoints.readiness, limits,
@@ -35,9 +41,9 @@
         return readiness.error();
     server->readiness_ = std::move(readiness.value());
     auto metrics = net::HttpServer::listen(context, endpoints.metrics, limits,
-        [&registry](const net::HttpRequest&, const std::shared_ptr<net::HttpExchange>& exchange) {
-            exchange->respond(ok, { { "Content-Type", "text/plain; version=0.0.4" } },
-                prometheus::TextSerializer().Serialize(registry.Collect()));
+        [telemetry = server.get()](
+            const net::HttpRequest& request, const std::shared_ptr<net::HttpExchange>& exchange) {
+            telemetry->answerMetrics(request, *exchange);
         });
     if (!metrics)
         return metrics.error();
@@ -46,6 +52,32 @@
     return Result<std::unique_ptr<TelemetryServer>>(std::move(server));
 }
 
+auto TelemetryServer::setFleetReport(FleetReport report) -> void
+{
+    fleetReport_ = std::move(report);
+    fleetReportedAt_ = steadyNow();
+}
+
+auto TelemetryServer::answerMetrics(const net::HttpRequest& request, net::HttpExchange& exchange) -> void
+{
+    if (request.target == "/fleet") {
+        answerFleet(exchange);
+        return;
+    }
+    exchange.respond(ok, { { "Content-Type", "text/plain; version=0.0.4" } },
+        prometheus::TextSerializer().Serialize(registry_.Collect()));
+}
+
+auto TelemetryServer::answerFleet(net::HttpExchange& exchange) -> void
+{
+    if (!fleetReport_) {
+        exchange.respond(unavailable, {}, "the router has just started\n");
+        return;
+    }
+    fleetReport_->age = inMilliseconds(steadyNow() - fleetReportedAt_);
+    exchange.respond(ok, { { "Content-Type", "application/json" } }, fleetReport_->json() + "\n");
+}
+
 auto TelemetryServer::writeLog() -> void
 {
     log_.drain();
--- a/src/libcamphorshunt/settingsreader.cpp
+++ b/src/libcamphorshunt/settingsreader.cpp
@@ -136,6 +136,15 @@
         number(name, static_cast<std::uint64_t>(fallback.count()), minimum, maximum));
 }
 
+auto SettingsReader::flag(std::string_view name) -> bool
+{
+    const auto* const found = value(name);
+    if (found != nullptr && found->is_bool())
+        return found->get_bool();
+    refuse(name, found == nullptr ? "is missing; allowed are true and false" : "must be true or false");
+    return false;
+}
+
 auto SettingsReader::real(std::string_view name, double fallback, double minimum, double maximum) -> double
 {
     const auto* const found = value(name);
--- a/src/libcamphorshunt/settingsreader.h
+++ b/src/libcamphorshunt/settingsreader.h
@@ -44,6 +44,8 @@
         -> std::uint64_t;
     auto milliseconds(std::string_view name, std::chrono::milliseconds fallback, std::uint64_t minimum,
         std::uint64_t maximum) -> std::chrono::milliseconds;
+    /** A required true or false. */
+    auto flag(std::string_view name) -> bool;
     auto real(std::string_view name, double fallback, double minimum, double maximum) -> double;
     /** Records a fault of the field unless one is recorded already. */
     auto refuse(std::string_view name, std::string message) -> void;
