Add camphorshuntctl fleet: the routers' views side by side

What operators saw: to find a router that names another placer or that has an older configuration, they had to compare the log lines of all routers.

Change: `camphorshuntctl fleet IP:PORT... [--json]` reads GET /fleet from each router and prints routers, holders of roles, the links of a single router, and what needs attention: routers without an answer, roles on which views differ, older configurations, links that are silent, lost or were never made, no store, a scheduler that does not run.

--- a/src/camphorshuntctl/command.cpp
+++ b/src/camphorshuntctl/command.cpp
@@ -4,6 +4,7 @@
 #include <iostream>
 
 #include "documentcommands.h"
+#include "fleetcommand.h"
 #include "replaycommand.h"
 #include "statuscommand.h"
 
@@ -27,6 +28,11 @@
         Command { "status", "status --admin=IP:PORT,... [--json]",
             "Print the state of daemons: duties, versions in force, queues by organisation, and slots.",
             runStatus },
+        Command { "fleet", "fleet IP:PORT... [--json]",
+            "Print the fleet as routers see it, given the addresses of their metrics: hubs, holders of "
+            "roles, "
+            "links, and what needs attention. Example: camphorshuntctl fleet 10.0.0.1:9100 10.0.0.2:9100",
+            runFleet },
         Command { "replay", "replay TRACE",
             "Feed a daemon's record (camphorshuntd --record=FILE) to the core and compare the actions; exits "
             "with code 1 and prints the first difference if they differ. Example: camphorshuntctl replay "
