Send old builds frequent heartbeats and the store reader's updates

What callers would see: in a fleet of more than 16 routers with old and new builds, an old build on a small VM hears a hub once a second and counts it as silent after 420 ms, again and again, so that it takes its placers for lost. New configurations and pages of the directory reach it only when it asks for them, as it tells no hub that it depends on it.

Cause: both are sent to hubs and to routers that say that they depend on the sender. An old build says nothing.

Change: a peer whose hello has no failure domain, the mark of an old build, gets frequent heartbeats, and updates from the store's reader itself.

Not tested: an old program in one fleet.

--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -20,6 +20,9 @@
     double processorShare = 0;
     /** Hash of the router's failure domain; zero from a build that does not send it. */
     std::uint64_t failureDomain = 0;
+
+    /** It sends no presence, reads plain addresses only, and counts peers as silent after 420 ms. */
+    auto isFromOldBuild() const -> bool { return failureDomain == 0; }
 };
 
 /** What a router needs to know of another one before it connects to it. */
--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -24,6 +24,7 @@
     peer.interval = frequentInterval;
     peer.fleetSize = 0;
     peer.dependsOnThis = false;
+    peer.isOldBuild = hello.isFromOldBuild();
     peer.isDependency = false;
     peer.nextHeartbeat = now;
     peer.lastSeenAt = now;
@@ -100,7 +101,7 @@
         if (now < peer.nextHeartbeat)
             continue;
         peer.wasHub = peer.wasHub || hubs.isHub(router);
-        const auto isFrequent = peer.dependsOnThis || (selfIsHub && hubs.isHub(router));
+        const auto isFrequent = peer.dependsOnThis || peer.isOldBuild || (selfIsHub && hubs.isHub(router));
         const auto interval = isFrequent ? frequentInterval : rareInterval;
         peer.nextHeartbeat = now + interval;
         due.emplace_back(router, interval);
@@ -118,7 +119,7 @@
 {
     auto targets = std::vector<RouterId> {};
     for (const auto& [router, peer] : peers_) {
-        if (hubs.isHub(router) ? withHubs : peer.dependsOnThis)
+        if (hubs.isHub(router) || peer.isOldBuild ? withHubs : peer.dependsOnThis)
             targets.push_back(router);
     }
     return targets;
--- a/src/camphorshuntrouter/peertable.h
+++ b/src/camphorshuntrouter/peertable.h
@@ -50,6 +50,8 @@
         /** Number of routers connected to it, itself included. */
         std::size_t fleetSize = 0;
         bool dependsOnThis = false;
+        /** Sends no presence: it needs frequent heartbeats, and updates from the store's reader. */
+        bool isOldBuild = false;
         /** This router needs its frequent heartbeats. */
         bool isDependency = false;
         Time nextHeartbeat {};
@@ -75,7 +77,9 @@
         -> std::vector<std::pair<RouterId, Duration>>;
     /** Makes a heartbeat to every router due. */
     auto hastenHeartbeats() -> void;
-    /** Routers that are to get updates from this one: those that depend on it, and the hubs if `withHubs`. */
+    /** Routers that are to get updates from this one: those that depend on it, and the hubs and old builds if
+     * `withHubs`.
+     */
     auto updateTargets(const HubRegistry& hubs, bool withHubs) const -> std::vector<RouterId>;
     auto connectedRouters() const -> std::vector<RouterId>;
     /** The process of a router that was lost is gone, so the router is not merely cut off. */
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -180,9 +180,8 @@
             { "run", std::to_string(hello.incarnation) }, { "peers", std::to_string(peers_.size()) } });
     auto frame = PeerFrame {};
     frame.addresses = mesh_->candidates();
-    const auto isOldBuild = hello.failureDomain == 0;
     for (const auto& address : frame.addresses) {
-        if (isOldBuild)
+        if (hello.isFromOldBuild())
             frame.members.push_back(address.endpoint);
     }
     frame.heartbeat = heartbeat();
