--- a/src/camphorshuntrouter/peermesh.cpp
+++ b/src/camphorshuntrouter/peermesh.cpp
@@ -243,12 +243,6 @@
     link->send(frame);
 }
 
-auto PeerMesh::isConnected(RouterId router) const -> bool
-{
-    const auto found = peers_.find(router);
-    return found != peers_.end() && found->second.link;
-}
-
 auto PeerMesh::candidates() const -> std::vector<RouterAddress>
 {
     auto addresses = std::vector<RouterAddress> {};
--- a/src/camphorshuntrouter/peermesh.h
+++ b/src/camphorshuntrouter/peermesh.h
@@ -58,7 +58,6 @@
     auto takeNewCandidates() -> std::vector<RouterAddress>;
     /** All hubs and standby routers. */
     auto candidates() const -> std::vector<RouterAddress>;
-    auto isConnected(RouterId router) const -> bool;
     auto self() const -> RouterId { return self_; }
     auto stop() -> void;
 
