Check only those engines for overdue first tokens whose time has come

What operators would see: each pass of a placer, every few milliseconds, goes over all engines of its service to find overdue first tokens, so that its cost grows with the service also when nothing waits.

Change: DueTimes keeps for each engine a time no later than that at which its oldest pending first token is overdue. A pass takes the engines that are due, checks them as before, and schedules them again; events that can make an engine due earlier move its time. Decisions are the same: the condition of EngineModel::overdueRequest is unchanged, expressed by overdueAt.

Tests: duetimestest.

--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -284,13 +284,18 @@
     }
 }
 
-auto EngineModel::overdueRequest(Time now) const -> std::optional<PlacementKey>
+auto EngineModel::overdueAt() const -> Time
 {
-    if (pendingPrefills_.empty() || isSuspended(now))
-        return std::nullopt;
+    if (pendingPrefills_.empty())
+        return Time::max();
     const auto& head = pendingPrefills_.front();
-    const auto due = prefillTime(head.tokens) * overdueFactor + overdueSlack;
-    return now - head.begunAt < due ? std::nullopt : std::optional(head.key);
+    const auto due = head.begunAt + prefillTime(head.tokens) * overdueFactor + overdueSlack;
+    return std::max(due, suspendedUntil_);
+}
+
+auto EngineModel::overdueRequest(Time now) const -> std::optional<PlacementKey>
+{
+    return now < overdueAt() ? std::nullopt : std::optional(pendingPrefills_.front().key);
 }
 
 auto EngineModel::startsOthers() const -> bool
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -79,6 +79,10 @@
     auto isSuspended(Time now) const -> bool { return now < suspendedUntil_; }
     /** True while requests run after a failure with no success since: the engine may still be faulty. */
     auto isOnProbation() const -> bool { return failures_ > 0 && !running_.empty(); }
+    /** When `overdueRequest` begins to return a request, unless the engine's requests change before;
+     * `Time::max()` if no first token is expected.
+     */
+    auto overdueAt() const -> Time;
     /** The request whose prefill is the oldest pending one, if its first token is long overdue. */
     auto overdueRequest(Time now) const -> std::optional<PlacementKey>;
     /** A request has started since the engine can have begun the oldest pending prefill: it is not stuck. */
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -155,6 +155,7 @@
         return;
     engine->second.adoptRequest(
         now, request.key, request.prompt, PromptCache::chainsOf(request.prompt.parts), running.started);
+    checkTimes_.hasten(running.upstream, engine->second.overdueAt());
     upstreamOf_[request.key] = running.upstream;
     queues_.charge(now, request.organisation, costOf(request.prompt));
 }
@@ -165,7 +166,9 @@
     if (placed == upstreamOf_.end())
         return;
     reach_[key.router].record(now, true);
-    engines_.at(placed->second).onStarted(now, key);
+    auto& engine = engines_.at(placed->second);
+    engine.onStarted(now, key);
+    checkTimes_.hasten(placed->second, engine.overdueAt());
 }
 
 auto Placer::onEnded(Time now, const PlacementKey& key, PlacementEnd end) -> void
@@ -174,7 +177,9 @@
     if (placed == upstreamOf_.end())
         return;
     const auto isEngineAtFault = recordEnd(now, key.router, end);
-    engines_.at(placed->second).onEnded(now, key, end, isEngineAtFault);
+    auto& engine = engines_.at(placed->second);
+    engine.onEnded(now, key, end, isEngineAtFault);
+    checkTimes_.hasten(placed->second, engine.overdueAt());
     upstreamOf_.erase(placed);
 }
 
@@ -189,23 +194,33 @@
 
 auto Placer::checkOverdue(Time now) -> void
 {
-    for (auto& [id, engine] : engines_) {
-        const auto overdue = engine.overdueRequest(now);
-        if (!overdue)
-            continue;
-        auto& reach = reach_[overdue->router];
-        reach.record(now, false);
-        if (reach.isFailing(now) || engine.startsOthers())
-            engine.postpone(now, *overdue);
-        else
-            engine.suspendOverdue(now);
+    for (const auto id : checkTimes_.takeDue(now)) {
+        if (const auto found = engines_.find(id); found != engines_.end()) {
+            checkEngine(now, found->second);
+            checkTimes_.hasten(id, found->second.overdueAt());
+        }
     }
 }
 
+auto Placer::checkEngine(Time now, EngineModel& engine) -> void
+{
+    const auto overdue = engine.overdueRequest(now);
+    if (!overdue)
+        return;
+    auto& reach = reach_[overdue->router];
+    reach.record(now, false);
+    if (reach.isFailing(now) || engine.startsOthers())
+        engine.postpone(now, *overdue);
+    else
+        engine.suspendOverdue(now);
+}
+
 auto Placer::removeRouter(Time now, RouterId router) -> void
 {
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : engines_) {
         engine.removeRouter(now, router);
+        checkTimes_.hasten(id, engine.overdueAt());
+    }
     absl::erase_if(upstreamOf_, [router](const auto& placed) { return placed.first.router == router; });
     reach_.erase(router);
     queues_.removeIf(
@@ -278,10 +293,12 @@
     const auto inputs = PlacementInputs { std::chrono::duration_cast<milliseconds>(choice.backlog),
         choice.cached, static_cast<std::uint32_t>(queues_.size()) };
     engine.beginRequest(now, key, waiting.request.prompt, std::move(waiting.chains), choice.copied);
-    upstreamOf_[key] = engine.entry().id();
+    const auto upstream = engine.entry().id();
+    checkTimes_.hasten(upstream, engine.overdueAt());
+    upstreamOf_[key] = upstream;
     queues_.charge(now, waiting.request.organisation, waiting.cost);
     recordThroughput(now, waiting.cost);
-    decisions_.emplace_back(PlacementAccepted { key, engine.entry().id(), choice.copyFrom, inputs });
+    decisions_.emplace_back(PlacementAccepted { key, upstream, choice.copyFrom, inputs });
     if (!engine.hasRoom(now, settings_.backlogLimit))
         std::erase(openEngines_, choice.engine);
 }
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -13,6 +13,7 @@
 #include "camphorshunt/placement.h"
 #include "camphorshunt/upstreamentry.h"
 
+#include "duetimes.h"
 #include "enginemodel.h"
 #include "failurerate.h"
 #include "organisationqueues.h"
@@ -105,8 +106,9 @@
     /** Selects organisations with markedly less recent service than the best served one, or all. */
     enum class OrganisationFilter : std::uint8_t { Underserved, All };
 
-    /** Suspends engines whose first tokens are overdue, unless that is the fault of the requests' router. */
     auto checkOverdue(Time now) -> void;
+    /** Suspends the engine if a first token is overdue, unless that is the fault of the request's router. */
+    auto checkEngine(Time now, EngineModel& engine) -> void;
     /** Records how a request of the router ended; returns whether a failure is the engine's. */
     auto recordEnd(Time now, RouterId router, PlacementEnd end) -> bool;
     /** Finds the engines that may get a request now. */
@@ -137,6 +139,8 @@
     absl::flat_hash_map<PlacementKey, UpstreamId> upstreamOf_;
     /** By router: whether its requests reach their engines. */
     absl::flat_hash_map<RouterId, FailureRate> reach_;
+    /** When engines are to be checked for overdue first tokens; never later than they are overdue. */
+    DueTimes checkTimes_;
     OrganisationQueues queues_;
     std::vector<PlacementDecision> decisions_;
     /** Cost of recently placed requests as of `recentCostAt_`; decays over `throughputWindow`. */
