--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -99,9 +99,8 @@
             { "run", std::to_string(hello.incarnation) }, { "peers", std::to_string(peers_.size()) } });
     auto frame = PeerFrame {};
     frame.addresses = plan_.candidates();
-    const auto isOldBuild = hello.failureDomain == 0;
     for (const auto& address : frame.addresses) {
-        if (isOldBuild)
+        if (hello.isFromOldBuild())
             frame.members.push_back(address.endpoint);
     }
     frame.heartbeat = heartbeat();
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -8,6 +8,7 @@
 #include <span>
 #include <vector>
 
+#include "camphorshunt/fleetreport.h"
 #include "camphorshunt/ids.h"
 #include "camphorshunt/time.h"
 
@@ -70,6 +71,8 @@
     auto plan() const -> const MeshPlan& { return plan_; }
     auto placement() const -> const PlacementCoordinator& { return placement_; }
     auto fleet() const -> const FleetState& { return sync_.fleet(); }
+    /** Completes a report that has the router's address and failure domain. */
+    auto describe(Time now, FleetReport& report) const -> void;
     /** The router that reads the store for the fleet. */
     auto reader() const -> RouterId { return reader_; }
 
--- a/src/camphorshuntrouter/fleetroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "clock.h"
+#include "fleetdescription.h"
 
 // Heartbeats, liveness, and who holds roles.
 
@@ -133,6 +134,13 @@
         sendHeartbeat(now, router, PeerTable::rareInterval);
 }
 
+auto FleetControl::describe(Time now, FleetReport& report) const -> void
+{
+    report.isDraining = draining_;
+    report.storeReader = reader_;
+    describeFleet(now, { plan_.hubs(), peers_, sync_, placement_ }, report);
+}
+
 auto FleetControl::checkLiveness(Time now) -> void
 {
     const auto change = peers_.checkSilence(now);
--- a/src/camphorshuntrouter/peertable.h
+++ b/src/camphorshuntrouter/peertable.h
@@ -52,11 +52,16 @@
         /** Number of routers connected to it, itself included. */
         std::size_t fleetSize = 0;
         bool dependsOnThis = false;
+        /** Sends no presence: it needs frequent heartbeats, and updates from the store's reader. */
+        bool isOldBuild = false;
         /** This router needs its frequent heartbeats. */
         bool isDependency = false;
         /** It has been asked for a heartbeat at once, and has not been heard since. */
         bool isProbed = false;
         Time nextHeartbeat {};
+
+        /** Interval of the heartbeats that this router expects of it. */
+        auto expectedInterval() const -> Duration { return isDependency ? frequentInterval : interval; }
     };
 
     auto connected(Time now, RouterId router, const PeerHello& hello) -> void;
@@ -82,7 +87,9 @@
         -> std::vector<std::pair<RouterId, Duration>>;
     /** Makes a heartbeat to every router due. */
     auto hastenHeartbeats() -> void;
-    /** Routers that are to get updates from this one: those that depend on it, and the hubs if `withHubs`. */
+    /** Routers that are to get updates from this one: those that depend on it, and the hubs and old builds if
+     * `withHubs`.
+     */
     auto updateTargets(const HubRegistry& hubs, bool withHubs) const -> std::vector<RouterId>;
     auto connectedRouters() const -> std::vector<RouterId>;
     /** The process of a router that was lost is gone, so the router is not merely cut off. */
@@ -120,6 +127,7 @@
      */
     auto missingHubs(Time now) const -> std::size_t;
     auto size() const -> std::size_t { return peers_.size(); }
+    auto peers() const -> const std::map<RouterId, Peer>& { return peers_; }
 
 private:
     static auto takesPart(const Peer& peer) -> bool { return peer.isLive && !peer.heartbeat.leaving; }
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -12,6 +12,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr auto fleetReportInterval = Duration(1s);
 /** A scheduler whose ticks are delayed by less is not reported while no request waits. */
 constexpr auto reportedDelay = Duration(50ms);
 
@@ -115,6 +116,7 @@
     reportLoad(now);
     control_.tick(now);
     placeAndSend();
+    reportFleet(now);
     armTick();
 }
 
@@ -138,6 +140,20 @@
             { "waiting", std::to_string(control_.placement().waiting()) } });
 }
 
+auto Scheduler::reportFleet(Time now) -> void
+{
+    if (now < nextFleetReport_)
+        return;
+    nextFleetReport_ = now + fleetReportInterval;
+    auto report = FleetReport {};
+    report.address = settings_.listen.text();
+    report.failureDomain = settings_.failureDomain;
+    control_.describe(now, report);
+    metrics_.setFleet(report);
+    if (onFleetReport_)
+        onFleetReport_(std::move(report));
+}
+
 auto Scheduler::handleMessage(RelayToScheduler message) -> void
 {
     control_.handleMessage(steadyNow(), std::move(message));
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -9,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "camphorshunt/fleetreport.h"
 #include "camphorshunt/result.h"
 #include "camphorshunt/ring.h"
 
@@ -52,6 +54,11 @@
     /** Announces that this router is leaving, so that the others assume its roles. */
     auto startDrain() -> void;
     auto addSeeds(std::span<const Endpoint> seeds) -> void;
+    /** Sets a handler that is called on this thread, once a second, with the fleet as this router sees it. */
+    auto onFleetReport(std::function<void(FleetReport)> handler) -> void
+    {
+        onFleetReport_ = std::move(handler);
+    }
 
 private:
     Scheduler(boost::asio::io_context& context, const Settings& settings, const Rings& rings, RouterLog& log,
@@ -61,6 +68,7 @@
     auto tick() -> void;
     auto armTick() -> void;
     auto reportLoad(Time now) -> void;
+    auto reportFleet(Time now) -> void;
     auto placeAndSend() -> void;
 
     boost::asio::io_context& context_;
@@ -81,6 +89,8 @@
     } work_;
     Time tickDue_ {};
     Duration tickPeriod_ {};
+    std::function<void(FleetReport)> onFleetReport_;
+    Time nextFleetReport_ {};
 };
 
 } // namespace camphorshunt::router
