Tell the placers and the other routers which engines leave or rest

A router knew of a header alone: the placer went on choosing the engine for it and for all others, and each router had to learn of a leave by a request of its own.

Change: the relay reports both at once to its scheduler, which passes them to the router that places for the service, in a new list at the end of the frame (older builds ignore it). A leave goes on to the hubs and the dependent routers too, once per engine process at each router, and from there to the relays; a rest goes to the placer only, as it concerns one router. A router that gives back a place repeats what it knows, for placers that are new.

With the message from the scheduler ignored, the router that learns from another one fails. placementcoordinatortest's engines get endpoints, since frames carry them; its checks are unchanged.

--- a/src/camphorshuntrouter/exchangeavailability.cpp
+++ b/src/camphorshuntrouter/exchangeavailability.cpp
@@ -49,8 +49,10 @@
 
 auto Exchange::withhold(const UpstreamEntry& upstream) -> void
 {
-    if (onEngine_)
+    if (onEngine_) {
+        relay_.repeatAvailability(upstream);
         relay_.reportEnd(number_, service_, PlacementEnd::Cancelled);
+    }
     avoidWithheld(upstream);
 }
 
--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -41,6 +41,9 @@
 struct DirectoryPage;
 struct DirectoryPageBuilder;
 
+struct Availability;
+struct AvailabilityBuilder;
+
 struct Frame;
 struct FrameBuilder;
 
@@ -835,6 +838,117 @@
       records__);
 }
 
+struct Availability FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AvailabilityBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_UPSTREAM = 6,
+    VT_STARTED_MS = 8,
+    VT_ENDPOINT = 10,
+    VT_LEAVING = 12,
+    VT_REST_MS = 14
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
+  }
+  int64_t started_ms() const {
+    return GetField<int64_t>(VT_STARTED_MS, 0);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  uint32_t rest_ms() const {
+    return GetField<uint32_t>(VT_REST_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_REST_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct AvailabilityBuilder {
+  typedef Availability Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(Availability::VT_SERVICE, service, 0);
+  }
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(Availability::VT_UPSTREAM, upstream, 0);
+  }
+  void add_started_ms(int64_t started_ms) {
+    fbb_.AddElement<int64_t>(Availability::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Availability::VT_ENDPOINT, endpoint);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(Availability::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  void add_rest_ms(uint32_t rest_ms) {
+    fbb_.AddElement<uint32_t>(Availability::VT_REST_MS, rest_ms, 0);
+  }
+  explicit AvailabilityBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Availability> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Availability>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Availability> CreateAvailability(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t upstream = 0,
+    int64_t started_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    bool leaving = false,
+    uint32_t rest_ms = 0) {
+  AvailabilityBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
+  builder_.add_upstream(upstream);
+  builder_.add_service(service);
+  builder_.add_rest_ms(rest_ms);
+  builder_.add_endpoint(endpoint);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Availability> CreateAvailabilityDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t upstream = 0,
+    int64_t started_ms = 0,
+    const char *endpoint = nullptr,
+    bool leaving = false,
+    uint32_t rest_ms = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  return camphorshunt::fleet::CreateAvailability(
+      _fbb,
+      service,
+      upstream,
+      started_ms,
+      endpoint__,
+      leaving,
+      rest_ms);
+}
+
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FrameBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -849,7 +963,8 @@
     VT_CONFIGURATION = 20,
     VT_WANTS_CONFIGURATION = 22,
     VT_ADDRESSES = 24,
-    VT_PRESENCE = 26
+    VT_PRESENCE = 26,
+    VT_AVAILABILITY = 28
   };
   const camphorshunt::fleet::Hello *hello() const {
     return GetPointer<const camphorshunt::fleet::Hello *>(VT_HELLO);
@@ -887,6 +1002,9 @@
   const camphorshunt::fleet::Presence *presence() const {
     return GetStruct<const camphorshunt::fleet::Presence *>(VT_PRESENCE);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *availability() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *>(VT_AVAILABILITY);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -912,6 +1030,9 @@
            verifier.VerifyVector(addresses()) &&
            verifier.VerifyVectorOfTables(addresses()) &&
            VerifyField<camphorshunt::fleet::Presence>(verifier, VT_PRESENCE, 4) &&
+           VerifyOffset(verifier, VT_AVAILABILITY) &&
+           verifier.VerifyVector(availability()) &&
+           verifier.VerifyVectorOfTables(availability()) &&
            verifier.EndTable();
   }
 };
@@ -956,6 +1077,9 @@
   void add_presence(const camphorshunt::fleet::Presence *presence) {
     fbb_.AddStruct(Frame::VT_PRESENCE, presence);
   }
+  void add_availability(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>>> availability) {
+    fbb_.AddOffset(Frame::VT_AVAILABILITY, availability);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -980,8 +1104,10 @@
     flatbuffers::Offset<flatbuffers::String> configuration = 0,
     bool wants_configuration = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Address>>> addresses = 0,
-    const camphorshunt::fleet::Presence *presence = nullptr) {
+    const camphorshunt::fleet::Presence *presence = nullptr,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>>> availability = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_availability(availability);
   builder_.add_presence(presence);
   builder_.add_addresses(addresses);
   builder_.add_configuration(configuration);
@@ -1010,13 +1136,15 @@
     const char *configuration = nullptr,
     bool wants_configuration = false,
     const std::vector<flatbuffers::Offset<camphorshunt::fleet::Address>> *addresses = nullptr,
-    const camphorshunt::fleet::Presence *presence = nullptr) {
+    const camphorshunt::fleet::Presence *presence = nullptr,
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *availability = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Place>>(*places) : 0;
   auto verdicts__ = verdicts ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Verdict>(*verdicts) : 0;
   auto reports__ = reports ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Report>(*reports) : 0;
   auto configuration__ = configuration ? _fbb.CreateString(configuration) : 0;
   auto addresses__ = addresses ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Address>>(*addresses) : 0;
+  auto availability__ = availability ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Availability>>(*availability) : 0;
   return camphorshunt::fleet::CreateFrame(
       _fbb,
       hello,
@@ -1030,7 +1158,8 @@
       configuration__,
       wants_configuration,
       addresses__,
-      presence);
+      presence,
+      availability__);
 }
 
 inline const camphorshunt::fleet::Frame *GetFrame(const void *buf) {
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -62,6 +62,16 @@
         static_cast<float>(address.processorShare), address.failureDomain);
 }
 
+auto packAvailability(FlatBufferBuilder& builder, const PeerAvailability& availability)
+    -> Offset<fleet::Availability>
+{
+    const auto& process = availability.process;
+    const auto endpoint = builder.CreateString(process.endpoint.text());
+    return fleet::CreateAvailability(builder, availability.service.value, process.upstream.value,
+        process.startedAt.count(), endpoint, availability.leaving,
+        static_cast<std::uint32_t>(availability.rest.count()));
+}
+
 auto packPresence(const PeerPresence& presence) -> fleet::Presence
 {
     return { presence.routers, static_cast<std::uint32_t>(presence.interval.count()),
@@ -170,6 +180,18 @@
         std::chrono::milliseconds(packed.configuration_age_ms()), packed.depends() };
 }
 
+auto unpackAvailability(const fleet::Availability& packed) -> Result<PeerAvailability>
+{
+    if (packed.endpoint() == nullptr)
+        return malformed("availability without an endpoint");
+    const auto endpoint = Endpoint::parse(packed.endpoint()->string_view(), "endpoint");
+    if (!endpoint)
+        return malformed(endpoint.error().text());
+    return PeerAvailability { { packed.service() },
+        { { packed.upstream() }, std::chrono::milliseconds(packed.started_ms()), endpoint.value() },
+        packed.leaving(), std::chrono::milliseconds(packed.rest_ms()) };
+}
+
 template <typename Packed, typename Item, typename Unpack>
 auto unpackAll(const Packed* packed, std::vector<Item>& items, Unpack unpack) -> std::optional<Error>
 {
@@ -213,13 +235,17 @@
     for (const auto& address : frame.addresses)
         addresses.push_back(packAddress(builder, address));
     const auto addressList = addresses.empty() ? 0 : builder.CreateVector(addresses);
+    auto availability = std::vector<Offset<fleet::Availability>> {};
+    for (const auto& item : frame.availability)
+        availability.push_back(packAvailability(builder, item));
+    const auto availabilityList = availability.empty() ? 0 : builder.CreateVector(availability);
     const auto presence = packPresence(frame.presence.value_or(PeerPresence {}));
     const auto heartbeat = frame.heartbeat.value_or(PeerHeartbeat {});
     const auto packedHeartbeat = fleet::Beat(
         heartbeat.configurationVersion, heartbeat.directoryEnd, heartbeat.storeReachable, heartbeat.leaving);
     builder.Finish(fleet::CreateFrame(builder, hello, members, frame.heartbeat ? &packedHeartbeat : nullptr,
         requestList, decisionList, reportList, directory, frame.wantsDirectory, configuration,
-        frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr));
+        frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr, availabilityList));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -254,6 +280,8 @@
         return *error;
     if (const auto error = unpackAll(packed.addresses(), frame.addresses, unpackAddress))
         return *error;
+    if (const auto error = unpackAll(packed.availability(), frame.availability, unpackAvailability))
+        return *error;
     if (const auto* const presence = packed.presence())
         frame.presence = unpackPresence(*presence);
     if (packed.directory() != nullptr)
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -8,6 +8,7 @@
 
 #include "camphorshunt/placement.h"
 #include "camphorshunt/result.h"
+#include "camphorshunt/upstreamentry.h"
 
 namespace camphorshunt::router {
 
@@ -89,6 +90,18 @@
     PlacementEnd end {};
 };
 
+/**
+ * What an engine has said of itself in an answer to the sender. Leaving concerns all routers, a rest the
+ * sender alone.
+ */
+struct PeerAvailability {
+    ServiceId service;
+    UpstreamProcess process;
+    bool leaving = false;
+    /** Counts from the time of sending; zero if the engine does not rest. */
+    std::chrono::milliseconds rest {};
+};
+
 struct DirectoryRecord {
     std::string name;
     /** Empty if the entry is removed. */
@@ -121,6 +134,7 @@
     /** The first routers in the order in which hubs are chosen. */
     std::vector<RouterAddress> addresses;
     std::optional<PeerPresence> presence;
+    std::vector<PeerAvailability> availability;
 };
 
 /** FlatBuffers bytes (schema `fleet.fbs`). */
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -183,8 +183,37 @@
     }
 }
 
+auto PlacementCoordinator::reportAvailability(Time now, const PeerAvailability& availability) -> void
+{
+    const auto found = services_.find(availability.service);
+    if (found == services_.end())
+        return;
+    // Applies here in any case, as this router may place for the service later.
+    applyAvailability(now, self_, availability);
+    const auto owner = found->second.owner;
+    if (owner == self_)
+        return;
+    outputs_.frames[owner].availability.push_back(availability);
+    outputs_.urgent = true;
+}
+
+auto PlacementCoordinator::applyAvailability(Time now, RouterId router, const PeerAvailability& availability)
+    -> void
+{
+    const auto found = services_.find(availability.service);
+    if (found == services_.end())
+        return;
+    auto& placer = *found->second.placer;
+    if (availability.leaving)
+        placer.recordLeaving(now, availability.process);
+    if (availability.rest > milliseconds(0))
+        placer.recordRest(now, availability.process, router, now + availability.rest);
+}
+
 auto PlacementCoordinator::handleFrame(Time now, RouterId peer, const PeerFrame& frame) -> void
 {
+    for (const auto& availability : frame.availability)
+        applyAvailability(now, peer, availability);
     for (const auto& report : frame.reports)
         applyReport(now, { peer, report.number }, report);
     for (const auto& placement : frame.placementRequests) {
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -75,6 +75,8 @@
     auto requestPlacement(Time now, PeerPlacementRequest placement) -> void;
     /** Reports that a request of this router was withdrawn, started or ended. */
     auto report(Time now, const PeerReport& report) -> void;
+    /** Records, with the placer of its service, what an engine has said to this router. */
+    auto reportAvailability(Time now, const PeerAvailability& availability) -> void;
     auto handleFrame(Time now, RouterId peer, const PeerFrame& frame) -> void;
 
     auto placeWaiting(Time now) -> void;
@@ -106,6 +108,8 @@
     auto service(ServiceId id) -> Service&;
     auto sendToPlacer(Time now, OwnRequest& own) -> void;
     auto withdraw(Time now, const OwnRequest& own) -> void;
+    /** `router`: to which the engine has said it. */
+    auto applyAvailability(Time now, RouterId router, const PeerAvailability& availability) -> void;
     auto applyReport(Time now, const PlacementKey& key, const PeerReport& report) -> void;
     auto handleDecision(RouterId peer, const PeerPlacementDecision& decision) -> void;
     /** Passes on the decision on a request of this router. */
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -77,6 +77,8 @@
     auto availability() const -> const UpstreamAvailability& { return availability_; }
     /** Records what the head of an upstream's answer says about its availability. */
     auto recordAvailability(const UpstreamEntry& upstream, const platform::EngineAnswer& answer) -> void;
+    /** Tells the placer again why this router does not send to the engine that it chose. */
+    auto repeatAvailability(const UpstreamEntry& upstream) -> void;
     auto log(LogLevel level, std::string_view event, std::vector<LogField> fields) -> void
     {
         log_.write(level, event, std::move(fields));
@@ -131,6 +133,7 @@
     auto handle(const PlacementDecided& decided) -> void;
     auto handle(const FleetChanged& changed) -> void;
     auto handle(const StartDrain& drain) -> void;
+    auto handle(const UpstreamLeaves& leaves) -> void;
 
     boost::asio::io_context& context_;
     Settings settings_;
--- a/src/camphorshuntrouter/relayavailability.cpp
+++ b/src/camphorshuntrouter/relayavailability.cpp
@@ -16,7 +16,8 @@
     if (!answer.leaving && !answer.rest)
         return;
     const auto now = steadyNow();
-    if (answer.leaving && availability_.recordLeaving(now, upstream.process())) {
+    const auto isNewlyLeaving = answer.leaving && availability_.recordLeaving(now, upstream.process());
+    if (isNewlyLeaving) {
         metrics_.upstreamLeaves();
         log(LogLevel::Info, "upstream-leaving",
             { { "upstream", upstream.name }, { "address", upstream.endpoint.text() },
@@ -28,6 +29,30 @@
             { { "upstream", upstream.name }, { "address", upstream.endpoint.text() },
                 { "ms", std::to_string(answer.rest->count()) } });
     }
+    if (isNewlyLeaving || answer.rest)
+        toScheduler_.push(PeerAvailability { upstream.service, upstream.process(), isNewlyLeaving,
+            answer.rest.value_or(std::chrono::milliseconds(0)) });
+}
+
+auto Relay::repeatAvailability(const UpstreamEntry& upstream) -> void
+{
+    const auto now = steadyNow();
+    const auto from = availability_.sendableFrom(now, upstream.process());
+    if (from == now)
+        return;
+    toScheduler_.push(PeerAvailability { upstream.service, upstream.process(), !from,
+        from ? std::chrono::ceil<std::chrono::milliseconds>(*from - now) : std::chrono::milliseconds(0) });
+}
+
+auto Relay::handle(const UpstreamLeaves& leaves) -> void
+{
+    if (!availability_.recordLeaving(steadyNow(), leaves.process))
+        return;
+    const auto entry = byId_.find(leaves.process.upstream);
+    const auto& id = leaves.process.upstream;
+    log(LogLevel::Info, "upstream-leaving",
+        { { "upstream", entry == byId_.end() ? std::to_string(id.value) : entry->second->name },
+            { "address", leaves.process.endpoint.text() }, { "from", "another router" } });
 }
 
 auto Relay::sweepAvailability(Time now) -> void
--- a/src/camphorshuntrouter/relaymessages.h
+++ b/src/camphorshuntrouter/relaymessages.h
@@ -19,7 +19,7 @@
     PeerPlacementRequest place;
 };
 
-using RelayToScheduler = std::variant<RequestPlacement, PeerReport>;
+using RelayToScheduler = std::variant<RequestPlacement, PeerReport, PeerAvailability>;
 
 /** The scheduler's decision on a request for an engine. */
 struct PlacementDecided {
@@ -39,6 +39,11 @@
 /** Starts a drain: requests in progress are completed, new connections and streams soon refused. */
 struct StartDrain { };
 
-using SchedulerToRelay = std::variant<PlacementDecided, FleetChanged, StartDrain>;
+/** An upstream has said to another router that it leaves. */
+struct UpstreamLeaves {
+    UpstreamProcess process;
+};
+
+using SchedulerToRelay = std::variant<PlacementDecided, FleetChanged, StartDrain, UpstreamLeaves>;
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -219,7 +219,9 @@
     }
     sync_.handleFrame(now, router, frame);
     state_.directoryReadAt = sync_.directoryReadAt();
-    if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty())
+    leavingArrived(now, router, frame.availability);
+    if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty()
+        || !frame.availability.empty())
         placement_->handleFrame(now, router, frame);
     placeAndSend();
 }
@@ -267,6 +269,8 @@
         return;
     const auto upstreams = fleet.upstreams();
     placement_->setFleet(now, *fleet.table(), *upstreams);
+    leaving_.setUpstreams(now, *upstreams);
+    leaving_.sweep(now);
     relayChanged(now);
     updateDependencies(now, roleCandidates(now));
     if (fleet.directoryEnd() && !draining_ && !state_.ready.exchange(true))
@@ -310,6 +314,7 @@
         append(unsent.placementRequests, frame.placementRequests);
         append(unsent.placementDecisions, frame.placementDecisions);
         append(unsent.reports, frame.reports);
+        append(unsent.availability, frame.availability);
     }
     if (outputs.urgent || now >= nextFlush_)
         flushFrames();
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -24,6 +24,7 @@
 #include "sharedstate.h"
 #include "storegateway.h"
 #include "threadload.h"
+#include "upstreamavailability.h"
 
 namespace camphorshunt::router {
 
@@ -89,6 +90,11 @@
 
     auto handle(RequestPlacement request) -> void;
     auto handle(const PeerReport& report) -> void;
+    auto handle(const PeerAvailability& availability) -> void;
+    /** A peer has passed on which engines leave; told on if that is new. */
+    auto leavingArrived(Time now, RouterId peer, std::span<const PeerAvailability> reports) -> void;
+    /** Records which of the engines leave; returns those of which that is new. */
+    auto newlyLeaving(Time now, std::span<const PeerAvailability> reports) -> std::vector<PeerAvailability>;
     auto handle(DirectoryRead read) -> void;
     auto handle(ConfigurationRead read) -> void;
     auto handle(const FleetJoined& joined) -> void;
@@ -111,6 +117,7 @@
     std::unique_ptr<PeerMesh> mesh_;
     std::unique_ptr<PlacementCoordinator> placement_;
     PeerTable peers_;
+    UpstreamAvailability leaving_;
     /** Non-urgent frames; sent with the next urgent one, or after the flush interval. */
     std::map<RouterId, PeerFrame> unsent_;
     RouterId reader_;
--- a/tests/unit/peerframetest.cpp
+++ b/tests/unit/peerframetest.cpp
@@ -73,3 +73,26 @@
         CHECK(decoded.value().reports.size() == 3);
     }
 }
+
+TEST_CASE("A peer frame carries what engines say of themselves, and one without it is read as before")
+{
+    auto frame = PeerFrame {};
+    CHECK(decodePeerFrame(encodePeerFrame(frame)).value().availability.empty());
+    const auto process
+        = UpstreamProcess { UpstreamId { 7 }, std::chrono::milliseconds(1700), { "10.0.0.1", 80 } };
+    frame.availability.push_back({ ServiceId { 3 }, process, true, {} });
+    frame.availability.push_back({ ServiceId { 3 }, process, false, std::chrono::milliseconds(2500) });
+    const auto decoded = decodePeerFrame(encodePeerFrame(frame));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().availability.size() == 2);
+    const auto& leaving = decoded.value().availability[0];
+    CHECK(leaving.service == ServiceId { 3 });
+    CHECK(leaving.process == process);
+    CHECK(leaving.leaving);
+    CHECK(leaving.rest.count() == 0);
+    CHECK(!decoded.value().availability[1].leaving);
+    CHECK(decoded.value().availability[1].rest.count() == 2500);
+
+    frame.availability.back().process.endpoint = {};
+    CHECK(!decodePeerFrame(encodePeerFrame(frame)));
+}
--- a/tests/unit/placementcoordinatortest.cpp
+++ b/tests/unit/placementcoordinatortest.cpp
@@ -34,6 +34,7 @@
             auto entry = UpstreamEntry {};
             entry.name = "engine-" + std::to_string(index);
             entry.service = idOf<ServiceId>("model");
+            entry.endpoint = { "10.0.0.1", static_cast<std::uint16_t>(8000 + index) };
             entry.slots = 4;
             upstreams.push_back(entry);
         }
@@ -233,3 +234,50 @@
         static_cast<void>(decodePeerFrame(corrupted));
     }
 }
+
+TEST_CASE("The placer learns from any router that an engine leaves, and places nothing there")
+{
+    auto fleet = CoordinatorFleet();
+    const auto leaving = fleet.upstreams[0].process();
+    fleet.coordinators.at(fleet.other())
+        .reportAvailability(fleet.now, { idOf<ServiceId>("model"), leaving, true, 0ms });
+    fleet.deliverAll();
+    for (auto number = std::uint64_t { 1 }; number <= 3; ++number) {
+        for (const auto& live : fleet.all)
+            fleet.requestPlacement(live.router, number);
+    }
+    auto placed = 0;
+    for (const auto& [router, decisions] : fleet.placementDecisions) {
+        for (const auto& decision : decisions) {
+            CHECK(decision.upstream != leaving.upstream);
+            placed += decision.upstream ? 1 : 0;
+        }
+    }
+    CHECK(placed == 4);
+}
+
+TEST_CASE("The placer keeps an engine's rest to the router that the engine has told")
+{
+    auto fleet = CoordinatorFleet();
+    const auto told = fleet.other();
+    // The one that is preferred while both are idle.
+    const auto resting
+        = std::min(fleet.upstreams[0], fleet.upstreams[1], [](const auto& one, const auto& two) {
+              return one.id() < two.id();
+          }).process();
+    fleet.coordinators.at(told).reportAvailability(
+        fleet.now, { idOf<ServiceId>("model"), resting, false, 60s });
+    fleet.deliverAll();
+    fleet.requestPlacement(told, 1);
+    for (const auto& live : fleet.all)
+        fleet.requestPlacement(live.router, 2);
+    auto ofOthers = 0;
+    for (const auto& [router, decisions] : fleet.placementDecisions) {
+        for (const auto& decision : decisions) {
+            const auto isAtResting = decision.upstream == resting.upstream;
+            CHECK((router != told || !isAtResting));
+            ofOthers += isAtResting ? 1 : 0;
+        }
+    }
+    CHECK(ofOthers > 0);
+}
--- a/tests/unit/relayavailabilitytest.cpp
+++ b/tests/unit/relayavailabilitytest.cpp
@@ -108,7 +108,7 @@
         auto configuration = FleetConfiguration {};
         configuration.version = 1;
         configuration.routes = { route };
-        configuration.services = { { "one", 10, std::nullopt } };
+        configuration.services = { { "one", 10, engines } };
         auto list = UpstreamList {};
         for (const auto& upstream : upstreams)
             list.push_back(upstream->entry);
@@ -118,6 +118,12 @@
 
     /** Returns the head of the answer to one request. */
     auto ask() -> std::string
+    {
+        auto socket = send();
+        return receive(socket);
+    }
+
+    auto send() -> Tcp::socket
     {
         auto socket = Tcp::socket(driven.clientContext);
         socket.connect({ driven.loopback, driven.port });
@@ -125,6 +131,11 @@
             boost::asio::buffer("GET /x/1 HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: id"
                 + std::to_string(asked++) + "\r\nX-Deadline-Ms: 3000\r\n\r\n"));
         socket.non_blocking(true);
+        return socket;
+    }
+
+    auto receive(Tcp::socket& socket) -> std::string
+    {
         auto head = std::string {};
         const auto end = Clock::now() + 4s;
         while (head.find("\r\n\r\n") == std::string::npos && Clock::now() < end) {
@@ -140,6 +151,8 @@
 
     test::DrivenRelay driven { 100 };
     Route route;
+    /** Set if the service is a model service. */
+    std::optional<EngineTraits> engines;
     std::vector<std::unique_ptr<FakeUpstream>> upstreams;
     int asked = 0;
 };
@@ -273,3 +286,45 @@
         CHECK(site.ask().starts_with("HTTP/1.1 200"));
     }
 }
+
+TEST_CASE("A router that learns from another one that an upstream leaves sends nothing there")
+{
+    auto site = Site(2);
+    auto& leaving = *site.upstreams[0];
+    site.driven.relay->handleMessage(UpstreamLeaves { leaving.entry.process() });
+    site.listUpstreams();
+    for (auto round = 0; round < 10; ++round)
+        CHECK(site.ask().starts_with("HTTP/1.1 200"));
+    CHECK(leaving.requests.empty());
+}
+
+TEST_CASE("A place at an engine that leaves, decided before the placer knew, is given back")
+{
+    auto site = Site(2);
+    site.engines = EngineTraits { 4, 0, 0 };
+    site.listUpstreams();
+    auto& leaving = *site.upstreams[0];
+    auto& staying = *site.upstreams[1];
+    const auto decide = [&](std::uint64_t number, const FakeUpstream& upstream) {
+        while (site.driven.relay->requestsInProgress() == 0)
+            site.runFor(1ms);
+        site.driven.relay->handleMessage(PlacementDecided {
+            { number, idOf<ServiceId>("one"), upstream.entry.id(), leaving.entry.id(), {}, 0ms, {} } });
+    };
+    // Leaves a connection to the engine that can be used again at once.
+    auto first = site.send();
+    decide(1, leaving);
+    CHECK(site.receive(first).starts_with("HTTP/1.1 200"));
+    REQUIRE(leaving.requests.size() == 1);
+
+    site.driven.relay->handleMessage(UpstreamLeaves { leaving.entry.process() });
+    auto second = site.send();
+    decide(2, leaving);
+    site.runFor(50ms);
+    CHECK(leaving.requests.size() == 1);
+    decide(2, staying);
+    CHECK(site.receive(second).starts_with("HTTP/1.1 200"));
+    REQUIRE(staying.requests.size() == 1);
+    CHECK(staying.requests[0].find("Kv-Fetch") == std::string::npos);
+    CHECK(leaving.requests.size() == 1);
+}
