--- a/tests/fuzz/parsersfuzz.cpp
+++ b/tests/fuzz/parsersfuzz.cpp
@@ -1,4 +1,5 @@
 #include <cstdint>
+#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -23,6 +24,7 @@
 #include "platform/callerwire.h"
 #include "platform/configuration.h"
 #include "platform/directoryentry.h"
+#include "platform/enginewire.h"
 #include "platform/storeformat.h"
 
 // Feeds randomly mutated valid inputs to the parsers of external data. A parser may accept or refuse an
@@ -142,6 +144,19 @@
     return intake.hasBegun();
 }
 
+/** An upstream's refusal that says when the upstream can serve again. */
+auto parseRefusal(const std::string& text) -> bool
+{
+    const auto message = readHttp<false>(text);
+    if (!message)
+        return false;
+    const auto answer = platform::readEngineAnswer(message->base());
+    // A rest of any other length would not be bounded.
+    if (answer.rest && (answer.rest->count() <= 0 || *answer.rest > platform::maxRest))
+        std::abort();
+    return answer.leaving && answer.rest;
+}
+
 auto parsePeerFrame(const std::string& bytes) -> bool
 {
     const auto frame = router::decodePeerFrame(bytesOf(bytes));
@@ -161,6 +176,8 @@
     frame.directory
         = router::DirectoryPage { true, 3, 5, { { "i-1", "{}", 3 }, { "i-2", std::nullopt, 4 } } };
     frame.configuration = "{}";
+    frame.availability.push_back({ ServiceId { 1 }, { UpstreamId { 2 }, {}, { "10.0.0.9", 80 } }, true,
+        std::chrono::milliseconds(2500) });
     const auto bytes = router::encodePeerFrame(frame);
     return { bytes.begin(), bytes.end() };
 }
@@ -191,6 +208,12 @@
         { "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Signature: s\r\nKeep-Alive: timeout=5\r\n"
           "Content-Length: 41\r\n\r\nid: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\nid: 3\nda",
             parseAnswer },
+        { "HTTP/1.1 503 Busy\r\nX-Attempt-Id: a1\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\n"
+          "Retry-After: 12.25\r\nContent-Length: 0\r\n\r\n",
+            parseRefusal },
+        { "HTTP/1.1 503 Busy\r\nServer-Leaving: 1\r\nDate: Sun, 06 Nov 1994 08:49:35 GMT\r\n"
+          "Retry-After: Sun, 06 Nov 1994 08:49:37 GMT\r\nContent-Length: 0\r\n\r\n",
+            parseRefusal },
         { peerFrame(), parsePeerFrame },
     };
 }
