--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -139,7 +139,9 @@
     }
     sync_.handleFrame(now, router, frame);
     state_.directoryReadAt = sync_.directoryReadAt();
-    if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty())
+    leavingArrived(now, router, frame.availability);
+    if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty()
+        || !frame.availability.empty())
         placement_.handleFrame(now, router, frame);
 }
 
@@ -184,6 +186,8 @@
         return;
     const auto upstreams = fleet.upstreams();
     placement_.setFleet(now, *fleet.table(), *upstreams);
+    leaving_.setUpstreams(now, *upstreams);
+    leaving_.sweep(now);
     relayChanged(now);
     updateDependencies(now, roleCandidates(now));
     if (fleet.directoryEnd() && !draining_ && !state_.ready.exchange(true))
@@ -219,6 +223,7 @@
         append(unsent.placementRequests, frame.placementRequests);
         append(unsent.placementDecisions, frame.placementDecisions);
         append(unsent.reports, frame.reports);
+        append(unsent.availability, frame.availability);
     }
     if (outputs.urgent || now >= nextFlush_)
         flushFrames(now);
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -21,6 +21,7 @@
 #include "routermetrics.h"
 #include "sharedstate.h"
 #include "storegateway.h"
+#include "upstreamavailability.h"
 
 namespace camphorshunt::router {
 
@@ -98,6 +99,11 @@
 
     auto handle(Time now, RequestPlacement request) -> void;
     auto handle(Time now, const PeerReport& report) -> void;
+    auto handle(Time now, const PeerAvailability& availability) -> void;
+    /** A peer has passed on which engines leave; told on if that is new. */
+    auto leavingArrived(Time now, RouterId peer, std::span<const PeerAvailability> reports) -> void;
+    /** Records which of the engines leave; returns those of which that is new. */
+    auto newlyLeaving(Time now, std::span<const PeerAvailability> reports) -> std::vector<PeerAvailability>;
     auto handle(Time now, DirectoryRead read) -> void;
     auto handle(Time now, ConfigurationRead read) -> void;
     auto handle(Time now, const FleetJoined& joined) -> void;
@@ -115,6 +121,7 @@
     FleetSync sync_;
     PlacementCoordinator placement_;
     PeerTable peers_;
+    UpstreamAvailability leaving_;
     /** Non-urgent frames; sent with the next urgent one, or after the flush interval. */
     std::map<RouterId, PeerFrame> unsent_;
     RouterId reader_;
