Place a request again when its engine has left before it was sent

Callers would see a refusal (no upstream, retry after 200 ms), or a stream that is being resumed cut, when the engine that the placer had chosen had left the directory of this router, or was not known there yet. An engine that had begun to drain was replaced, but the placer was free to choose it again at once, as often as its older directory said.

Both cases now ask for another engine and name the one to avoid; the deadline bounds the tries.

--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -18,8 +18,6 @@
 constexpr auto minTimeLeft = Duration(milliseconds(5));
 /** Limit of upstreams tried for one request, also without a connection, which does not count as a send. */
 constexpr auto maxUpstreamsTried = std::size_t { 4 };
-/** Interval of checks while the upstream is not read because its caller is congested. */
-constexpr auto pauseCheckInterval = Duration(milliseconds(100));
 
 } // namespace
 
@@ -83,6 +81,7 @@
     auto place = makePlacementRequest(routed());
     place.request.key.number = number;
     place.request.failureDomain = relay_.failureDomain();
+    avoid.insert(avoid.end(), leaving_.begin(), leaving_.end());
     place.request.avoid = std::move(avoid);
     place.deadlineLeft = timeLeft();
     place.goalLeft = place.deadlineLeft;
@@ -114,7 +113,7 @@
     if (upstream.draining) {
         // The upstream has started to drain since it was chosen.
         relay_.reportEnd(number_, service_, PlacementEnd::Cancelled);
-        assignUpstream();
+        placeAgain(number_, upstream.id());
         return;
     }
     send(upstream, copyFrom);
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -51,6 +51,8 @@
     /** Stores the figures on which the placer based its decision, for the log. */
     auto setPlacementInputs(const PlacementInputs& inputs) -> void { placementInputs_ = inputs; }
     auto onRefused(std::uint64_t number, RefusalReason reason, std::chrono::milliseconds retryAfter) -> void;
+    /** The chosen engine drains or has left the directory: requests another one, until the deadline. */
+    auto placeAgain(std::uint64_t number, UpstreamId leaving) -> void;
     auto onCallerDisconnected() -> void;
     /** The caller, which was congested, takes bytes again. */
     auto onCallerReady() -> void;
@@ -63,6 +65,9 @@
     auto answerEnded(AnswerEnd end) -> void override;
 
 private:
+    /** Interval of checks while the upstream is not read because its caller is congested. */
+    static constexpr auto pauseCheckInterval = Duration(std::chrono::milliseconds(100));
+
     enum class State : std::uint8_t { Placing, Sent, Answering, Done };
 
     Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive);
@@ -140,6 +145,8 @@
     std::optional<UpstreamEntry> upstream_;
     std::shared_ptr<UpstreamConnection> connection_;
     std::vector<UpstreamId> tried_;
+    /** Engines that were chosen but not used, as they had left or begun to drain. */
+    std::vector<UpstreamId> leaving_;
     /** Number under which an engine was requested for a move away from a silent upstream. */
     std::optional<std::uint64_t> moveNumber_;
     Time nextMoveAt_ {};
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -272,7 +272,7 @@
     }
     // The upstream has been removed from the directory since it was chosen.
     reportEnd(decision.number, decision.service, PlacementEnd::Cancelled);
-    exchange->onRefused(decision.number, RefusalReason::NoUpstream, 200ms);
+    exchange->placeAgain(decision.number, *decision.upstream);
 }
 
 auto Relay::handle(const FleetChanged& changed) -> void
