--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -18,8 +18,6 @@
 constexpr auto minTimeLeft = Duration(milliseconds(5));
 /** Limit of upstreams tried for one request, also without a connection, which does not count as a send. */
 constexpr auto maxUpstreamsTried = std::size_t { 4 };
-/** Interval of checks while the upstream is not read because its caller is congested. */
-constexpr auto pauseCheckInterval = Duration(milliseconds(100));
 
 } // namespace
 
@@ -103,7 +101,8 @@
         return;
     if (upstream.draining) {
         // The upstream has started to drain since it was chosen.
-        withhold(upstream);
+        relay_.reportEnd(number_, service_, PlacementEnd::Cancelled);
+        placeAgain(number_, upstream.process());
         return;
     }
     send(upstream, copyFrom);
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -52,6 +52,8 @@
     /** Stores the figures on which the placer based its decision, for the log. */
     auto setPlacementInputs(const PlacementInputs& inputs) -> void { placementInputs_ = inputs; }
     auto onRefused(std::uint64_t number, RefusalReason reason, std::chrono::milliseconds retryAfter) -> void;
+    /** The chosen engine drains or has left the directory: requests another one, until the deadline. */
+    auto placeAgain(std::uint64_t number, const UpstreamProcess& left) -> void;
     auto onCallerDisconnected() -> void;
     /** The caller, which was congested, takes bytes again. */
     auto onCallerReady() -> void;
@@ -65,6 +67,9 @@
     auto answerEnded(AnswerEnd end) -> void override;
 
 private:
+    /** Interval of checks while the upstream is not read because its caller is congested. */
+    static constexpr auto pauseCheckInterval = Duration(std::chrono::milliseconds(100));
+
     enum class State : std::uint8_t { Placing, Sent, Answering, Done };
 
     Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive);
@@ -82,7 +87,7 @@
 
     /** Gives back a place at an upstream that leaves or rests, and asks for another one. */
     auto withhold(const UpstreamEntry& upstream) -> void;
-    auto avoidWithheld(const UpstreamEntry& upstream) -> void;
+    auto avoidWithheld(const UpstreamProcess& process) -> void;
     auto enginesToAvoid() const -> std::vector<UpstreamId>;
     /** Waits until an upstream has rested if the request can be on time then; otherwise ends it. */
     auto waitForRest(Time now) -> void;
@@ -164,7 +169,7 @@
     std::shared_ptr<UpstreamConnection> connection_;
     std::vector<UpstreamId> tried_;
     std::optional<Takeover> move_;
-    /** Engines that were chosen for this request while they left or rested. */
+    /** Engines that were chosen for this request and not used, as they had left, left or rested. */
     std::vector<UpstreamProcess> withheld_;
     /** While no upstream may be sent to: when the next one may be. */
     std::optional<Time> waitUntil_;
--- a/src/camphorshuntrouter/exchangeavailability.cpp
+++ b/src/camphorshuntrouter/exchangeavailability.cpp
@@ -44,7 +44,7 @@
     --sends_;
     endAttempt(PlacementEnd::Cancelled);
     answer_.discardUnsent();
-    avoidWithheld(upstream);
+    avoidWithheld(upstream.process());
 }
 
 auto Exchange::withhold(const UpstreamEntry& upstream) -> void
@@ -53,13 +53,13 @@
         relay_.repeatAvailability(upstream);
         relay_.reportEnd(number_, service_, PlacementEnd::Cancelled);
     }
-    avoidWithheld(upstream);
+    avoidWithheld(upstream.process());
 }
 
-auto Exchange::avoidWithheld(const UpstreamEntry& upstream) -> void
+auto Exchange::avoidWithheld(const UpstreamProcess& process) -> void
 {
     relay_.metrics().sendWithheld();
-    withheld_.push_back(upstream.process());
+    withheld_.push_back(process);
     if (withheld_.size() < maxWithheld) {
         assignUpstream();
         return;
