Refuse peers' frames with impossible figures and requests for unknown services

What callers would see: a damaged or wrong peer could make a router keep one placer for each service number that it names, without bound; overflow a time with a goal or deadline far away; count a fleet of billions, so that budgets and reads of the store shrink to nothing; or, with a share of the processor that is no number, upset the choice of placers. A connection that began with something other than a hello was closed without a log line.

A request for a service that the configuration does not have is answered with no-upstream at once, its reports are dropped, and `peer-unknown-service` says so once a frame. `peer-malformed` tells of a connection closed before its hello. The fuzzed peer frame has hello, heartbeat, addresses and presence.

Ruled out: no bound on levels, as frames have none.

--- a/src/camphorshuntrouter/meshlink.cpp
+++ b/src/camphorshuntrouter/meshlink.cpp
@@ -92,12 +92,14 @@
     while (!closed_) {
         const auto body = reader_.next();
         if (!body || !body.value()) {
+            malformed_ = !body;
             if (!body)
                 fail(body.error().text());
             break;
         }
         auto frame = decodePeerFrame(*body.value());
         if (!frame || (!helloReceived_ && !frame.value().hello)) {
+            malformed_ = true;
             fail(frame ? "first frame is not a hello" : frame.error().text());
             return;
         }
--- a/src/camphorshuntrouter/meshlink.h
+++ b/src/camphorshuntrouter/meshlink.h
@@ -41,6 +41,8 @@
     auto router() const -> RouterId { return router_; }
     /** The dial was refused: the host is up, but nothing listens there. */
     auto wasRefused() const -> bool { return refused_; }
+    /** It was closed because the other end sent something that is no frame. */
+    auto wasMalformed() const -> bool { return malformed_; }
 
 private:
     auto fail(std::string_view reason) -> void;
@@ -59,6 +61,7 @@
     bool helloReceived_ = false;
     bool closed_ = false;
     bool refused_ = false;
+    bool malformed_ = false;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -13,6 +13,11 @@
 
 constexpr auto maxNesting = std::size_t { 6 };
 constexpr auto maxTables = std::size_t { 100000 };
+/** Cores of a VM; the same bound as in a router's settings. */
+constexpr auto maxProcessorShare = 1024.0F;
+constexpr auto maxRouters = 100000U;
+/** Longest time to a goal or deadline, or since one; a longer one could overflow a time. */
+constexpr auto maxTimeLeft = Duration(std::chrono::hours(24));
 
 auto malformed(std::string message) -> Error
 {
@@ -77,6 +82,14 @@
         decision.inputs.waiting, static_cast<std::uint8_t>(decision.reason), decision.upstream.has_value() };
 }
 
+/** False for NaN as well. */
+auto isProcessorShare(float share) -> bool { return share >= 0 && share <= maxProcessorShare; }
+
+auto isTimeLeft(std::int64_t microseconds) -> bool
+{
+    return microseconds >= -maxTimeLeft.count() && microseconds <= maxTimeLeft.count();
+}
+
 /** The verifier of FlatBuffers 2.0 checks the length of a list, but not the alignment of its items. */
 template <typename Item> auto isAligned(const flatbuffers::Vector<Item>* list) -> bool
 {
@@ -90,6 +103,8 @@
 {
     if (!isAligned(packed.parts()) || !isAligned(packed.avoid()))
         return malformed("list of a placement request is not aligned");
+    if (!isTimeLeft(packed.goal_us()) || !isTimeLeft(packed.deadline_us()))
+        return malformed("goal or deadline of a placement request is more than a day away");
     auto placement = PeerPlacementRequest {};
     auto& request = placement.request;
     request.key.number = packed.number();
@@ -158,9 +173,8 @@
 
 auto unpackAddress(const fleet::Address& packed) -> Result<RouterAddress>
 {
-    // Rejects NaN as well.
-    if (!(packed.processor_share() >= 0))
-        return malformed("processor share of an address is negative or no number");
+    if (!isProcessorShare(packed.processor_share()))
+        return malformed("processor share of an address is out of range");
     return RouterAddress { packed.endpoint()->str(), packed.processor_share(), packed.failure_domain() };
 }
 
@@ -233,9 +247,12 @@
     const auto& packed = *fleet::GetFrame(aligned.data());
 
     auto frame = PeerFrame {};
-    if (const auto* const hello = packed.hello())
+    if (const auto* const hello = packed.hello()) {
+        if (!isProcessorShare(hello->processor_share()))
+            return malformed("processor share of a hello is out of range");
         frame.hello
             = { hello->endpoint()->str(), hello->run(), hello->processor_share(), hello->failure_domain() };
+    }
     if (packed.members() != nullptr) {
         for (const auto* const member : *packed.members())
             frame.members.push_back(member->str());
@@ -254,7 +271,10 @@
         return *error;
     if (const auto error = unpackAll(packed.addresses(), frame.addresses, unpackAddress))
         return *error;
-    if (const auto* const presence = packed.presence())
+    const auto* const presence = packed.presence();
+    if (presence != nullptr && presence->routers() > maxRouters)
+        return malformed("more routers than a fleet can have");
+    if (presence != nullptr)
         frame.presence = unpackPresence(*presence);
     if (packed.directory() != nullptr)
         frame.directory = unpackDirectory(*packed.directory());
--- a/src/camphorshuntrouter/peermesh.cpp
+++ b/src/camphorshuntrouter/peermesh.cpp
@@ -217,6 +217,8 @@
 {
     const auto shared = link.shared_from_this();
     std::erase(unidentified_, shared);
+    if (link.wasMalformed() && link.router() == RouterId {} && handlers_.onMalformed)
+        handlers_.onMalformed(reason);
     for (auto& [router, peer] : peers_) {
         const auto isLink = peer.link == shared;
         if (!isLink && peer.dialling != shared)
--- a/src/camphorshuntrouter/peermesh.h
+++ b/src/camphorshuntrouter/peermesh.h
@@ -37,6 +37,8 @@
         std::function<void(RouterId, PeerFrame)> onFrame;
         /** The host of a router that was connected answers, but the process is gone. */
         std::function<void(RouterId)> onRefused;
+        /** A connection was closed whose first frame is no hello. */
+        std::function<void(std::string_view reason)> onMalformed;
     };
 
     static auto listen(boost::asio::io_context& context, const Endpoint& endpoint, PeerHello self,
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -19,6 +19,8 @@
  * for a whole service takes more than a small router has.
  */
 constexpr auto minShareOfLargest = 0.5;
+/** After this a configuration that names the service may have arrived here too. */
+constexpr auto unknownServiceRetry = milliseconds(200);
 
 } // namespace
 
@@ -183,11 +185,43 @@
     }
 }
 
+auto PlacementCoordinator::refuseUnknown(RouterId peer, const PeerFrame& frame) -> bool
+{
+    auto unknown = std::optional<ServiceId> {};
+    for (const auto& report : frame.reports) {
+        if (!services_.contains(report.service))
+            unknown = report.service;
+    }
+    for (const auto& placement : frame.placementRequests) {
+        const auto& request = placement.request;
+        if (services_.contains(request.service))
+            continue;
+        unknown = request.service;
+        if (placement.runningAt)
+            continue;
+        auto refusal = PeerPlacementDecision {};
+        refusal.number = request.key.number;
+        refusal.service = request.service;
+        refusal.reason = RefusalReason::NoUpstream;
+        refusal.retryAfter = unknownServiceRetry;
+        outputs_.frames[peer].placementDecisions.push_back(refusal);
+        outputs_.urgent = true;
+    }
+    if (unknown)
+        outputs_.unknownServices.emplace_back(peer, *unknown);
+    return unknown.has_value();
+}
+
 auto PlacementCoordinator::handleFrame(Time now, RouterId peer, const PeerFrame& frame) -> void
 {
-    for (const auto& report : frame.reports)
-        applyReport(now, { peer, report.number }, report);
+    const auto hasUnknown = refuseUnknown(peer, frame);
+    for (const auto& report : frame.reports) {
+        if (!hasUnknown || services_.contains(report.service))
+            applyReport(now, { peer, report.number }, report);
+    }
     for (const auto& placement : frame.placementRequests) {
+        if (hasUnknown && !services_.contains(placement.request.service))
+            continue;
         auto request = placement.request;
         request.key.router = peer;
         request.goal = now + placement.goalLeft;
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -51,6 +51,8 @@
         std::vector<PeerPlacementDecision> placementDecisions;
         std::map<RouterId, PeerFrame> frames;
         std::vector<PlacerChange> placerChanges;
+        /** For each frame at most one service that it names and that the configuration does not have. */
+        std::vector<std::pair<RouterId, ServiceId>> unknownServices;
         /** A frame contains something that a request waits for. */
         bool urgent = false;
     };
@@ -106,6 +108,8 @@
     };
 
     auto service(ServiceId id) -> Service&;
+    /** Refuses the requests of a frame for services that do not exist. Returns true if there are any. */
+    auto refuseUnknown(RouterId peer, const PeerFrame& frame) -> bool;
     auto sendToPlacer(Time now, OwnRequest& own) -> void;
     auto withdraw(Time now, const OwnRequest& own) -> void;
     auto applyReport(Time now, const PlacementKey& key, const PeerReport& report) -> void;
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -79,6 +79,10 @@
                 peers_.forget(router);
                 routersChanged(steadyNow());
             },
+        .onMalformed =
+            [this](std::string_view reason) {
+                log_.write(LogLevel::Warning, "peer-malformed", { { "reason", std::string(reason) } });
+            },
     };
     const auto self = PeerHello { settings_.listen.text(), settings_.incarnation, settings_.processorShare,
         hashName(settings_.failureDomain) };
@@ -303,6 +307,10 @@
         metrics_.placingPass(passTime);
     auto outputs = placement_->takeOutputs();
     logPlacerChanges(outputs.placerChanges);
+    for (const auto& [router, service] : outputs.unknownServices) {
+        log_.write(LogLevel::Warning, "peer-unknown-service",
+            { { "router", std::to_string(router.value) }, { "service", std::to_string(service.value) } });
+    }
     for (auto& decision : outputs.placementDecisions)
         rings_.toRelay.push(PlacementDecided { decision });
     for (auto& [router, frame] : outputs.frames) {
--- a/tests/fuzz/parsersfuzz.cpp
+++ b/tests/fuzz/parsersfuzz.cpp
@@ -161,6 +161,10 @@
     frame.directory
         = router::DirectoryPage { true, 3, 5, { { "i-1", "{}", 3 }, { "i-2", std::nullopt, 4 } } };
     frame.configuration = "{}";
+    frame.hello = router::PeerHello { "10.0.0.3:80", 7, 0.5, 9 };
+    frame.heartbeat = router::PeerHeartbeat { 3, 5, true, false };
+    frame.addresses = { { "10.0.0.4:80", 0.25, 8 } };
+    frame.presence = router::PeerPresence { 3, std::chrono::milliseconds(120), {}, true };
     const auto bytes = router::encodePeerFrame(frame);
     return { bytes.begin(), bytes.end() };
 }
