--- a/tests/process/fleetviewtest.cpp
+++ b/tests/process/fleetviewtest.cpp
@@ -67,6 +67,8 @@
     CHECK(run.code == 1);
     CHECK(run.output.find(addresses[2] + " gives no view: no answer") != std::string::npos);
 
+    CHECK(eventually([&] { return fleet.metric(0, "router_links_silent") == 1; }));
+
     addresses.emplace_back("--json");
     const auto answer = json::parse(runFleetCommand(addresses).output);
     const auto& routers = answer.at("routers").as_array();
