--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -230,6 +230,10 @@
 {
     auto outputs = placement_.takeOutputs();
     logPlacerChanges(outputs.placerChanges);
+    for (const auto& [router, service] : outputs.unknownServices) {
+        log_.write(LogLevel::Warning, "peer-unknown-service",
+            { { "router", std::to_string(router.value) }, { "service", std::to_string(service.value) } });
+    }
     for (auto& decision : outputs.placementDecisions)
         handlers_.tellRelay(PlacementDecided { decision });
     for (auto& [router, frame] : outputs.frames) {
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -69,6 +69,10 @@
                 placeAndSend();
             },
         .onRefused = [this](RouterId router) { control_.refused(steadyNow(), router); },
+        .onMalformed =
+            [this](std::string_view reason) {
+                log_.write(LogLevel::Warning, "peer-malformed", { { "reason", std::string(reason) } });
+            },
     };
     auto mesh = PeerMesh::listen(context_, settings_.listen, control_.plan(), std::move(handlers));
     if (!mesh)
--- a/tests/fuzz/parsersfuzz.cpp
+++ b/tests/fuzz/parsersfuzz.cpp
@@ -178,6 +178,10 @@
     frame.configuration = "{}";
     frame.availability.push_back({ ServiceId { 1 }, { UpstreamId { 2 }, {}, { "10.0.0.9", 80 } }, true,
         std::chrono::milliseconds(2500) });
+    frame.hello = router::PeerHello { "10.0.0.3:80", 7, 0.5, 9 };
+    frame.heartbeat = router::PeerHeartbeat { 3, 5, true, false };
+    frame.addresses = { { "10.0.0.4:80", 0.25, 8 } };
+    frame.presence = router::PeerPresence { 3, std::chrono::milliseconds(120), {}, true };
     const auto bytes = router::encodePeerFrame(frame);
     return { bytes.begin(), bytes.end() };
 }
