Test that no copies are asked of an engine that said that it leaves

Its cache would be read on its last way: the other engine's request then waits for a copy that may never come. Fails with recordLeaving changed to record nothing (copies are asked); the case without the mark shows that copies are made at all.

--- a/tests/process/availabilitytest.cpp
+++ b/tests/process/availabilitytest.cpp
@@ -1,5 +1,6 @@
 #include "availabilitysupport.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <thread>
@@ -26,6 +27,16 @@
     return eventually(isUsed, 2s);
 }
 
+/** Gives requests so much time that all of a test's may wait for an engine. */
+auto applyPatientGoals(RouterFleet& fleet) -> void
+{
+    auto configuration = RouterFleet::configuration(3);
+    for (auto& route : configuration["routes"].as_array())
+        route.as_object()["latency_goal_ms"] = 12000;
+    fleet.putConfiguration(boost::json::serialize(configuration));
+    std::this_thread::sleep_for(2s);
+}
+
 } // namespace
 
 TEST_CASE("An upstream gets no requests after it has said that it leaves, in an answer of any kind")
@@ -139,11 +150,7 @@
     options.engineFlags = { "--token_ms=10" };
     auto fleet = RouterFleet(options);
     REQUIRE(fleet.awaitReady());
-    auto patient = RouterFleet::configuration(3);
-    for (auto& route : patient["routes"].as_array())
-        route.as_object()["latency_goal_ms"] = 12000;
-    fleet.putConfiguration(boost::json::serialize(patient));
-    std::this_thread::sleep_for(2s);
+    applyPatientGoals(fleet);
     constexpr auto requests = 200;
     auto calls = std::vector<std::future<Answer>> {};
     for (auto index = 0; index < requests; ++index) {
@@ -239,6 +246,43 @@
     CHECK(fleet.totalRuns() == running.size());
 }
 
+TEST_CASE("An engine that said that it leaves is not asked for copies of the prompts that it has cached")
+{
+    const auto leaves = GENERATE(false, true);
+    CAPTURE(leaves);
+    auto options = RouterFleet::Options {};
+    options.engineFlags = { "--token_ms=20" };
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    applyPatientGoals(fleet);
+    const auto make = [] {
+        const auto stream = withHeader(RouterFleet::stream("resume", 100), "X-Token-Count", "20500,100");
+        const auto patient = withHeader(stream, "X-Deadline-Ms", "12000");
+        return withHeader(patient, "X-Prompt-Prefix", "5c1e07a2:20000,91bd3f06:500");
+    };
+    const auto& callers = fleet.router(0).callers;
+    auto running = std::vector<std::future<Answer>> {};
+    running.push_back(callAsync(callers, make()));
+    REQUIRE(eventually([&] { return fleet.totalRuns() == 1; }, 5s));
+    const auto holder = std::size_t { fleet.runs(0).empty() ? 1U : 0U };
+    // The holder gets as many as it can run, the first of which says that it leaves.
+    fleet.fault(holder, leaves ? R"({"leaving":true})" : R"({"leaving":false})");
+    running.push_back(callAsync(callers, make()));
+    REQUIRE(eventually([&] { return fleet.totalRuns() == 2; }, 5s));
+    std::this_thread::sleep_for(drainTime);
+    for (auto index = 0; index < 12; ++index)
+        running.push_back(callAsync(callers, make()));
+    for (auto& each : running)
+        CHECK(isServed(each.get()));
+    const auto runs = fleet.runs(1 - holder);
+    const auto copies = std::ranges::count(
+        runs, fleet.upstream(holder).endpoint.text(), [](const auto& run) { return run.at("Kv-Fetch"); });
+    INFO(runs.size() << " runs at the other engine");
+    REQUIRE(!runs.empty());
+    // Without the mark copies are made, so that their lack has a meaning.
+    CHECK((copies > 0) != leaves);
+}
+
 TEST_CASE("Requests on a kept connection do not reach an upstream that said that it leaves")
 {
     auto fleet = RouterFleet({});
