--- a/src/camphorshuntrouter/exchangeavailability.cpp
+++ b/src/camphorshuntrouter/exchangeavailability.cpp
@@ -66,8 +66,8 @@
     }
     const auto now = steadyNow();
     auto soonest = std::optional<Time> {};
-    for (const auto& process : withheld_) {
-        const auto from = relay_.availability().sendableFrom(now, process);
+    for (const auto& other : withheld_) {
+        const auto from = relay_.availability().sendableFrom(now, other);
         if (from)
             soonest = std::min(soonest.value_or(*from), *from);
     }
