Refuse waiting requests only once they have left the placer's queues

When engines leave or rest, requests that can't be served any more were refused while the queue was being filtered, so that their expected wait was computed over a list in between two states. They are taken out first now. Callers saw nothing of it; found in review.

Two tests built the same request: it is PlacerFixture::requestOf now, without a change of a check. unittests: all 350 cases pass.

--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -129,8 +129,10 @@
     waiting.request = std::move(request);
 
     waiting.latestStart = waiting.request.goal - firstTokenTimeOf(waiting.request);
-    if (refuseUnavailable(now, waiting))
+    if (isUnavailable(now, waiting)) {
+        refuseUnavailable(now, waiting);
         return;
+    }
     const auto wait = expectedWait(now, waiting);
     // A request of an underserved organisation is not refused merely because it will be late.
     const auto latest = queues_.isUnderserved(waiting.request.organisation)
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -124,9 +124,10 @@
     /** `earliest`: before which the caller's next try would fail as well. */
     auto refuse(Time now, const WaitingRequest& waiting, RefusalReason reason, Time earliest = {}) -> void;
     auto isLeaving(const EngineModel& engine) const -> bool;
-    /** Refuses a request that no engine can serve in time as they leave or rest. */
-    auto refuseUnavailable(Time now, const WaitingRequest& waiting) -> bool;
-    /** As `refuseUnavailable`, for all that wait. */
+    /** Whether no engine can serve the request in time as they leave, rest or are too small. */
+    auto isUnavailable(Time now, const WaitingRequest& waiting) const -> bool;
+    auto refuseUnavailable(Time now, const WaitingRequest& waiting) -> void;
+    /** Refuses all that wait and are unavailable. */
     auto refuseAllUnavailable(Time now) -> void;
     /** When the first engine that fits may get this request; none if all leave or fit nothing. */
     auto firstAvailable(Time now, const WaitingRequest& waiting) const -> std::optional<Time>;
--- a/src/libcamphorshunt/placeravailability.cpp
+++ b/src/libcamphorshunt/placeravailability.cpp
@@ -67,26 +67,30 @@
     return first;
 }
 
-auto Placer::refuseUnavailable(Time now, const WaitingRequest& waiting) -> bool
+auto Placer::isUnavailable(Time now, const WaitingRequest& waiting) const -> bool
 {
     const auto first = firstAvailable(now, waiting);
-    if (!first) {
+    return !first || (*first > now && *first > waiting.latestStart);
+}
+
+auto Placer::refuseUnavailable(Time now, const WaitingRequest& waiting) -> void
+{
+    auto earliest = firstAvailable(now, waiting);
+    if (!earliest) {
         const auto allLeave = std::ranges::any_of(engines_, [this, &waiting](const auto& engine) {
             return isLeaving(engine.second) && !engine.second.isTooSmallFor(waiting.request.prompt);
         });
-        refuse(now, waiting, RefusalReason::NoUpstream, allLeave ? now + replacementTime : Time {});
-        return true;
+        earliest = allLeave ? now + replacementTime : now;
     }
-    if (*first == now || *first <= waiting.latestStart)
-        return false;
-    refuse(now, waiting, RefusalReason::NoUpstream, *first);
-    return true;
+    refuse(now, waiting, RefusalReason::NoUpstream, *earliest);
 }
 
 auto Placer::refuseAllUnavailable(Time now) -> void
 {
-    static_cast<void>(queues_.removeIf(
-        [this, now](const WaitingRequest& waiting) { return refuseUnavailable(now, waiting); }));
+    const auto unavailable = queues_.removeIf(
+        [this, now](const WaitingRequest& waiting) { return isUnavailable(now, waiting); });
+    for (const auto& waiting : unavailable)
+        refuseUnavailable(now, waiting);
 }
 
 auto Placer::sweepRests(Time now) -> void
--- a/tests/unit/placeravailabilitytest.cpp
+++ b/tests/unit/placeravailabilitytest.cpp
@@ -11,19 +11,13 @@
 
 constexpr auto tired = RouterId { 1 };
 constexpr auto other = RouterId { 2 };
-
-auto requestOf(PlacerFixture& fixture, RouterId router) -> PlacementRequest
-{
-    auto request = fixture.request("acme", 50);
-    request.key.router = router;
-    return request;
-}
+constexpr auto tokens = 50U;
 
 /** Submits without letting the placer decide. */
 auto queue(PlacerFixture& fixture, int count) -> void
 {
     for (auto index = 0; index < count; ++index)
-        fixture.placer.submit(fixture.now, requestOf(fixture, tired));
+        fixture.placer.submit(fixture.now, fixture.requestOf(tired, tokens));
 }
 
 /** Lets all placed requests end until none waits. */
@@ -61,7 +55,7 @@
 TEST_CASE("What runs on an engine that leaves goes on")
 {
     auto fixture = PlacerFixture(1);
-    const auto key = fixture.submit(requestOf(fixture, tired));
+    const auto key = fixture.submit(fixture.requestOf(tired, tokens));
     REQUIRE(fixture.placed.contains(key));
     fixture.placer.recordLeaving(fixture.now, fixture.entries[0].id());
     CHECK(fixture.placer.running() == 1);
@@ -76,7 +70,7 @@
     fixture.placer.recordLeaving(fixture.now, fixture.entries[0].id());
     fixture.entries[0].startedAt = 6ms;
     fixture.placer.setUpstreams(fixture.now, fixture.entries);
-    CHECK(fixture.placed.contains(fixture.submit(requestOf(fixture, tired))));
+    CHECK(fixture.placed.contains(fixture.submit(fixture.requestOf(tired, tokens))));
 }
 
 TEST_CASE("If all engines leave, waiting and new requests are refused at once with a time to retry")
@@ -86,7 +80,7 @@
     for (const auto& entry : fixture.entries)
         fixture.placer.recordLeaving(fixture.now, entry.id());
     CHECK(fixture.placer.waiting() == 0);
-    const auto key = fixture.submit(requestOf(fixture, tired));
+    const auto key = fixture.submit(fixture.requestOf(tired, tokens));
     CHECK(fixture.placed.empty());
     CHECK(fixture.refused.size() == 51);
     CHECK(fixture.refused.at(key).retryAfter >= 1000ms);
@@ -102,7 +96,7 @@
     auto ofOther = 0;
     while (fixture.now < until) {
         for (const auto router : { tired, other }) {
-            const auto key = fixture.submit(requestOf(fixture, router));
+            const auto key = fixture.submit(fixture.requestOf(router, tokens));
             if (!fixture.placed.contains(key))
                 continue;
             CHECK((router == other || fixture.upstreamOf(key) != resting));
@@ -118,7 +112,7 @@
     // Both engines serve the router again.
     auto used = std::set<UpstreamId> {};
     for (auto round = 0; round < 8; ++round) {
-        const auto key = fixture.submit(requestOf(fixture, tired));
+        const auto key = fixture.submit(fixture.requestOf(tired, tokens));
         if (fixture.placed.contains(key))
             used.insert(fixture.upstreamOf(key));
     }
@@ -130,7 +124,7 @@
     auto fixture = PlacerFixture(2);
     fixture.placer.recordRest(fixture.now, fixture.entries[0].id(), tired, fixture.now + 300ms);
     fixture.placer.recordRest(fixture.now, fixture.entries[1].id(), tired, fixture.now + 60s);
-    const auto waiting = fixture.submit(requestOf(fixture, tired));
+    const auto waiting = fixture.submit(fixture.requestOf(tired, tokens));
     CHECK(!fixture.placed.contains(waiting));
     CHECK(!fixture.refused.contains(waiting));
     fixture.now += 299ms;
@@ -143,14 +137,14 @@
     fixture.placer.recordRest(fixture.now, fixture.entries[0].id(), tired, fixture.now + 5s);
     auto times = std::set<std::chrono::milliseconds> {};
     for (auto round = 0; round < 10; ++round) {
-        const auto late = fixture.submit(requestOf(fixture, tired));
+        const auto late = fixture.submit(fixture.requestOf(tired, tokens));
         REQUIRE(fixture.refused.contains(late));
         CHECK(fixture.refused.at(late).retryAfter > 5s);
         CHECK(fixture.refused.at(late).retryAfter < 5500ms);
         times.insert(fixture.refused.at(late).retryAfter);
     }
     CHECK(times.size() > 3);
-    CHECK(fixture.placed.contains(fixture.submit(requestOf(fixture, other))));
+    CHECK(fixture.placed.contains(fixture.submit(fixture.requestOf(other, tokens))));
 }
 
 TEST_CASE("Requests that wait when the last engine begins a long rest are refused at once")
--- a/tests/unit/placerfixture.h
+++ b/tests/unit/placerfixture.h
@@ -47,6 +47,13 @@
         return made;
     }
 
+    auto requestOf(RouterId router, std::uint32_t tokens) -> PlacementRequest
+    {
+        auto made = request("acme", tokens);
+        made.key.router = router;
+        return made;
+    }
+
     /** Submits a request, lets the placer decide and records the decisions. */
     auto submit(const PlacementRequest& submitted) -> PlacementKey
     {
--- a/tests/unit/routerfaulttest.cpp
+++ b/tests/unit/routerfaulttest.cpp
@@ -12,13 +12,6 @@
 constexpr auto healthy = RouterId { 1 };
 constexpr auto congested = RouterId { 2 };
 
-auto requestOf(PlacerFixture& fixture, RouterId router) -> PlacementRequest
-{
-    auto request = fixture.request("acme", 500);
-    request.key.router = router;
-    return request;
-}
-
 } // namespace
 
 // A router whose network link is congested reaches no engine. Its failures suspended every engine, so that
@@ -32,13 +25,13 @@
     for (auto round = 0; round < 100; ++round) {
         auto failing = std::vector<PlacementKey> {};
         for (auto index = 0; index < 10; ++index) {
-            const auto key = fixture.submit(requestOf(fixture, congested));
+            const auto key = fixture.submit(fixture.requestOf(congested, 500));
             if (fixture.placed.contains(key))
                 failing.push_back(key);
         }
         fixture.now += 10ms;
         for (auto index = 0; index < 4; ++index) {
-            const auto key = fixture.submit(requestOf(fixture, healthy));
+            const auto key = fixture.submit(fixture.requestOf(healthy, 500));
             ++sent;
             if (!fixture.placed.contains(key))
                 continue;
@@ -62,7 +55,7 @@
     auto sentToDead = 0;
     for (auto round = 0; round < 200; ++round) {
         for (const auto router : { healthy, congested }) {
-            const auto key = fixture.submit(requestOf(fixture, router));
+            const auto key = fixture.submit(fixture.requestOf(router, 500));
             REQUIRE(fixture.placed.contains(key));
             fixture.now += 3ms;
             if (fixture.upstreamOf(key) == dead) {
@@ -82,11 +75,11 @@
 TEST_CASE("An engine that starts later requests is not suspended for one that has not arrived")
 {
     auto fixture = PlacerFixture(1);
-    const auto lost = fixture.submit(requestOf(fixture, congested));
+    const auto lost = fixture.submit(fixture.requestOf(congested, 500));
     REQUIRE(fixture.placed.contains(lost));
     auto placed = 0;
     for (auto round = 0; round < 100; ++round) {
-        const auto key = fixture.submit(requestOf(fixture, healthy));
+        const auto key = fixture.submit(fixture.requestOf(healthy, 500));
         fixture.now += 20ms;
         if (!fixture.placed.contains(key)) {
             fixture.placeWaiting();
