Share the scheduler's thread between unit tests

schedulerfloodtest and oldbuildtest set up the same scheduler on a thread. SchedulerThread does so for both; checks and bounds are unchanged.

--- a/tests/unit/oldbuildtest.cpp
+++ b/tests/unit/oldbuildtest.cpp
@@ -1,18 +1,15 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <thread>
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <prometheus/registry.h>
 
 #include "clock.h"
 #include "framereader.h"
 #include "peerframe.h"
-#include "scheduler.h"
-#include "worker.h"
+#include "schedulerthread.h"
 
 #include "../frames/beforehubs_generated.h"
 
@@ -21,6 +18,7 @@
 
 using namespace camphorshunt;
 using namespace camphorshunt::router;
+using namespace camphorshunt::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -75,31 +73,13 @@
     RouterId router;
 };
 
-/** A scheduler on a thread of its own, and a connection to it on which the test is the other router. */
-struct ConnectedScheduler {
+/** A scheduler, and a connection to it on which the test is the other router. */
+struct ConnectedScheduler : SchedulerThread {
     ConnectedScheduler()
     {
-        auto probe = Tcp::acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        const auto port = probe.local_endpoint().port();
-        probe.close();
-        auto settings = Scheduler::Settings {};
-        settings.listen = { "127.0.0.1", port };
-        settings.failureDomain = "zone-a";
-        auto created
-            = Scheduler::create(thread.context(), settings, { toRelay, toStore }, log, metrics, state);
-        REQUIRE(created);
-        scheduler = std::move(created.value());
-        runner = std::thread([this] { thread.context().run(); });
-        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        start();
+        socket.connect({ boost::asio::ip::make_address("127.0.0.1"), settings.listen.port });
     }
-    ~ConnectedScheduler()
-    {
-        thread.context().stop();
-        runner.join();
-        scheduler.reset();
-    }
-    ConnectedScheduler(const ConnectedScheduler&) = delete;
-    auto operator=(const ConnectedScheduler&) -> ConnectedScheduler& = delete;
 
     auto send(const Bytes& body) -> void
     {
@@ -119,16 +99,6 @@
     }
 
     boost::asio::io_context context;
-    Worker thread;
-    boost::asio::io_context otherContext;
-    Ring<SchedulerToRelay> toRelay { thread.context(), otherContext, 256, 64 };
-    Ring<SchedulerToStore> toStore { thread.context(), otherContext, 256, 64 };
-    RouterLog log;
-    prometheus::Registry registry;
-    RouterMetrics metrics { registry };
-    SharedState state;
-    std::unique_ptr<Scheduler> scheduler;
-    std::thread runner;
     Tcp::socket socket { context };
     FrameReader reader;
 };
--- a/tests/unit/peerbadinputtest.cpp
+++ b/tests/unit/peerbadinputtest.cpp
@@ -8,9 +8,11 @@
 #include "peermesh.h"
 #include "peertable.h"
 #include "placementcoordinator.h"
+#include "schedulerthread.h"
 
 using namespace camphorshunt;
 using namespace camphorshunt::router;
+using namespace camphorshunt::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -41,9 +43,7 @@
 struct ListeningMesh {
     ListeningMesh()
     {
-        auto probe = Tcp::acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        const auto port = probe.local_endpoint().port();
-        probe.close();
+        const auto port = freePort();
         const auto endpoint = Endpoint { "127.0.0.1", port };
         auto listening = PeerMesh::listen(context, endpoint, { endpoint.text(), 1, 0.5, 1 },
             { .onConnected = [this](RouterId, const PeerHello&) { ++connected; },
--- a/tests/unit/schedulerfloodtest.cpp
+++ b/tests/unit/schedulerfloodtest.cpp
@@ -1,4 +1,4 @@
-#include "scheduler.h"
+#include "schedulerthread.h"
 
 #include <ctime>
 #include <pthread.h>
@@ -10,14 +10,13 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
-#include <prometheus/registry.h>
 
 #include "clock.h"
 #include "framereader.h"
-#include "worker.h"
 
 using namespace camphorshunt;
 using namespace camphorshunt::router;
+using namespace camphorshunt::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -32,12 +31,6 @@
 /** Processor time of a VM with 0.12 of a core within 2 s, the time for a change to be in force. */
 constexpr auto processorBound = Duration(240ms);
 
-auto freePort() -> std::uint16_t
-{
-    auto context = boost::asio::io_context {};
-    return Tcp::acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 }).local_endpoint().port();
-}
-
 auto configuration(std::uint64_t version) -> std::string
 {
     const auto engine = json::object { { "slots", 12 }, { "kv_capacity", 337851 },
@@ -110,20 +103,14 @@
 
 /** A scheduler on a thread of its own with 40 peers, of which the first passes on what it reads of the store.
  */
-struct FloodedScheduler {
+struct FloodedScheduler : SchedulerThread {
     FloodedScheduler()
     {
         toRelay.onItem([this](SchedulerToRelay item) {
             if (auto* const changed = std::get_if<FleetChanged>(&item))
                 fleet = *changed;
         });
-        auto settings = Scheduler::Settings {};
-        settings.listen = { "127.0.0.1", freePort() };
-        auto created
-            = Scheduler::create(thread.context(), settings, { toRelay, toStore }, log, metrics, state);
-        REQUIRE(created);
-        scheduler = std::move(created.value());
-        runner = std::thread([this] { thread.context().run(); });
+        start();
         for (auto index = std::size_t { 0 }; index < peerCount; ++index)
             peers.push_back(std::make_unique<FakePeer>(peerContext, settings.listen, index));
         auto frame = PeerFrame {};
@@ -135,16 +122,6 @@
         REQUIRE(waitFor([this] { return fleet.upstreams && fleet.upstreams->size() == engineCount; }));
     }
 
-    ~FloodedScheduler()
-    {
-        thread.context().stop();
-        runner.join();
-        scheduler.reset();
-    }
-
-    FloodedScheduler(const FloodedScheduler&) = delete;
-    auto operator=(const FloodedScheduler&) -> FloodedScheduler& = delete;
-
     /** Handles messages to the relay until the condition holds; false after 20 s. */
     template <typename Condition> auto waitFor(Condition condition) -> bool
     {
@@ -172,18 +149,7 @@
             std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec));
     }
 
-    Worker thread;
-    boost::asio::io_context relayContext;
-    boost::asio::io_context storeContext;
     boost::asio::io_context peerContext;
-    Ring<SchedulerToRelay> toRelay { thread.context(), relayContext, 4096, 1024 };
-    Ring<SchedulerToStore> toStore { thread.context(), storeContext, 4096, 1024 };
-    RouterLog log;
-    prometheus::Registry registry;
-    RouterMetrics metrics { registry };
-    SharedState state;
-    std::unique_ptr<Scheduler> scheduler;
-    std::thread runner;
     std::vector<std::unique_ptr<FakePeer>> peers;
     FleetChanged fleet;
 };
