--- a/src/libcamphorshunt/fleetreport.cpp
+++ b/src/libcamphorshunt/fleetreport.cpp
@@ -7,7 +7,7 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "settingsreader.h"
+#include "settingsfile.h"
 
 namespace camphorshunt {
 
@@ -148,15 +148,7 @@
 
 auto FleetReport::parse(std::string_view text) -> Result<FleetReport>
 {
-    const auto object = parseSettingsObject(text, "fleet view");
-    if (!object)
-        return object.error();
-    auto error = std::optional<Error> {};
-    auto reader = SettingsReader(object.value(), {}, error);
-    auto report = readReport(reader);
-    if (error)
-        return *error;
-    return report;
+    return parseSettings<FleetReport>(text, "fleet view", readReport);
 }
 
 } // namespace camphorshunt
