--- a/tests/unit/peerbadinputtest.cpp
+++ b/tests/unit/peerbadinputtest.cpp
@@ -8,9 +8,11 @@
 #include "peermesh.h"
 #include "peertable.h"
 #include "placementcoordinator.h"
+#include "schedulerthread.h"
 
 using namespace camphorshunt;
 using namespace camphorshunt::router;
+using namespace camphorshunt::test;
 using namespace std::chrono_literals;
 
 namespace {
@@ -41,11 +43,10 @@
 struct ListeningMesh {
     ListeningMesh()
     {
-        auto probe = Tcp::acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-        const auto port = probe.local_endpoint().port();
-        probe.close();
+        const auto port = freePort();
         const auto endpoint = Endpoint { "127.0.0.1", port };
-        auto listening = PeerMesh::listen(context, endpoint, { endpoint.text(), 1, 0.5, 1 },
+        plan = std::make_unique<MeshPlan>(PeerHello { endpoint.text(), 1, 0.5, 1 });
+        auto listening = PeerMesh::listen(context, endpoint, *plan,
             { .onConnected = [this](RouterId, const PeerHello&) { ++connected; },
                 .onDisconnected = [this](RouterId, std::string_view reason) { lost = reason; },
                 .onFrame = [this](RouterId, const PeerFrame&) { ++frames; },
@@ -82,6 +83,7 @@
     }
 
     boost::asio::io_context context;
+    std::unique_ptr<MeshPlan> plan;
     std::unique_ptr<PeerMesh> mesh;
     Tcp::socket first { context };
     Tcp::socket second { context };
@@ -151,7 +153,7 @@
     mesh.sendLength(mesh.first, maxFrameBytes + 1);
     mesh.run();
     CHECK(!mesh.lost.empty());
-    CHECK(mesh.mesh->hubs().knows(idOf<RouterId>("127.0.0.1:2")));
+    CHECK(mesh.plan->hubs().knows(idOf<RouterId>("127.0.0.1:2")));
 }
 
 TEST_CASE("A connection that begins with something other than a hello is closed with a reason")
