Count a router's live peers once for each batch of heartbeats

Each heartbeat counted all connected routers anew: at a hub with 1,000 connections that is a million steps for each round of heartbeats, against the rule that nothing loops over all routers for each message. They are counted once for all heartbeats that are sent together. No decision changes.

--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -78,7 +78,8 @@
      * before anything else is done, as frames may be read before the tick is. */
     auto noticePause(Time now) -> void;
     auto heartbeat() const -> PeerHeartbeat;
-    auto sendHeartbeat(Time now, RouterId router, Duration interval) -> void;
+    /** `routers`: number of live routers, this one included. */
+    auto sendHeartbeat(Time now, RouterId router, Duration interval, std::size_t routers) -> void;
     auto sendDueHeartbeats(Time now) -> void;
     /** Tells all peers about a change of this router at once. */
     auto sendHeartbeats(Time now) -> void;
--- a/src/camphorshuntrouter/fleetroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -26,12 +26,12 @@
     return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_ };
 }
 
-auto FleetControl::sendHeartbeat(Time now, RouterId router, Duration interval) -> void
+auto FleetControl::sendHeartbeat(Time now, RouterId router, Duration interval, std::size_t routers) -> void
 {
     auto frame = PeerFrame {};
     frame.heartbeat = heartbeat();
     auto presence = PeerPresence {};
-    presence.routers = static_cast<std::uint32_t>(peers_.liveCount() + 1);
+    presence.routers = static_cast<std::uint32_t>(routers);
     presence.interval = inMilliseconds(interval);
     presence.configurationAge = inMilliseconds(sync_.configurationAge(now));
     presence.dependsOnReceiver = peers_.needsHeartbeats(router);
@@ -41,8 +41,9 @@
 
 auto FleetControl::sendDueHeartbeats(Time now) -> void
 {
+    const auto routers = peers_.liveCount() + 1;
     for (const auto& [router, interval] : peers_.takeDueHeartbeats(now, plan_.hubs(), plan_.self()))
-        sendHeartbeat(now, router, interval);
+        sendHeartbeat(now, router, interval, routers);
     metrics_.setWaiting(placement_.waiting());
 }
 
@@ -129,8 +130,9 @@
     sync_.setFeed(feed, isReader());
     auto needed = placement_.placers();
     needed.insert(feed);
+    const auto routers = peers_.liveCount() + 1;
     for (const auto router : peers_.setDependencies(now, needed))
-        sendHeartbeat(now, router, PeerTable::rareInterval);
+        sendHeartbeat(now, router, PeerTable::rareInterval, routers);
 }
 
 auto FleetControl::checkLiveness(Time now) -> void
@@ -143,8 +145,9 @@
         plan_.setResponsive(now, router, false);
     }
     if (change.dependencyLost) {
+        const auto routers = peers_.liveCount() + 1;
         for (const auto router : peers_.probeCandidates(now, plan_.hubs()))
-            sendHeartbeat(now, router, PeerTable::rareInterval);
+            sendHeartbeat(now, router, PeerTable::rareInterval, routers);
     }
     if (change.others || !change.silent.empty())
         routersChanged(now);
