Wait for a caller that pauses in a large answer longer than the kernel did

Callers that read nothing for 2.5 s in an answer larger than their receive buffer would see their connection reset, although the router waits for them for 5 s: TCP_USER_TIMEOUT counts the time without room at the peer too.

Once a connection has carried more than 64 KiB of output, the kernel's limit is the 5 s of the router. Before that it stays at 2.5 s, so that callers that vanish are still noticed as soon; with it, a vanished caller of a long answer is noticed in 5 s. Ruled out: the longer limit for all callers' connections, as the upstreams of vanished callers would work on in vain for longer.

Test: one case, for 2 MiB (all in the kernel's buffer) and 24 MiB.

--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -24,7 +24,11 @@
 constexpr auto maxOutput = std::size_t { 256 } * 1024;
 constexpr auto resumedOutput = std::size_t { 64 } * 1024;
 /** A caller that takes no byte of its answer for the idle timeout, or at least this long, has failed. */
-constexpr auto minStallTime = Duration(std::chrono::milliseconds(5000));
+constexpr auto minStallTime = std::chrono::milliseconds(5000);
+/** Output of a connection, in bytes, beyond which a caller's receive buffer may be full: the kernel then
+ * waits for the caller as long as this router does.
+ */
+constexpr auto maxBufferedByCaller = std::size_t { 64 } * 1024;
 /** Time a caller has to close its end after the last answer was handed over; then the connection is closed.
  */
 constexpr auto lingerTime = Duration(std::chrono::milliseconds(1000));
@@ -151,6 +155,9 @@
 {
     if (!open_)
         return;
+    if (written_ <= maxBufferedByCaller && written_ + bytes.size() > maxBufferedByCaller)
+        setUnacknowledgedLimit(socket_, minStallTime);
+    written_ += bytes.size();
     if (output_.empty()) {
         output_ = std::move(bytes);
         outputProgressAt_ = steadyNow();
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -86,6 +86,8 @@
     Relay& relay_;
     std::string input_;
     std::string output_;
+    /** Bytes of output since the connection was accepted. */
+    std::size_t written_ = 0;
     std::optional<Parser> parser_;
     std::shared_ptr<Exchange> exchange_;
     /** When the connection became idle or was shut down, or the first byte of a request was parsed. */
--- a/src/camphorshuntrouter/socketoptions.cpp
+++ b/src/camphorshuntrouter/socketoptions.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** Milliseconds for which bytes may stay unacknowledged before the connection fails. */
-constexpr auto userTimeout = 2500;
+/** Time for which bytes may stay unacknowledged before the connection fails. */
+constexpr auto unacknowledgedLimit = std::chrono::milliseconds(2500);
 /** Seconds before the first keep-alive probe of an idle connection, and between probes. */
 constexpr auto probeInterval = 1;
 /** Unanswered probes after which the connection fails. */
@@ -25,7 +25,13 @@
     socket.set_option(TcpOption<TCP_KEEPIDLE>(probeInterval), ignored);
     socket.set_option(TcpOption<TCP_KEEPINTVL>(probeInterval), ignored);
     socket.set_option(TcpOption<TCP_KEEPCNT>(probes), ignored);
-    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(userTimeout), ignored);
+    setUnacknowledgedLimit(socket, unacknowledgedLimit);
+}
+
+auto setUnacknowledgedLimit(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds limit) -> void
+{
+    auto ignored = boost::system::error_code {};
+    socket.set_option(TcpOption<TCP_USER_TIMEOUT>(static_cast<int>(limit.count())), ignored);
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/socketoptions.h
+++ b/src/camphorshuntrouter/socketoptions.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+
 #include <boost/asio/ip/tcp.hpp>
 
 namespace camphorshunt::router {
@@ -10,4 +12,8 @@
  */
 auto setConnectionOptions(boost::asio::ip::tcp::socket& socket) -> void;
 
+/** Sets how long sent bytes may stay unacknowledged, or the peer may take none, before the connection fails.
+ */
+auto setUnacknowledgedLimit(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds limit) -> void;
+
 } // namespace camphorshunt::router
--- a/tests/unit/callerconnectiontest.cpp
+++ b/tests/unit/callerconnectiontest.cpp
@@ -43,6 +43,15 @@
     driven.context.poll();
 }
 
+/** Connects an idle client to a relay with one route and these limits. */
+auto connectIdle(test::DrivenRelay& driven, const CallerLimits& limits = {}) -> Tcp::socket&
+{
+    driven.configure(test::oneRoute(true, limits));
+    driven.connect(1);
+    driven.context.poll();
+    return driven.clients.front();
+}
+
 } // namespace
 
 TEST_CASE("A request that arrived on a kept connection before it is closed as idle is answered")
@@ -50,10 +59,7 @@
     auto driven = test::DrivenRelay {};
     const auto isConfiguredLater = GENERATE(false, true);
     const auto idle = limits(100ms, 3000ms);
-    driven.configure(test::oneRoute(true, isConfiguredLater ? CallerLimits {} : idle));
-    driven.connect(1);
-    driven.context.poll();
-    auto& client = driven.clients.front();
+    auto& client = connectIdle(driven, isConfiguredLater ? CallerLimits {} : idle);
     std::this_thread::sleep_for(sweepTime);
     if (isConfiguredLater)
         driven.configure(test::oneRoute(true, idle));
@@ -64,10 +70,7 @@
 TEST_CASE("A request that arrived on a kept connection before a drain closes it is answered")
 {
     auto driven = test::DrivenRelay {};
-    driven.configure(test::oneRoute(true));
-    driven.connect(1);
-    driven.context.poll();
-    auto& client = driven.clients.front();
+    auto& client = connectIdle(driven);
     driven.relay->handleMessage(StartDrain {});
     // The time for which new connections are accepted in a drain.
     std::this_thread::sleep_for(3600ms);
@@ -80,9 +83,7 @@
 TEST_CASE("A request whose rest arrived before the relay looks at its header timeout is not refused as slow")
 {
     auto driven = test::DrivenRelay {};
-    driven.configure(test::oneRoute(true, limits(5000ms, 100ms)));
-    driven.connect(1);
-    auto& client = driven.clients.front();
+    auto& client = connectIdle(driven, limits(5000ms, 100ms));
     test::send(client, head);
     driven.context.poll();
     std::this_thread::sleep_for(sweepTime);
@@ -93,10 +94,7 @@
 TEST_CASE("Requests that a caller sent together before a drain are all answered")
 {
     auto driven = test::DrivenRelay {};
-    driven.configure(test::oneRoute(true));
-    driven.connect(1);
-    driven.context.poll();
-    auto& client = driven.clients.front();
+    auto& client = connectIdle(driven);
     driven.relay->handleMessage(StartDrain {});
     test::send(client, request + request + request);
     const auto answers = driven.receive(client, 200ms);
@@ -107,14 +105,12 @@
 TEST_CASE("An idle connection without input is still closed after its time")
 {
     auto driven = test::DrivenRelay {};
-    driven.configure(test::oneRoute(true, limits(100ms, 3000ms)));
-    driven.connect(1);
-    driven.context.poll();
+    auto& client = connectIdle(driven, limits(100ms, 3000ms));
     std::this_thread::sleep_for(sweepTime);
     driven.context.poll();
     auto byte = char {};
     auto error = boost::system::error_code {};
-    driven.clients.front().non_blocking(true);
-    driven.clients.front().read_some(boost::asio::buffer(&byte, 1), error);
+    client.non_blocking(true);
+    client.read_some(boost::asio::buffer(&byte, 1), error);
     CHECK(error == boost::asio::error::eof);
 }
--- a/tests/unit/slowcallertest.cpp
+++ b/tests/unit/slowcallertest.cpp
@@ -77,6 +77,22 @@
     std::shared_ptr<CallerConnection> caller;
 };
 
+/** A relay and a client that has requested an answer of this size. */
+struct LargeCall {
+    explicit LargeCall(std::size_t bytes)
+        : upstream(driven.context, bytes)
+    {
+        driven.configure(test::oneRoute(false), upstream.list());
+        driven.connect(1);
+        test::send(driven.clients.front(), request);
+    }
+
+    auto client() -> Tcp::socket& { return driven.clients.front(); }
+
+    test::DrivenRelay driven;
+    LargeUpstream upstream;
+};
+
 } // namespace
 
 TEST_CASE("The last answer to a caller that reads slowly is delivered whole")
@@ -114,18 +130,13 @@
 TEST_CASE(
     "An upstream is not read ahead of a caller that reads slowly, and the answer arrives whole, also late")
 {
-    auto driven = test::DrivenRelay {};
-    auto upstream = LargeUpstream(driven.context, largeAnswer);
-    driven.configure(test::oneRoute(false), upstream.list());
-    driven.connect(1);
-    auto& client = driven.clients.front();
-    test::send(client, request);
+    auto call = LargeCall(largeAnswer);
     // Beyond the deadline.
-    driven.context.run_for(1s);
-    CHECK(upstream.sent < maxUntaken);
-    const auto answer = driven.receive(client, 20s);
+    call.driven.context.run_for(1s);
+    CHECK(call.upstream.sent < maxUntaken);
+    const auto answer = call.driven.receive(call.client(), 20s);
     CHECK(answer.size() > largeAnswer);
-    CHECK(driven.relay->requestsInProgress() == 0);
+    CHECK(call.driven.relay->requestsInProgress() == 0);
 }
 
 TEST_CASE("Requests that a caller sends without reading the answers wait for it")
@@ -148,28 +159,26 @@
 
 TEST_CASE("An answer that was handed over arrives whole although the relay ends before its caller reads it")
 {
-    auto driven = test::DrivenRelay {};
-    auto upstream = LargeUpstream(driven.context, mediumAnswer);
-    driven.configure(test::oneRoute(false), upstream.list());
-    driven.connect(1);
-    auto& client = driven.clients.front();
-    test::send(client, request);
-    while (upstream.sent < mediumAnswer || driven.relay->unfinishedCallers() > 0)
-        driven.context.run_one_for(10ms);
-    driven.relay.reset();
-    CHECK(driven.receive(client, 5s).size() > mediumAnswer);
+    auto call = LargeCall(mediumAnswer);
+    while (call.upstream.sent < mediumAnswer || call.driven.relay->unfinishedCallers() > 0)
+        call.driven.context.run_one_for(10ms);
+    call.driven.relay.reset();
+    CHECK(call.driven.receive(call.client(), 5s).size() > mediumAnswer);
 }
 
 TEST_CASE("A relay counts a caller as unfinished until its answer is handed over")
 {
-    auto driven = test::DrivenRelay {};
-    auto upstream = LargeUpstream(driven.context, largeAnswer);
-    driven.configure(test::oneRoute(false), upstream.list());
-    driven.connect(1);
-    auto& client = driven.clients.front();
-    test::send(client, request);
-    driven.context.run_for(300ms);
-    CHECK(driven.relay->unfinishedCallers() == 1);
-    CHECK(driven.receive(client, 20s).size() > largeAnswer);
-    CHECK(driven.relay->unfinishedCallers() == 0);
+    auto call = LargeCall(largeAnswer);
+    call.driven.context.run_for(300ms);
+    CHECK(call.driven.relay->unfinishedCallers() == 1);
+    CHECK(call.driven.receive(call.client(), 20s).size() > largeAnswer);
+    CHECK(call.driven.relay->unfinishedCallers() == 0);
+}
+
+TEST_CASE("An answer to a caller that reads nothing for four seconds arrives whole")
+{
+    const auto size = GENERATE(mediumAnswer, largeAnswer);
+    auto call = LargeCall(size);
+    call.driven.context.run_for(4s);
+    CHECK(call.driven.receive(call.client(), 20s).size() > size);
 }
