--- a/src/camphorshuntrouter/exchangeavailability.cpp
+++ b/src/camphorshuntrouter/exchangeavailability.cpp
@@ -89,10 +89,13 @@
         // An upstream that asked for rest has not failed, so that it may be tried again.
         std::erase_if(
             tried_, [this, now](UpstreamId id) { return relay_.balancer(service_).rests(now, id); });
-        const auto next = *outlook.restEnds + drawSpread();
         const auto onTime
             = route_->goal.count() != 0 && !answer_.hasBegun() ? times_.arrived + route_->goal : deadline_;
-        if (next < std::min<Time>(onTime, deadline_)) {
+        const auto latest = std::min<Time>(onTime, deadline_);
+        // The spread takes at most half of the time that is left then.
+        const auto next
+            = *outlook.restEnds + std::min<Duration>(drawSpread(), (latest - *outlook.restEnds) / 2);
+        if (*outlook.restEnds < latest) {
             waitUntil_ = next;
             relay_.scheduleCheck(shared_from_this(), next);
             return;
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -26,11 +26,6 @@
 constexpr auto otherDomainCost = Duration(milliseconds(2));
 /** Time from placement until the caller receives the first token, excluding prefill. */
 constexpr auto fixedFirstTokenTime = Duration(milliseconds(25));
-/** Bounds of the time after which the caller of a refused request should retry. */
-constexpr auto minRetryAfter = milliseconds(200);
-constexpr auto maxRetryAfter = milliseconds(4000);
-/** Callers that are to retry after the end of a rest return over this time. */
-constexpr auto returnSpread = milliseconds(250);
 /** Ratio of an engine's prefill rate to its total token throughput, used until its rate has been learnt. */
 constexpr auto prefillRateFactor = 1.5;
 /** Tokens per millisecond, used if the throughput of the service is not configured. */
@@ -334,40 +329,6 @@
     return false;
 }
 
-auto Placer::retryAfter(Time now, const WaitingRequest& waiting, Time earliest) -> milliseconds
-{
-    auto spread = std::uniform_real_distribution<double>(0.8, 1.6);
-    const auto wait = std::chrono::duration<double, std::milli>(expectedWait(now, waiting)).count();
-    const auto clearing = std::max(wait, double(minRetryAfter.count())) * spread(random_);
-    const auto usual
-        = std::clamp(milliseconds(static_cast<milliseconds::rep>(clearing)), minRetryAfter, maxRetryAfter);
-    if (earliest <= now)
-        return usual;
-    auto later = std::uniform_int_distribution<milliseconds::rep>(1, returnSpread.count());
-    const auto pause = std::chrono::ceil<milliseconds>(earliest - now) + milliseconds(later(random_));
-    return std::max(usual, pause);
-}
-
-auto Placer::refuse(Time now, const WaitingRequest& waiting, RefusalReason reason, Time earliest) -> void
-{
-    const auto inputs
-        = PlacementInputs { std::chrono::duration_cast<milliseconds>(expectedWait(now, waiting)), 0,
-              static_cast<std::uint32_t>(queues_.size()) };
-    decisions_.emplace_back(
-        PlacementRefused { waiting.request.key, reason, retryAfter(now, waiting, earliest), inputs });
-}
-
-auto Placer::refuseLate(Time now) -> void
-{
-    if (now < nextRefusal_)
-        return;
-    const auto late
-        = queues_.removeIf([now](const WaitingRequest& waiting) { return now >= waiting.refuseAt; });
-    nextRefusal_ = queues_.firstRefusal().value_or(Time::max());
-    for (const auto& waiting : late)
-        refuse(now, waiting, RefusalReason::Waited);
-}
-
 auto Placer::placeWaiting(Time now) -> std::vector<PlacementDecision>
 {
     checkOverdue(now);
