--- a/tests/unit/ringtest.cpp
+++ b/tests/unit/ringtest.cpp
@@ -86,3 +86,25 @@
         RC_ASSERT(received == expected);
     }));
 }
+
+TEST_CASE("Other work of the consumer gets its turn while the producer goes on refilling the ring")
+{
+    auto producer = boost::asio::io_context {};
+    auto consumer = boost::asio::io_context {};
+    auto ring = Ring<int>(producer, consumer, 8, 2);
+    auto handled = 0;
+    auto handledBefore = -1;
+    ring.onItem([&](int item) {
+        ++handled;
+        if (item < 1000)
+            ring.push(item + 1);
+    });
+    ring.push(0);
+    boost::asio::post(consumer, [&] { handledBefore = handled; });
+    while (consumer.poll() + producer.poll() != 0) {
+        consumer.restart();
+        producer.restart();
+    }
+    CHECK(handled == 1001);
+    CHECK(handledBefore < 10);
+}
