--- a/include/camphorshunt/ring.h
+++ b/include/camphorshunt/ring.h
@@ -71,12 +71,7 @@
      */
     auto deliver() -> void
     {
-        auto* item = static_cast<T*>(nullptr);
-        while (queue_.pop(item)) {
-            const auto owned = std::unique_ptr<T>(item);
-            depth_.fetch_sub(1, std::memory_order_relaxed);
-            handler_(std::move(*owned));
-        }
+        while (deliverNext()) { }
     }
 
     /** True while the overflow queue is not empty. Producer's thread. */
@@ -86,6 +81,17 @@
     auto depth() const -> std::size_t { return depth_.load(std::memory_order_relaxed); }
 
 private:
+    auto deliverNext() -> bool
+    {
+        auto* item = static_cast<T*>(nullptr);
+        if (!queue_.pop(item))
+            return false;
+        const auto owned = std::unique_ptr<T>(item);
+        depth_.fetch_sub(1, std::memory_order_relaxed);
+        handler_(std::move(*owned));
+        return true;
+    }
+
     auto moveOverflow() -> void
     {
         while (!overflow_.empty() && queue_.push(overflow_.front().get())) {
@@ -107,7 +113,11 @@
     auto drain() -> void
     {
         woken_.exchange(false);
-        deliver();
+        // The producer may refill the ring meanwhile; the consumer's other work gets its turn.
+        for (auto count = queue_.read_available(); count > 0; --count)
+            deliverNext();
+        if (queue_.read_available() > 0)
+            wakeConsumer();
         if (wantsFlush_.exchange(false))
             boost::asio::post(producer_, [this] { flush(); });
     }
