--- a/src/camphorshuntload/simulatedstore.cpp
+++ b/src/camphorshuntload/simulatedstore.cpp
@@ -71,9 +71,17 @@
     auto page = DirectoryPage { !read.from, read.from.value_or(0), directory_.size(), {} };
     if (!read.from)
         page.records = directory_;
+    else if (*read.from < directory_.size())
+        page.records.assign(directory_.begin() + static_cast<std::ptrdiff_t>(*read.from), directory_.end());
     answerLater(answer, DirectoryRead { std::move(page) });
 }
 
+auto SimulatedStore::record(DirectoryRecord record) -> void
+{
+    record.offset = directory_.size();
+    directory_.push_back(std::move(record));
+}
+
 auto SimulatedStore::newest() const -> ConfigurationRead
 {
     return { ConfigurationRead::Content { configuration(version_), version_ } };
--- a/src/camphorshuntload/simulatedstore.h
+++ b/src/camphorshuntload/simulatedstore.h
@@ -26,6 +26,8 @@
     static auto directoryRecord(std::size_t index, std::string_view state) -> router::DirectoryRecord;
 
     auto call(router::SchedulerToStore call, Answer answer) -> void;
+    /** Adds a newer record of an engine to the directory. */
+    auto record(router::DirectoryRecord record) -> void;
     /** Publishes the next version of the configuration. */
     auto publish() -> void;
 
--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -26,6 +26,8 @@
 
 struct Presence;
 
+struct Clock;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -287,6 +289,35 @@
 };
 FLATBUFFERS_STRUCT_END(Presence, 16);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(8) Clock FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint64_t sent_us_;
+  uint64_t echoed_us_;
+  uint64_t held_us_;
+
+ public:
+  Clock()
+      : sent_us_(0),
+        echoed_us_(0),
+        held_us_(0) {
+  }
+  Clock(uint64_t _sent_us, uint64_t _echoed_us, uint64_t _held_us)
+      : sent_us_(flatbuffers::EndianScalar(_sent_us)),
+        echoed_us_(flatbuffers::EndianScalar(_echoed_us)),
+        held_us_(flatbuffers::EndianScalar(_held_us)) {
+  }
+  uint64_t sent_us() const {
+    return flatbuffers::EndianScalar(sent_us_);
+  }
+  uint64_t echoed_us() const {
+    return flatbuffers::EndianScalar(echoed_us_);
+  }
+  uint64_t held_us() const {
+    return flatbuffers::EndianScalar(held_us_);
+  }
+};
+FLATBUFFERS_STRUCT_END(Clock, 24);
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -756,7 +787,8 @@
     VT_WHOLE = 4,
     VT_FROM = 6,
     VT_END = 8,
-    VT_RECORDS = 10
+    VT_RECORDS = 10,
+    VT_AGE_MS = 12
   };
   bool whole() const {
     return GetField<uint8_t>(VT_WHOLE, 0) != 0;
@@ -770,6 +802,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Record>> *records() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Record>> *>(VT_RECORDS);
   }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
@@ -778,6 +813,7 @@
            VerifyOffset(verifier, VT_RECORDS) &&
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -798,6 +834,9 @@
   void add_records(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Record>>> records) {
     fbb_.AddOffset(DirectoryPage::VT_RECORDS, records);
   }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(DirectoryPage::VT_AGE_MS, age_ms, 0);
+  }
   explicit DirectoryPageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -814,10 +853,12 @@
     bool whole = false,
     uint64_t from = 0,
     uint64_t end = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Record>>> records = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Record>>> records = 0,
+    uint32_t age_ms = 0) {
   DirectoryPageBuilder builder_(_fbb);
   builder_.add_end(end);
   builder_.add_from(from);
+  builder_.add_age_ms(age_ms);
   builder_.add_records(records);
   builder_.add_whole(whole);
   return builder_.Finish();
@@ -828,14 +869,16 @@
     bool whole = false,
     uint64_t from = 0,
     uint64_t end = 0,
-    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Record>> *records = nullptr) {
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Record>> *records = nullptr,
+    uint32_t age_ms = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Record>>(*records) : 0;
   return camphorshunt::fleet::CreateDirectoryPage(
       _fbb,
       whole,
       from,
       end,
-      records__);
+      records__,
+      age_ms);
 }
 
 struct Availability FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -964,7 +1007,8 @@
     VT_WANTS_CONFIGURATION = 22,
     VT_ADDRESSES = 24,
     VT_PRESENCE = 26,
-    VT_AVAILABILITY = 28
+    VT_AVAILABILITY = 28,
+    VT_CLOCK = 30
   };
   const camphorshunt::fleet::Hello *hello() const {
     return GetPointer<const camphorshunt::fleet::Hello *>(VT_HELLO);
@@ -1005,6 +1049,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *availability() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *>(VT_AVAILABILITY);
   }
+  const camphorshunt::fleet::Clock *clock() const {
+    return GetStruct<const camphorshunt::fleet::Clock *>(VT_CLOCK);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -1033,6 +1080,7 @@
            VerifyOffset(verifier, VT_AVAILABILITY) &&
            verifier.VerifyVector(availability()) &&
            verifier.VerifyVectorOfTables(availability()) &&
+           VerifyField<camphorshunt::fleet::Clock>(verifier, VT_CLOCK, 8) &&
            verifier.EndTable();
   }
 };
@@ -1080,6 +1128,9 @@
   void add_availability(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>>> availability) {
     fbb_.AddOffset(Frame::VT_AVAILABILITY, availability);
   }
+  void add_clock(const camphorshunt::fleet::Clock *clock) {
+    fbb_.AddStruct(Frame::VT_CLOCK, clock);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1105,8 +1156,10 @@
     bool wants_configuration = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Address>>> addresses = 0,
     const camphorshunt::fleet::Presence *presence = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>>> availability = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>>> availability = 0,
+    const camphorshunt::fleet::Clock *clock = nullptr) {
   FrameBuilder builder_(_fbb);
+  builder_.add_clock(clock);
   builder_.add_availability(availability);
   builder_.add_presence(presence);
   builder_.add_addresses(addresses);
@@ -1137,7 +1190,8 @@
     bool wants_configuration = false,
     const std::vector<flatbuffers::Offset<camphorshunt::fleet::Address>> *addresses = nullptr,
     const camphorshunt::fleet::Presence *presence = nullptr,
-    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *availability = nullptr) {
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *availability = nullptr,
+    const camphorshunt::fleet::Clock *clock = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Place>>(*places) : 0;
   auto verdicts__ = verdicts ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Verdict>(*verdicts) : 0;
@@ -1159,7 +1213,8 @@
       wants_configuration,
       addresses__,
       presence,
-      availability__);
+      availability__,
+      clock);
 }
 
 inline const camphorshunt::fleet::Frame *GetFrame(const void *buf) {
--- a/src/camphorshuntrouter/fleetavailability.cpp
+++ b/src/camphorshuntrouter/fleetavailability.cpp
@@ -26,7 +26,7 @@
     auto frame = PeerFrame {};
     frame.availability = newlyLeaving(now, { &availability, 1 });
     if (!frame.availability.empty())
-        sendUpdate(frame, true);
+        sendUpdate(now, std::move(frame), true);
 }
 
 auto FleetControl::leavingArrived(Time now, RouterId peer, std::span<const PeerAvailability> reports) -> void
@@ -38,7 +38,7 @@
     for (const auto& report : frame.availability)
         handlers_.tellRelay(UpstreamLeaves { report.process });
     // A hub tells all hubs itself; other routers may be connected to some of them only.
-    sendUpdate(frame, !plan_.hubs().isHub(peer));
+    sendUpdate(now, std::move(frame), !plan_.hubs().isHub(peer));
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -35,9 +35,9 @@
     , state_(state)
     , plan_(settings.self)
     , sync_({ settings.self.endpoint, settings.self.processorShare, settings.self.failureDomain },
-          { .send = [this](RouterId router, const PeerFrame& frame) { handlers_.send(router, frame); },
-              .publish = [this](const PeerFrame& frame) { sendUpdate(frame, true); },
-              .forward = [this](const PeerFrame& frame) { sendUpdate(frame, false); },
+          { .send = [this](Time now, RouterId router, PeerFrame frame) { sendDated(now, router, frame); },
+              .publish = [this](Time now, PeerFrame frame) { sendUpdate(now, std::move(frame), true); },
+              .forward = [this](Time now, PeerFrame frame) { sendUpdate(now, std::move(frame), false); },
               .callStore = [this](SchedulerToStore call) { handlers_.callStore(std::move(call)); },
               .onFleetChanged = [this](Time now) { fleetChanged(now); },
               .onStoreReachabilityChanged =
@@ -113,7 +113,7 @@
             frame.members.push_back(address.endpoint);
     }
     frame.heartbeat = heartbeat();
-    handlers_.send(router, frame);
+    sendDated(now, router, frame);
     routersChanged(now);
 }
 
@@ -149,7 +149,9 @@
         plan_.setResponsive(now, router, true);
         routersChanged(now);
     }
-    sync_.handleFrame(now, router, frame);
+    // A build that sends no clock is believed to send without delay.
+    const auto sentAt = frame.clock ? peers_.updateClock(now, router, *frame.clock) : now;
+    sync_.handleFrame(now, router, frame, sentAt);
     state_.directoryReadAt = sync_.directoryReadAt();
     leavingArrived(now, router, frame.availability);
     if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty()
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -88,7 +88,9 @@
     /** Tells all peers about a change of this router at once. */
     auto sendHeartbeats(Time now) -> void;
     /** Sends a frame to the routers that depend on this one, and to the hubs if `withHubs`. */
-    auto sendUpdate(const PeerFrame& frame, bool withHubs) -> void;
+    auto sendUpdate(Time now, PeerFrame frame, bool withHubs) -> void;
+    /** Sends a frame from whose age the receiver tells how old its news is. */
+    auto sendDated(Time now, RouterId router, PeerFrame& frame) -> void;
     auto announceCandidates(Time now) -> void;
 
     auto checkLiveness(Time now) -> void;
--- a/src/camphorshuntrouter/fleetroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -37,7 +37,7 @@
     presence.configurationAge = inMilliseconds(sync_.configurationAge(now));
     presence.dependsOnReceiver = peers_.needsHeartbeats(router);
     frame.presence = presence;
-    handlers_.send(router, frame);
+    sendDated(now, router, frame);
 }
 
 auto FleetControl::sendDueHeartbeats(Time now) -> void
@@ -54,10 +54,16 @@
     sendDueHeartbeats(now);
 }
 
-auto FleetControl::sendUpdate(const PeerFrame& frame, bool withHubs) -> void
+auto FleetControl::sendDated(Time now, RouterId router, PeerFrame& frame) -> void
+{
+    frame.clock = peers_.clockFor(now, router);
+    handlers_.send(router, frame);
+}
+
+auto FleetControl::sendUpdate(Time now, PeerFrame frame, bool withHubs) -> void
 {
     for (const auto router : peers_.updateTargets(plan_.hubs(), withHubs))
-        handlers_.send(router, frame);
+        sendDated(now, router, frame);
 }
 
 auto FleetControl::announceCandidates(Time now) -> void
--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -1,7 +1,10 @@
 #include "fleetsync.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "clock.h"
+
 namespace camphorshunt::router {
 
 namespace {
@@ -37,28 +40,48 @@
         .hasPeers = view.hasPeers,
         .isHub = view.isHub,
         .fleetSize = view.size };
-    for (auto& call : pacer_.dueCalls(now, state))
+    auto calls = pacer_.dueCalls(now, state);
+    if (!isReader_ && view.hasPeers)
+        logOwnReads(now, calls);
+    for (auto& call : calls)
         handlers_.callStore(std::move(call));
 }
 
+auto FleetSync::logOwnReads(Time now, std::span<const SchedulerToStore> calls) -> void
+{
+    const auto isRead = [](const SchedulerToStore& call) { return !std::holds_alternative<JoinFleet>(call); };
+    if (std::ranges::none_of(calls, isRead))
+        return;
+    log_.write(LogLevel::Info, "store-read",
+        { { "feed", std::to_string(feed_.value) },
+            { "configuration-age-ms", std::to_string(inMilliseconds(configurationAge(now)).count()) },
+            { "directory-age-ms", std::to_string(directoryAge(now).count()) } });
+}
+
+auto FleetSync::directoryAge(Time now) const -> std::chrono::milliseconds
+{
+    return inMilliseconds(now - pacer_.lastDirectoryUpdate());
+}
+
 auto FleetSync::setFeed(RouterId feed, bool isReader) -> void
 {
     feed_ = feed;
     isReader_ = isReader;
 }
 
-auto FleetSync::handleFrame(Time now, RouterId from, PeerFrame& frame) -> void
+auto FleetSync::handleFrame(Time now, RouterId from, PeerFrame& frame, std::optional<Time> sentAt) -> void
 {
     if (frame.configuration)
         applyConfiguration(now, std::move(*frame.configuration), from);
     if (frame.directory)
-        applyDirectoryPage(now, *frame.directory, from);
+        applyDirectoryPage(now, *frame.directory, from,
+            sentAt ? std::optional(*sentAt - frame.directory->age) : std::nullopt);
     if (frame.heartbeat)
-        compareHeartbeat(now, from, frame);
-    answerPeer(from, frame);
+        compareHeartbeat(now, from, frame, sentAt);
+    answerPeer(now, from, frame);
 }
 
-auto FleetSync::answerPeer(RouterId router, const PeerFrame& frame) -> void
+auto FleetSync::answerPeer(Time now, RouterId router, const PeerFrame& frame) -> void
 {
     if (!frame.wantsConfiguration && !frame.wantsDirectory)
         return;
@@ -67,17 +90,20 @@
         answer.configuration = fleet_.configuration();
     if (frame.wantsDirectory && fleet_.directoryEnd())
         answer.directory = fleet_.directorySnapshot();
-    handlers_.send(router, answer);
+    if (answer.directory)
+        answer.directory->age = directoryAge(now);
+    handlers_.send(now, router, std::move(answer));
 }
 
-auto FleetSync::compareHeartbeat(Time now, RouterId from, const PeerFrame& frame) -> void
+auto FleetSync::compareHeartbeat(Time now, RouterId from, const PeerFrame& frame, std::optional<Time> sentAt)
+    -> void
 {
     const auto& heartbeat = *frame.heartbeat;
-    if (from == feed_ && heartbeat.configurationVersion <= fleet_.version()) {
+    if (sentAt && from == feed_ && heartbeat.configurationVersion <= fleet_.version()) {
         // A peer without presence is an old build, whose feed is the reader itself.
         const auto age = frame.presence ? Duration(frame.presence->configurationAge) : Duration {};
         if (frame.presence || heartbeat.storeReachable)
-            pacer_.configurationConfirmed(now - age);
+            pacer_.configurationConfirmed(*sentAt - age);
     }
     queryIfBehind(now, from, heartbeat);
 }
@@ -99,7 +125,7 @@
     if (now < nextQuery_ || (from != feed_ && !knowsNothing && now - behindSince_ < feedTime))
         return;
     nextQuery_ = now + queryInterval;
-    handlers_.send(from, query);
+    handlers_.send(now, from, query);
 }
 
 auto FleetSync::handle(Time now, DirectoryRead read) -> void
@@ -110,12 +136,13 @@
     checkStoreReachability(now, wasReachable);
     if (!read.page)
         return;
-    applyDirectoryPage(now, read.page.value(), std::nullopt);
+    applyDirectoryPage(now, read.page.value(), std::nullopt, pacer_.lastDirectoryUpdate());
     if (!isReader_)
         return;
     auto frame = PeerFrame {};
     frame.directory = std::move(read.page.value());
-    handlers_.publish(frame);
+    frame.directory->age = directoryAge(now);
+    handlers_.publish(now, std::move(frame));
 }
 
 auto FleetSync::handle(Time now, ConfigurationRead read) -> void
@@ -154,13 +181,14 @@
     auto frame = PeerFrame {};
     frame.configuration = fleet_.configuration();
     if (isReader_)
-        handlers_.publish(frame);
+        handlers_.publish(now, std::move(frame));
     else
-        handlers_.forward(frame);
+        handlers_.forward(now, std::move(frame));
     handlers_.onFleetChanged(now);
 }
 
-auto FleetSync::applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from) -> void
+auto FleetSync::applyDirectoryPage(
+    Time now, const DirectoryPage& page, std::optional<RouterId> from, std::optional<Time> readAt) -> void
 {
     const auto result = fleet_.applyDirectoryPage(now, page);
     if (result == FleetState::PageResult::Gap) {
@@ -168,11 +196,12 @@
             nextQuery_ = now + queryInterval;
             auto query = PeerFrame {};
             query.wantsDirectory = true;
-            handlers_.send(*from, query);
+            handlers_.send(now, *from, query);
         }
         return;
     }
-    pacer_.directoryUpdated(now);
+    if (readAt)
+        pacer_.directoryUpdated(*readAt);
     const auto changed = result == FleetState::PageResult::Changed;
     if (from == feed_)
         forwardDirectory(now, page, changed);
@@ -187,7 +216,8 @@
     nextForward_ = now + forwardInterval;
     auto frame = PeerFrame {};
     frame.directory = page;
-    handlers_.forward(frame);
+    frame.directory->age = directoryAge(now);
+    handlers_.forward(now, std::move(frame));
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,11 +26,11 @@
 class FleetSync {
 public:
     struct Handlers {
-        std::function<void(RouterId, const PeerFrame&)> send;
+        std::function<void(Time now, RouterId, PeerFrame)> send;
         /** Sends to all hubs, and to the routers that depend on this one. */
-        std::function<void(const PeerFrame&)> publish;
+        std::function<void(Time now, PeerFrame)> publish;
         /** Sends to the routers that depend on this one and are no hubs. */
-        std::function<void(const PeerFrame&)> forward;
+        std::function<void(Time now, PeerFrame)> forward;
         std::function<void(SchedulerToStore)> callStore;
         /** The configuration or the directory has changed. */
         std::function<void(Time now)> onFleetChanged;
@@ -50,12 +51,13 @@
      */
     auto setFeed(RouterId feed, bool isReader) -> void;
 
-    auto handleFrame(Time now, RouterId from, PeerFrame& frame) -> void;
+    /** `sentAt`: the frame was not sent before that; empty if nothing is known of it. */
+    auto handleFrame(Time now, RouterId from, PeerFrame& frame, std::optional<Time> sentAt) -> void;
     auto handle(Time now, DirectoryRead read) -> void;
     auto handle(Time now, ConfigurationRead read) -> void;
     auto fleetJoined(Time now, bool succeeded) -> void;
 
-    /** When a read of the directory was last applied, this router's own or a peer's. */
+    /** When the store was asked for the newest page of the directory that was applied, by any router. */
     auto directoryReadAt() const -> Time { return pacer_.lastDirectoryUpdate(); }
     auto fleet() const -> const FleetState& { return fleet_; }
     /** Time since this router's configuration was last confirmed to be the newest. */
@@ -67,11 +69,16 @@
 
 private:
     auto applyConfiguration(Time now, std::string json, std::optional<RouterId> from) -> void;
-    auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from) -> void;
-    auto compareHeartbeat(Time now, RouterId from, const PeerFrame& frame) -> void;
+    /** `readAt`: the store was not asked for the page before that; empty if nothing is known of it. */
+    auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from,
+        std::optional<Time> readAt) -> void;
+    auto compareHeartbeat(Time now, RouterId from, const PeerFrame& frame, std::optional<Time> sentAt)
+        -> void;
     auto queryIfBehind(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void;
     auto forwardDirectory(Time now, const DirectoryPage& page, bool changed) -> void;
-    auto answerPeer(RouterId router, const PeerFrame& frame) -> void;
+    auto directoryAge(Time now) const -> std::chrono::milliseconds;
+    auto logOwnReads(Time now, std::span<const SchedulerToStore> calls) -> void;
+    auto answerPeer(Time now, RouterId router, const PeerFrame& frame) -> void;
     auto checkStoreReachability(Time now, bool wasReachable) -> void;
 
     Handlers handlers_;
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -52,7 +52,8 @@
         records.push_back(fleet::CreateRecord(builder, key, value, record.offset));
     }
     const auto list = builder.CreateVector(records);
-    return fleet::CreateDirectoryPage(builder, page.isSnapshot, page.from, page.end, list);
+    return fleet::CreateDirectoryPage(
+        builder, page.isSnapshot, page.from, page.end, list, static_cast<std::uint32_t>(page.age.count()));
 }
 
 auto packHello(FlatBufferBuilder& builder, const PeerHello& hello) -> Offset<fleet::Hello>
@@ -83,6 +84,11 @@
         static_cast<std::uint32_t>(presence.configurationAge.count()), presence.dependsOnReceiver };
 }
 
+auto packClock(const PeerClock& clock) -> fleet::Clock
+{
+    return { clock.sent, clock.echoed, static_cast<std::uint64_t>(clock.held.count()) };
+}
+
 auto packDecision(const PeerPlacementDecision& decision) -> fleet::Verdict
 {
     return { decision.number, decision.service.value, decision.upstream.value_or(UpstreamId {}).value,
@@ -170,7 +176,8 @@
 
 auto unpackDirectory(const fleet::DirectoryPage& packed) -> DirectoryPage
 {
-    auto page = DirectoryPage { packed.whole(), packed.from(), packed.end(), {} };
+    auto page = DirectoryPage { packed.whole(), packed.from(), packed.end(), {},
+        std::chrono::milliseconds(packed.age_ms()) };
     if (packed.records() == nullptr)
         return page;
     for (const auto* const record : *packed.records()) {
@@ -194,6 +201,13 @@
         std::chrono::milliseconds(packed.configuration_age_ms()), packed.depends() };
 }
 
+auto unpackClock(const fleet::Clock& packed) -> Result<PeerClock>
+{
+    if (packed.held_us() > static_cast<std::uint64_t>(maxTimeLeft.count()))
+        return malformed("clock value is held for more than a day");
+    return PeerClock { packed.sent_us(), packed.echoed_us(), Duration(packed.held_us()) };
+}
+
 auto unpackAvailability(const fleet::Availability& packed) -> Result<PeerAvailability>
 {
     if (packed.endpoint() == nullptr)
@@ -254,12 +268,14 @@
         availability.push_back(packAvailability(builder, item));
     const auto availabilityList = availability.empty() ? 0 : builder.CreateVector(availability);
     const auto presence = packPresence(frame.presence.value_or(PeerPresence {}));
+    const auto clock = packClock(frame.clock.value_or(PeerClock {}));
     const auto heartbeat = frame.heartbeat.value_or(PeerHeartbeat {});
     const auto packedHeartbeat = fleet::Beat(
         heartbeat.configurationVersion, heartbeat.directoryEnd, heartbeat.storeReachable, heartbeat.leaving);
     builder.Finish(fleet::CreateFrame(builder, hello, members, frame.heartbeat ? &packedHeartbeat : nullptr,
         requestList, decisionList, reportList, directory, frame.wantsDirectory, configuration,
-        frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr, availabilityList));
+        frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr, availabilityList,
+        frame.clock ? &clock : nullptr));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -304,6 +320,12 @@
         return malformed("more routers than a fleet can have");
     if (presence != nullptr)
         frame.presence = unpackPresence(*presence);
+    if (packed.clock() != nullptr) {
+        const auto clock = unpackClock(*packed.clock());
+        if (!clock)
+            return clock.error();
+        frame.clock = clock.value();
+    }
     if (packed.directory() != nullptr)
         frame.directory = unpackDirectory(*packed.directory());
     frame.wantsDirectory = packed.wants_directory();
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -48,6 +48,16 @@
     bool dependsOnReceiver = false;
 };
 
+/** Lets the receiver tell how long ago a frame was sent, although the routers' clocks differ. */
+struct PeerClock {
+    /** The sender's clock, in microseconds; not zero. Others only echo it. */
+    std::uint64_t sent = 0;
+    /** The last `sent` that the sender has received from the receiver; zero before the first. */
+    std::uint64_t echoed = 0;
+    /** Time since the sender has received that. */
+    Duration held {};
+};
+
 /** State of a router, sent several times a second. */
 struct PeerHeartbeat {
     std::uint64_t configurationVersion = 0;
@@ -118,6 +128,8 @@
     std::uint64_t from = 0;
     std::uint64_t end = 0;
     std::vector<DirectoryRecord> records;
+    /** Time from the read of the store to the sending of the page. */
+    std::chrono::milliseconds age {};
 };
 
 /** The unit of transfer between routers; only the parts that are set are encoded. */
@@ -138,6 +150,8 @@
     std::vector<RouterAddress> addresses;
     std::optional<PeerPresence> presence;
     std::vector<PeerAvailability> availability;
+    /** Set in heartbeats and in what is passed on from the store; never by older builds. */
+    std::optional<PeerClock> clock;
 };
 
 /** FlatBuffers bytes (schema `fleet.fbs`). */
--- a/src/camphorshuntrouter/peertable.cpp
+++ b/src/camphorshuntrouter/peertable.cpp
@@ -28,6 +28,7 @@
     peer.isDependency = false;
     peer.isProbed = false;
     peer.nextHeartbeat = now;
+    peer.clock = 0;
     peer.lastSeenAt = now;
     peer.liveSince = now;
     peer.isLive = true;
@@ -73,6 +74,28 @@
         peer.nextHeartbeat = {};
 }
 
+auto PeerTable::updateClock(Time now, RouterId router, const PeerClock& clock) -> std::optional<Time>
+{
+    auto& peer = peers_[router];
+    peer.clock = clock.sent;
+    peer.clockReceivedAt = now;
+    const auto sinceStart = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    if (clock.echoed == 0 || clock.echoed > sinceStart)
+        return std::nullopt;
+    return std::min(now, Time { Duration(clock.echoed) } + clock.held);
+}
+
+auto PeerTable::clockFor(Time now, RouterId router) const -> PeerClock
+{
+    auto clock = PeerClock { static_cast<std::uint64_t>(now.time_since_epoch().count()), 0, {} };
+    const auto peer = peers_.find(router);
+    if (peer != peers_.end() && peer->second.clock != 0) {
+        clock.echoed = peer->second.clock;
+        clock.held = now - peer->second.clockReceivedAt;
+    }
+    return clock;
+}
+
 auto PeerTable::setDependencies(Time now, const std::set<RouterId>& routers) -> std::vector<RouterId>
 {
     auto changed = std::vector<RouterId> {};
--- a/src/camphorshuntrouter/peertable.h
+++ b/src/camphorshuntrouter/peertable.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -59,6 +60,9 @@
         /** It has been asked for a heartbeat at once, and has not been heard since. */
         bool isProbed = false;
         Time nextHeartbeat {};
+        /** The last value of its clock that it has sent, and when that was received. */
+        std::uint64_t clock = 0;
+        Time clockReceivedAt {};
 
         /** Interval of the heartbeats that this router expects of it. */
         auto expectedInterval() const -> Duration { return isDependency ? frequentInterval : interval; }
@@ -70,6 +74,13 @@
     /** Records a received frame. Returns true if this changes which routers may hold a role. */
     auto updateLastSeen(Time now, RouterId router, const std::optional<PeerHeartbeat>& heartbeat) -> bool;
     auto updatePresence(RouterId router, const PeerPresence& presence) -> void;
+    /**
+     * Records the clock of a received frame. Returns a time before which the frame was not sent, later than
+     * that by the delay of this router's last clock value at most; empty before the router has echoed one.
+     */
+    auto updateClock(Time now, RouterId router, const PeerClock& clock) -> std::optional<Time>;
+    /** The clock of a frame to the router. */
+    auto clockFor(Time now, RouterId router) const -> PeerClock;
     /**
      * Sets the routers whose frequent heartbeats this router needs. Returns those for which this is a change;
      * they are to be told.
--- a/src/camphorshuntrouter/storepacer.cpp
+++ b/src/camphorshuntrouter/storepacer.cpp
@@ -64,6 +64,7 @@
     pauseFactor_ = state.isReader ? 1.0 : std::max(1.0, double(state.fleetSize) / pausedFleetSize);
     if (directoryDue(now, state)) {
         directoryRequested_ = true;
+        directoryRequestedAt_ = now;
         const auto readsAll = directoryExpired_ || !state.directoryEnd;
         calls.emplace_back(ReadDirectory { readsAll ? std::nullopt : state.directoryEnd });
     }
@@ -91,7 +92,7 @@
     if (page) {
         reachable_ = true;
         directoryExpired_ = false;
-        lastDirectoryUpdate_ = now;
+        directoryUpdated(directoryRequestedAt_);
         nextDirectory_ = now + pauseOf(directoryInterval);
         return;
     }
@@ -105,7 +106,9 @@
     configurationRequested_ = false;
     if (content) {
         reachable_ = true;
-        lastConfigurationUpdate_ = now;
+        // The answer may have waited for this thread; a long poll without news ends after its wait.
+        const auto wait = longPolls_ ? Duration(configurationWait) : Duration {};
+        configurationConfirmed(std::min(now, configurationRequestedAt_ + wait));
         configurationEnd_ = content.value().end;
         nextConfiguration_
             = longPolls_ ? configurationRequestedAt_ + minPollInterval : now + pauseOf(configurationInterval);
--- a/src/camphorshuntrouter/storepacer.h
+++ b/src/camphorshuntrouter/storepacer.h
@@ -39,8 +39,8 @@
     auto directoryRead(Time now, const Result<DirectoryPage>& page) -> void;
     auto configurationRead(Time now, const Result<ConfigurationRead::Content>& content) -> void;
     auto fleetJoined(Time now, bool succeeded) -> void;
-    /** A page of the directory was applied, from the store or from a peer. */
-    auto directoryUpdated(Time now) -> void { lastDirectoryUpdate_ = now; }
+    /** A page of the directory was applied, for which the store was not asked before that time. */
+    auto directoryUpdated(Time at) -> void { lastDirectoryUpdate_ = std::max(lastDirectoryUpdate_, at); }
     /** A peer shows that this router's configuration was the newest at that time. */
     auto configurationConfirmed(Time at) -> void
     {
@@ -68,6 +68,7 @@
     bool joinRequested_ = false;
     /** The present or last read of the configuration waits for changes. */
     bool longPolls_ = false;
+    Time directoryRequestedAt_ {};
     Time configurationRequestedAt_ {};
     /** The store has expired the records that follow `directoryEnd`; the entire directory must be read. */
     bool directoryExpired_ = false;
--- a/tests/fuzz/parsersfuzz.cpp
+++ b/tests/fuzz/parsersfuzz.cpp
@@ -182,6 +182,7 @@
     frame.heartbeat = router::PeerHeartbeat { 3, 5, true, false };
     frame.addresses = { { "10.0.0.4:80", 0.25, 8 } };
     frame.presence = router::PeerPresence { 3, std::chrono::milliseconds(120), {}, true };
+    frame.clock = router::PeerClock { 7, 5, std::chrono::milliseconds(20) };
     const auto bytes = router::encodePeerFrame(frame);
     return { bytes.begin(), bytes.end() };
 }
--- a/tests/unit/latefeedtest.cpp
+++ b/tests/unit/latefeedtest.cpp
@@ -82,6 +82,7 @@
     SimulatedStore store { events, hop, engineCount };
     /** What the relay of the late router acts by. */
     FleetChanged fleet;
+    std::size_t lateRouterReads = 0;
 
 private:
     auto peerOf(std::size_t index) -> ControlledRouter& { return *routers_[1 - index]; }
@@ -93,6 +94,8 @@
             .send = [this, index](RouterId, const PeerFrame& frame) { send(index, frame); },
             .callStore =
                 [this, index](SchedulerToStore call) {
+                    if (index == 1 && !std::holds_alternative<JoinFleet>(call))
+                        ++lateRouterReads;
                     store.call(std::move(call), [this, index](const StoreToScheduler& message) {
                         routers_[index]->control.handleMessage(events.now(), message);
                     });
@@ -147,3 +150,27 @@
     CHECK(
         fleet.timeUntil([&](const auto& known) { return known.table->version() == version; }) < timeInForce);
 }
+
+TEST_CASE("A leaving engine is known in time although the feed's frames wait for seconds in a socket")
+{
+    auto fleet = FeedAndLateRouter();
+    fleet.events.runUntil(fleet.events.now() + 4s);
+    REQUIRE(fleet.fleet.upstreams);
+    REQUIRE(fleet.late().control.reader() != fleet.late().id());
+    fleet.setBacklog(5s);
+    fleet.store.record(SimulatedStore::directoryRecord(3, "draining"));
+    CHECK(fleet.timeUntil([](const auto& known) {
+        return std::ranges::any_of(*known.upstreams, &UpstreamEntry::draining);
+    }) < timeInForce);
+}
+
+TEST_CASE("A router does not call the store while its feed's frames arrive without delay")
+{
+    auto fleet = FeedAndLateRouter();
+    fleet.events.runUntil(fleet.events.now() + 4s);
+    const auto calls = fleet.lateRouterReads;
+    fleet.store.publish();
+    fleet.store.record(SimulatedStore::directoryRecord(3, "draining"));
+    fleet.events.runUntil(fleet.events.now() + 10s);
+    CHECK(fleet.lateRouterReads == calls);
+}
--- a/tests/unit/oldbuildtest.cpp
+++ b/tests/unit/oldbuildtest.cpp
@@ -141,6 +141,7 @@
     frame.heartbeat = PeerHeartbeat { 4, 99, true, true };
     frame.addresses = { hubAddress, hubAddress };
     frame.presence = PeerPresence { 300, 1000ms, 20ms, true };
+    frame.clock = PeerClock { 5, 6, 7us };
     const auto bytes = encodePeerFrame(frame);
     const auto& read = readByOldBuild(bytes);
     CHECK(read.hello()->endpoint()->str() == "10.0.0.9:7");
@@ -207,9 +208,9 @@
     auto registry = prometheus::Registry {};
     auto metrics = RouterMetrics { registry };
     auto sync = FleetSync(hubAddress,
-        { .send = [](RouterId, const PeerFrame&) {},
-            .publish = [](const PeerFrame&) {},
-            .forward = [](const PeerFrame&) {},
+        { .send = [](Time, RouterId, const PeerFrame&) {},
+            .publish = [](Time, const PeerFrame&) {},
+            .forward = [](Time, const PeerFrame&) {},
             .callStore = [](const SchedulerToStore&) {},
             .onFleetChanged = [](Time) {},
             .onStoreReachabilityChanged = [](Time) {} },
@@ -219,9 +220,9 @@
     auto beat = decoded("before-hubs-heartbeat.bin");
     beat.heartbeat->configurationVersion = 0;
     beat.heartbeat->storeReachable = false;
-    sync.handleFrame(now, reader, beat);
+    sync.handleFrame(now, reader, beat, now);
     CHECK(sync.configurationConfirmedAt() == Time {});
     beat.heartbeat->storeReachable = true;
-    sync.handleFrame(now, reader, beat);
+    sync.handleFrame(now, reader, beat, now);
     CHECK(sync.configurationConfirmedAt() == now);
 }
--- a/tests/unit/peerbadinputtest.cpp
+++ b/tests/unit/peerbadinputtest.cpp
@@ -120,6 +120,19 @@
 }
 
 // Each unknown service got a placer of its own, without bound.
+TEST_CASE("A frame with a clock value held for more than a day is refused")
+{
+    auto frame = PeerFrame {};
+    frame.clock = PeerClock { 7, 5, 25h };
+    CHECK(!decodePeerFrame(encodePeerFrame(frame)));
+    frame.clock->held = 20ms;
+    const auto decoded = decodePeerFrame(encodePeerFrame(frame));
+    REQUIRE((decoded && decoded.value().clock));
+    CHECK(decoded.value().clock->sent == 7);
+    CHECK(decoded.value().clock->echoed == 5);
+    CHECK(decoded.value().clock->held == Duration(20ms));
+}
+
 TEST_CASE("Requests for services that do not exist are refused and named once a frame, and nothing is kept")
 {
     auto coordinator = PlacementCoordinator(RouterId { 1 }, {});
--- a/tests/unit/peertabletest.cpp
+++ b/tests/unit/peertabletest.cpp
@@ -71,3 +71,36 @@
     static_cast<void>(table.checkSilence(now + 11s));
     CHECK(table.size() == 0);
 }
+
+TEST_CASE("A frame is not taken for younger than the last clock value that its sender has echoed")
+{
+    auto table = PeerTable {};
+    auto now = Time { 100s };
+    table.connected(now, hub, { hubAddress.endpoint, 1, 0.25, 1 });
+    const auto sent = table.clockFor(now, hub).sent;
+    CHECK(!table.updateClock(now, hub, { 7, 0, {} }));
+    now += 3s;
+    CHECK(table.updateClock(now, hub, { 8, sent, 500ms }) == now - 2500ms);
+    const auto clock = table.clockFor(now + 200ms, hub);
+    CHECK(clock.echoed == 8);
+    CHECK(clock.held == Duration(200ms));
+}
+
+TEST_CASE("An echo of a time that is still to come does not make a frame young")
+{
+    auto table = PeerTable {};
+    const auto now = Time { 100s };
+    table.connected(now, hub, { hubAddress.endpoint, 1, 0.25, 1 });
+    CHECK(!table.updateClock(now, hub, { 7, table.clockFor(now + 1s, hub).sent, {} }));
+    CHECK(table.updateClock(now, hub, { 7, table.clockFor(now - 1s, hub).sent, 5s }) == now);
+}
+
+TEST_CASE("A clock value of a router's earlier connection is not echoed")
+{
+    auto table = PeerTable {};
+    const auto now = Time { 100s };
+    table.connected(now, hub, { hubAddress.endpoint, 1, 0.25, 1 });
+    static_cast<void>(table.updateClock(now, hub, { 7, 0, {} }));
+    table.connected(now, hub, { hubAddress.endpoint, 2, 0.25, 1 });
+    CHECK(table.clockFor(now, hub).echoed == 0);
+}
