--- a/include/camphorshunt/ring.h
+++ b/include/camphorshunt/ring.h
@@ -74,6 +74,16 @@
         while (deliverNext()) { }
     }
 
+    /** Passes all items to the handler, also those of the overflow queue. Both contexts must have stopped. */
+    auto deliverRest() -> void
+    {
+        deliver();
+        for (auto rest = std::exchange(overflow_, {}); !rest.empty(); rest.pop_front()) {
+            depth_.fetch_sub(1, std::memory_order_relaxed);
+            handler_(std::move(*rest.front()));
+        }
+    }
+
     /** True while the overflow queue is not empty. Producer's thread. */
     auto overflowing() const -> bool { return !overflow_.empty(); }
 
--- a/src/camphorshuntd/daemon.cpp
+++ b/src/camphorshuntd/daemon.cpp
@@ -182,6 +182,9 @@
     for (auto* const thread : { &callersThread_, &telemetryThread_, &platformThread_, &peersThread_,
              &upstreamsThread_, &schedulerThread_ })
         thread->stop();
+    // What was decided last is logged too.
+    schedulerToTelemetry_.deliverRest();
+    callersToTelemetry_.deliverRest();
 }
 
 /** Stops accepting callers, waits until the last answers are sent, then ends `run`. */
--- a/tests/unit/ringtest.cpp
+++ b/tests/unit/ringtest.cpp
@@ -108,3 +108,20 @@
     CHECK(handled == 1001);
     CHECK(handledBefore < 10);
 }
+
+TEST_CASE("What a stopped ring still holds is delivered in order, with its overflow")
+{
+    auto producer = boost::asio::io_context {};
+    auto consumer = boost::asio::io_context {};
+    auto ring = Ring<int>(producer, consumer, 4, 2);
+    auto received = std::vector<int> {};
+    ring.onItem([&received](int item) { received.push_back(item); });
+    for (auto item = 0; item < 9; ++item)
+        ring.push(item);
+    REQUIRE(ring.overflowing());
+    ring.deliverRest();
+    auto expected = std::vector<int>(9);
+    std::iota(expected.begin(), expected.end(), 0);
+    CHECK(received == expected);
+    CHECK(ring.depth() == 0);
+}
