--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -121,7 +121,7 @@
         refuseUnavailable(now, waiting);
         return;
     }
-    const auto wait = expectedWait(now, waiting);
+    const auto wait = hasPlaceAfterRest(now, waiting) ? Duration {} : expectedWait(now, waiting);
     // A request of an underserved organisation is not refused merely because it will be late.
     const auto latest = queues_.isUnderserved(waiting.request.organisation)
         ? std::max(waiting.latestStart, now) + settings_.maxLateness
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -139,6 +139,8 @@
     auto refuseLate(Time now) -> void;
     auto firstTokenTimeOf(const PlacementRequest& request) const -> Duration;
     /** Estimated time until a request would be placed; zero if none wait or nothing was placed recently. */
+    /** All engines for the request rest, and have places for it and for all that wait once they don't. */
+    auto hasPlaceAfterRest(Time now, const WaitingRequest& waiting) const -> bool;
     auto expectedWait(Time now, const WaitingRequest& waiting) const -> Duration;
     auto retryAfter(Time now, const WaitingRequest& waiting, Time earliest) -> std::chrono::milliseconds;
     auto initialPrefillRate(std::size_t engines) const -> double;
--- a/src/libcamphorshunt/placeravailability.cpp
+++ b/src/libcamphorshunt/placeravailability.cpp
@@ -73,6 +73,21 @@
     return !first || (*first > now && *first > waiting.latestStart);
 }
 
+auto Placer::hasPlaceAfterRest(Time now, const WaitingRequest& waiting) const -> bool
+{
+    const auto* const rests = restsOf(waiting.request.key.router);
+    const auto first = rests == nullptr ? now : firstAvailable(now, waiting).value_or(now);
+    if (first == now)
+        return false;
+    auto places = std::size_t { 0 };
+    for (const auto& [id, engine] : engines_) {
+        const auto from = rests->sendableFrom(now, engine.entry().process());
+        if (from && *from <= waiting.latestStart && !isLeaving(engine) && engine.running() < engine.slots())
+            places += engine.slots() - engine.running();
+    }
+    return queues_.size() < places;
+}
+
 auto Placer::refuseUnavailable(Time now, const WaitingRequest& waiting) -> void
 {
     auto earliest = firstAvailable(now, waiting);
--- a/tests/unit/placeravailabilitytest.cpp
+++ b/tests/unit/placeravailabilitytest.cpp
@@ -176,3 +176,26 @@
         CHECK(fixture.placed.at(second).copyFrom.has_value() == !leaves);
     }
 }
+
+// What was placed in the last second was taken for what the engines can do, also while they rested.
+TEST_CASE("Requests for which the engines have places after a rest are not refused as over their share")
+{
+    auto fixture = PlacerFixture(2);
+    const auto first = fixture.submit(fixture.requestOf(tired, tokens));
+    REQUIRE(fixture.placed.contains(first));
+    fixture.now += 5ms;
+    fixture.start(first);
+    fixture.end(first);
+    for (const auto& entry : fixture.entries)
+        fixture.placer.recordRest(fixture.now, entry.id(), tired, fixture.now + 300ms);
+    for (auto count = 0; count < 8; ++count)
+        fixture.submit(fixture.requestOf(tired, tokens));
+    CHECK(fixture.refused.empty());
+    CHECK(fixture.placer.waiting() == 8);
+    // There is no place for more, and what was placed lately tells how long they would wait.
+    fixture.submit(fixture.requestOf(tired, tokens));
+    CHECK(fixture.refused.size() == 1);
+    fixture.now += 301ms;
+    runAll(fixture);
+    CHECK(fixture.placed.size() == 9);
+}
