--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -1,5 +1,7 @@
 #include "peerframe.h"
 
+#include <algorithm>
+#include <limits>
 #include <type_traits>
 
 #include "fleet_generated.h"
@@ -24,6 +26,13 @@
     return failure(Error::Code::Malformed, "frame", std::move(message));
 }
 
+/** A longer time is packed as the longest one. */
+auto packMilliseconds(std::chrono::milliseconds time) -> std::uint32_t
+{
+    constexpr auto longest = std::chrono::milliseconds(std::numeric_limits<std::uint32_t>::max());
+    return static_cast<std::uint32_t>(std::clamp(time, std::chrono::milliseconds(0), longest).count());
+}
+
 auto packPlacementRequest(FlatBufferBuilder& builder, const PeerPlacementRequest& placement)
     -> Offset<fleet::Place>
 {
@@ -53,7 +62,7 @@
     }
     const auto list = builder.CreateVector(records);
     return fleet::CreateDirectoryPage(
-        builder, page.isSnapshot, page.from, page.end, list, static_cast<std::uint32_t>(page.age.count()));
+        builder, page.isSnapshot, page.from, page.end, list, packMilliseconds(page.age));
 }
 
 auto packHello(FlatBufferBuilder& builder, const PeerHello& hello) -> Offset<fleet::Hello>
@@ -74,14 +83,13 @@
     const auto& process = availability.process;
     const auto endpoint = builder.CreateString(process.endpoint.text());
     return fleet::CreateAvailability(builder, availability.service.value, process.upstream.value,
-        process.startedAt.count(), endpoint, availability.leaving,
-        static_cast<std::uint32_t>(availability.rest.count()));
+        process.startedAt.count(), endpoint, availability.leaving, packMilliseconds(availability.rest));
 }
 
 auto packPresence(const PeerPresence& presence) -> fleet::Presence
 {
-    return { presence.routers, static_cast<std::uint32_t>(presence.interval.count()),
-        static_cast<std::uint32_t>(presence.configurationAge.count()), presence.dependsOnReceiver };
+    return { presence.routers, packMilliseconds(presence.interval),
+        packMilliseconds(presence.configurationAge), presence.dependsOnReceiver };
 }
 
 auto packClock(const PeerClock& clock) -> fleet::Clock
@@ -92,10 +100,9 @@
 auto packDecision(const PeerPlacementDecision& decision) -> fleet::Verdict
 {
     return { decision.number, decision.service.value, decision.upstream.value_or(UpstreamId {}).value,
-        decision.copyFrom.value_or(UpstreamId {}).value,
-        static_cast<std::uint32_t>(decision.retryAfter.count()),
-        static_cast<std::uint32_t>(decision.inputs.wait.count()), decision.inputs.cachedTokens,
-        decision.inputs.waiting, static_cast<std::uint8_t>(decision.reason), decision.upstream.has_value() };
+        decision.copyFrom.value_or(UpstreamId {}).value, packMilliseconds(decision.retryAfter),
+        packMilliseconds(decision.inputs.wait), decision.inputs.cachedTokens, decision.inputs.waiting,
+        static_cast<std::uint8_t>(decision.reason), decision.upstream.has_value() };
 }
 
 /** False for NaN as well. */
--- a/tests/unit/peerbadinputtest.cpp
+++ b/tests/unit/peerbadinputtest.cpp
@@ -120,6 +120,19 @@
 }
 
 // Each unknown service got a placer of its own, without bound.
+TEST_CASE(
+    "An age of more than 49 days, as of news never confirmed on a VM that runs long, does not look young")
+{
+    constexpr auto age = std::chrono::milliseconds(std::chrono::hours(24) * 50);
+    auto frame = PeerFrame {};
+    frame.presence = PeerPresence { 3, 120ms, age, false };
+    frame.directory = DirectoryPage { true, 0, 1, {}, age };
+    const auto decoded = decodePeerFrame(encodePeerFrame(frame));
+    REQUIRE(decoded);
+    CHECK(decoded.value().presence->configurationAge > 24h);
+    CHECK(decoded.value().directory->age > 24h);
+}
+
 TEST_CASE("A frame with a clock value held for more than a day is refused")
 {
     auto frame = PeerFrame {};
