--- a/src/camphorshuntload/simulatedstore.cpp
+++ b/src/camphorshuntload/simulatedstore.cpp
@@ -73,7 +73,7 @@
         page.records = directory_;
     else if (*read.from < directory_.size())
         page.records.assign(directory_.begin() + static_cast<std::ptrdiff_t>(*read.from), directory_.end());
-    answerLater(answer, DirectoryRead { std::move(page) });
+    answerLater(answer, DirectoryRead { std::move(page), events_.now() });
 }
 
 auto SimulatedStore::record(DirectoryRecord record) -> void
@@ -84,7 +84,7 @@
 
 auto SimulatedStore::newest() const -> ConfigurationRead
 {
-    return { ConfigurationRead::Content { configuration(version_), version_ } };
+    return { ConfigurationRead::Content { configuration(version_), version_ }, events_.now() };
 }
 
 auto SimulatedStore::handle(const ReadConfiguration& read, const Answer& answer) -> void
@@ -99,7 +99,8 @@
         const auto poll = longPolls_.extract(number);
         if (!poll.empty())
             answerLater(poll.mapped().answer,
-                ConfigurationRead { ConfigurationRead::Content { std::nullopt, poll.mapped().from } });
+                ConfigurationRead {
+                    ConfigurationRead::Content { std::nullopt, poll.mapped().from }, events_.now() });
     });
 }
 
--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -131,7 +131,7 @@
 auto FleetSync::handle(Time now, DirectoryRead read) -> void
 {
     const auto wasReachable = pacer_.isReachable();
-    pacer_.directoryRead(now, read.page);
+    pacer_.directoryRead(now, read.page, read.answeredAt);
     metrics_.storeCall(static_cast<bool>(read.page));
     checkStoreReachability(now, wasReachable);
     if (!read.page)
@@ -148,7 +148,7 @@
 auto FleetSync::handle(Time now, ConfigurationRead read) -> void
 {
     const auto wasReachable = pacer_.isReachable();
-    pacer_.configurationRead(now, read.content);
+    pacer_.configurationRead(now, read.content, read.answeredAt);
     metrics_.storeCall(static_cast<bool>(read.content));
     checkStoreReachability(now, wasReachable);
     if (read.content && read.content.value().configuration)
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -57,7 +57,7 @@
     auto handle(Time now, ConfigurationRead read) -> void;
     auto fleetJoined(Time now, bool succeeded) -> void;
 
-    /** When the store was asked for the newest page of the directory that was applied, by any router. */
+    /** When the store has answered with the newest page of the directory that was applied, to any router. */
     auto directoryReadAt() const -> Time { return pacer_.lastDirectoryUpdate(); }
     auto fleet() const -> const FleetState& { return fleet_; }
     /** Time since this router's configuration was last confirmed to be the newest. */
@@ -69,7 +69,7 @@
 
 private:
     auto applyConfiguration(Time now, std::string json, std::optional<RouterId> from) -> void;
-    /** `readAt`: the store was not asked for the page before that; empty if nothing is known of it. */
+    /** `readAt`: the store has not answered with the page before that; empty if nothing is known of it. */
     auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from,
         std::optional<Time> readAt) -> void;
     auto compareHeartbeat(Time now, RouterId from, const PeerFrame& frame, std::optional<Time> sentAt)
--- a/src/camphorshuntrouter/storegateway.cpp
+++ b/src/camphorshuntrouter/storegateway.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <utility>
 
+#include "clock.h"
 #include "routerrecord.h"
 
 namespace camphorshunt::router {
@@ -74,9 +75,9 @@
 {
     auto handler = [this, from = read.from](Result<platform::KeyedPage> page) {
         if (!page)
-            toScheduler_.push(DirectoryRead { page.error() });
+            toScheduler_.push(DirectoryRead { page.error(), steadyNow() });
         else
-            toScheduler_.push(DirectoryRead { directoryPage(std::move(page.value()), from) });
+            toScheduler_.push(DirectoryRead { directoryPage(std::move(page.value()), from), steadyNow() });
     };
     if (read.from)
         client_.read(topic::upstreams, *read.from, {}, std::move(handler));
@@ -88,9 +89,9 @@
 {
     auto handler = [this, from = read.from](Result<platform::KeyedPage> page) {
         if (!page)
-            toScheduler_.push(ConfigurationRead { page.error() });
+            toScheduler_.push(ConfigurationRead { page.error(), steadyNow() });
         else
-            toScheduler_.push(ConfigurationRead { configurationOf(page.value(), from) });
+            toScheduler_.push(ConfigurationRead { configurationOf(page.value(), from), steadyNow() });
     };
     if (read.from)
         client_.read(topic::operators, *read.from, read.wait, std::move(handler));
--- a/src/camphorshuntrouter/storegateway.h
+++ b/src/camphorshuntrouter/storegateway.h
@@ -11,6 +11,7 @@
 
 #include "camphorshunt/endpoint.h"
 #include "camphorshunt/ring.h"
+#include "camphorshunt/time.h"
 
 #include "peerframe.h"
 
@@ -39,6 +40,8 @@
 
 struct DirectoryRead {
     Result<DirectoryPage> page;
+    /** When the answer arrived at this router. */
+    Time answeredAt {};
 };
 struct ConfigurationRead {
     struct Content {
@@ -48,6 +51,8 @@
         std::uint64_t end = 0;
     };
     Result<Content> content;
+    /** When the answer arrived at this router. */
+    Time answeredAt {};
 };
 struct FleetJoined {
     Result<std::vector<RouterAddress>> routers;
--- a/src/camphorshuntrouter/storepacer.cpp
+++ b/src/camphorshuntrouter/storepacer.cpp
@@ -64,7 +64,6 @@
     pauseFactor_ = state.isReader ? 1.0 : std::max(1.0, double(state.fleetSize) / pausedFleetSize);
     if (directoryDue(now, state)) {
         directoryRequested_ = true;
-        directoryRequestedAt_ = now;
         const auto readsAll = directoryExpired_ || !state.directoryEnd;
         calls.emplace_back(ReadDirectory { readsAll ? std::nullopt : state.directoryEnd });
     }
@@ -86,13 +85,13 @@
     return calls;
 }
 
-auto StorePacer::directoryRead(Time now, const Result<DirectoryPage>& page) -> void
+auto StorePacer::directoryRead(Time now, const Result<DirectoryPage>& page, Time answeredAt) -> void
 {
     directoryRequested_ = false;
     if (page) {
         reachable_ = true;
         directoryExpired_ = false;
-        directoryUpdated(directoryRequestedAt_);
+        directoryUpdated(answeredAt);
         nextDirectory_ = now + pauseOf(directoryInterval);
         return;
     }
@@ -101,14 +100,13 @@
     nextDirectory_ = directoryExpired_ ? now : now + pauseOf(failurePause);
 }
 
-auto StorePacer::configurationRead(Time now, const Result<ConfigurationRead::Content>& content) -> void
+auto StorePacer::configurationRead(
+    Time now, const Result<ConfigurationRead::Content>& content, Time answeredAt) -> void
 {
     configurationRequested_ = false;
     if (content) {
         reachable_ = true;
-        // The answer may have waited for this thread; a long poll without news ends after its wait.
-        const auto wait = longPolls_ ? Duration(configurationWait) : Duration {};
-        configurationConfirmed(std::min(now, configurationRequestedAt_ + wait));
+        configurationConfirmed(answeredAt);
         configurationEnd_ = content.value().end;
         nextConfiguration_
             = longPolls_ ? configurationRequestedAt_ + minPollInterval : now + pauseOf(configurationInterval);
--- a/src/camphorshuntrouter/storepacer.h
+++ b/src/camphorshuntrouter/storepacer.h
@@ -36,10 +36,12 @@
     /** Calls to make now. A call of one kind is not due again before its result has been reported. */
     auto dueCalls(Time now, const RouterState& state) -> std::vector<SchedulerToStore>;
 
-    auto directoryRead(Time now, const Result<DirectoryPage>& page) -> void;
-    auto configurationRead(Time now, const Result<ConfigurationRead::Content>& content) -> void;
+    // The answer arrived at `answeredAt`, and may have waited for the scheduler until now.
+    auto directoryRead(Time now, const Result<DirectoryPage>& page, Time answeredAt) -> void;
+    auto configurationRead(Time now, const Result<ConfigurationRead::Content>& content, Time answeredAt)
+        -> void;
     auto fleetJoined(Time now, bool succeeded) -> void;
-    /** A page of the directory was applied, for which the store was not asked before that time. */
+    /** A page of the directory was applied that was the newest at that time. */
     auto directoryUpdated(Time at) -> void { lastDirectoryUpdate_ = std::max(lastDirectoryUpdate_, at); }
     /** A peer shows that this router's configuration was the newest at that time. */
     auto configurationConfirmed(Time at) -> void
@@ -68,7 +70,6 @@
     bool joinRequested_ = false;
     /** The present or last read of the configuration waits for changes. */
     bool longPolls_ = false;
-    Time directoryRequestedAt_ {};
     Time configurationRequestedAt_ {};
     /** The store has expired the records that follow `directoryEnd`; the entire directory must be read. */
     bool directoryExpired_ = false;
--- a/tests/unit/storepacertest.cpp
+++ b/tests/unit/storepacertest.cpp
@@ -28,12 +28,14 @@
             if (const auto* const read = std::get_if<ReadDirectory>(&call)) {
                 ++counts.directory;
                 counts.fullReads += read->from ? 0 : 1;
-                pacer.directoryRead(now, succeeds ? Result<DirectoryPage>(DirectoryPage {}) : unavailable());
+                pacer.directoryRead(
+                    now, succeeds ? Result<DirectoryPage>(DirectoryPage {}) : unavailable(), now);
             } else if (std::holds_alternative<ReadConfiguration>(call)) {
                 ++counts.configuration;
                 pacer.configurationRead(now,
                     succeeds ? Result<ConfigurationRead::Content>(ConfigurationRead::Content {})
-                             : unavailable());
+                             : unavailable(),
+                    now);
             } else {
                 ++counts.joins;
                 pacer.fleetJoined(now, succeeds);
@@ -92,7 +94,7 @@
     auto pacer = StorePacer({ "10.0.0.1:7" });
     auto now = Time { 10s };
     pacer.dueCalls(now, { 5, true, true, true });
-    pacer.directoryRead(now, failure(Error::Code::NotFound, "store", "410"));
+    pacer.directoryRead(now, failure(Error::Code::NotFound, "store", "410"), now);
     const auto counts = simulateCalls(pacer, { 5, true, true, true }, now, 300ms, true);
     CHECK(counts.fullReads == 1);
 }
@@ -136,7 +138,7 @@
         for (const auto& call : feed.dueCalls(now, reading)) {
             const auto* const read = std::get_if<ReadConfiguration>(&call);
             if (read != nullptr)
-                feed.configurationRead(now, ConfigurationRead::Content {});
+                feed.configurationRead(now, ConfigurationRead::Content {}, now);
         }
         router.directoryUpdated(now);
         if (step % 12 == 0)
@@ -156,3 +158,14 @@
     }
     CHECK(now - stalled < 1900ms);
 }
+
+TEST_CASE("An answer of the store that has waited for the scheduler is not taken for news")
+{
+    auto pacer = StorePacer({ "10.0.0.1:7" });
+    const auto now = Time { 10s };
+    const auto answeredAt = now - 3s;
+    pacer.directoryRead(now, DirectoryPage {}, answeredAt);
+    pacer.configurationRead(now, ConfigurationRead::Content {}, answeredAt);
+    CHECK(pacer.lastDirectoryUpdate() == answeredAt);
+    CHECK(pacer.lastConfigurationUpdate() == answeredAt);
+}
