--- a/tests/unit/latefeedtest.cpp
+++ b/tests/unit/latefeedtest.cpp
@@ -59,7 +59,7 @@
         }
     }
 
-    /** Frames of the feed wait for this long; grows and shrinks at most this much of the time that passes. */
+    /** Makes the feed's frames wait; changes the wait gradually, so that the feed is never silent. */
     auto setBacklog(Duration backlog) -> void
     {
         while (backlog_ != backlog) {
