--- a/include/camphorshunt/routetable.h
+++ b/include/camphorshunt/routetable.h
@@ -27,6 +27,8 @@
     auto find(std::string_view host, std::string_view target) const -> const Route*;
     /** The organisation to which a key belongs; null if the key is unknown. */
     auto holderOf(std::string_view key) const -> const KeyHolder*;
+    /** Null if the configuration does not have it. */
+    auto organisation(OrganisationId id) const -> const KeyHolder*;
     auto service(ServiceId id) const -> const ServiceDeclaration*;
     /** Chooses one of the route's targets by weight; `draw` must be uniformly distributed over 64 bits. */
     static auto chooseTarget(const Route& route, std::uint64_t draw) -> ServiceId;
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -70,6 +70,7 @@
         .answerEnd = answerEnd_,
         .stream = answer_.streamFigures(),
         .reason = reason };
+    relay_.recordEnd(ended.organisation, outcome);
     const auto isGood = outcome == RequestOutcome::Served || outcome == RequestOutcome::Passed;
     relay_.log(
         isGood ? LogLevel::Info : LogLevel::Warning, "request-end", ended.fields(times_, placementInputs_));
--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -1,6 +1,7 @@
 #include "fleetcontrol.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -19,6 +20,8 @@
 constexpr auto flushInterval = Duration(4ms);
 /** A longer time between ticks means that this process was paused. */
 constexpr auto maxTickDelay = Duration(300ms);
+/** Organisations of a service with a line in the log each time that shares are logged. */
+constexpr auto maxSharesLogged = std::size_t { 24 };
 
 template <typename Item> auto append(std::vector<Item>& to, std::vector<Item>& from) -> void
 {
@@ -228,6 +231,29 @@
     }
 }
 
+auto FleetControl::logShares() -> void
+{
+    const auto reports = placement_.takeReports(maxSharesLogged);
+    const auto& table = sync_.fleet().table();
+    if (!table)
+        return;
+    const auto whole = [](double value) { return std::to_string(std::llround(value)); };
+    for (const auto& [id, organisations] : reports) {
+        const auto* const service = table->service(id);
+        for (const auto& report : organisations) {
+            const auto* const holder = table->organisation(report.organisation);
+            log_.write(LogLevel::Info, "organisation-share",
+                { { "service", service == nullptr ? "-" : service->name },
+                    { "organisation", holder == nullptr ? "-" : holder->name },
+                    { "asked", whole(report.share.asked) }, { "placed", whole(report.share.placed) },
+                    { "begun", whole(report.share.begun) },
+                    { "refused", std::to_string(report.share.refused) },
+                    { "waiting", std::to_string(report.waiting) },
+                    { "account-percent", whole(report.account * 100) } });
+        }
+    }
+}
+
 auto FleetControl::sendOutputs(Time now) -> void
 {
     auto outputs = placement_.takeOutputs();
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -70,6 +70,9 @@
 
     auto plan() -> MeshPlan& { return plan_; }
     auto plan() const -> const MeshPlan& { return plan_; }
+    /** Logs what organisations got of the services placed here since the last call. */
+    auto logShares() -> void;
+
     auto placement() const -> const PlacementCoordinator& { return placement_; }
     auto fleet() const -> const FleetState& { return sync_.fleet(); }
     /** Completes a report that has the router's address and failure domain. */
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -337,6 +337,16 @@
         service.handoverEnd = now + handoverTime;
 }
 
+auto PlacementCoordinator::takeReports(std::size_t limit) -> std::vector<ServiceReport>
+{
+    auto reports = std::vector<ServiceReport> {};
+    for (const auto& [id, service] : services_) {
+        if (service.owner == self_)
+            reports.push_back({ id, service.placer->takeReports(limit) });
+    }
+    return reports;
+}
+
 auto PlacementCoordinator::waiting() const -> std::size_t
 {
     auto count = std::size_t { 0 };
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -85,6 +85,12 @@
     /** Places nothing until the other routers have reported what has changed, as after a change of placer. */
     auto holdPlacing(Time now) -> void;
     auto takeOutputs() -> Outputs { return std::exchange(outputs_, {}); }
+    struct ServiceReport {
+        ServiceId service;
+        std::vector<OrganisationReport> organisations;
+    };
+    /** Of the services that this router places; see `Placer::takeReports`. */
+    auto takeReports(std::size_t limit) -> std::vector<ServiceReport>;
     /** Number of requests that wait at this router's placers. */
     auto waiting() const -> std::size_t;
     /** Number of services whose requests this router places. */
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -245,6 +245,7 @@
     if (!report)
         return;
     metrics_.setCallers(callers_.size());
+    logTotals();
     const auto accepted = std::exchange(accepted_, 0);
     const auto shed = std::exchange(shed_, 0);
     const auto pauses = std::exchange(listeningPauses_, 0);
@@ -259,6 +260,22 @@
             { "requests", std::to_string(exchanges_.size()) } });
 }
 
+auto Relay::logTotals() -> void
+{
+    // The log's seconds begin at other times than the reports.
+    const auto mayLeaveOut = 2 * totals_.requests() > RouterLog::linesPerSecond;
+    for (const auto& [organisation, counts] : totals_.take()) {
+        if (!mayLeaveOut)
+            continue;
+        auto fields = std::vector<LogField> { { "organisation", organisation } };
+        for (const auto outcome : requestOutcomes) {
+            if (const auto count = counts.at(static_cast<std::size_t>(outcome)); count > 0)
+                fields.push_back({ std::string(outcomeName(outcome)), std::to_string(count) });
+        }
+        log(LogLevel::Info, "request-totals", std::move(fields));
+    }
+}
+
 auto Relay::watchOverload(Time now) -> void
 {
     overload_.tick(now, load_.late());
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -24,6 +24,7 @@
 #include "exchange.h"
 #include "overloadmonitor.h"
 #include "relaymessages.h"
+#include "requesttotals.h"
 #include "routerlog.h"
 #include "routermetrics.h"
 #include "servicebalancer.h"
@@ -74,6 +75,10 @@
     auto reportEnd(std::uint64_t number, ServiceId service, PlacementEnd end) -> void;
     /** An upstream answered, or a connection to one was not established in time. */
     auto recordReach(Time now, bool reached) -> void { overload_.recordReach(now, reached); }
+    auto recordEnd(std::string_view organisation, RequestOutcome outcome) -> void
+    {
+        totals_.record(organisation, outcome);
+    }
     auto availability() const -> const UpstreamAvailability& { return availability_; }
     /** Records what the head of an upstream's answer says about its availability. */
     auto recordAvailability(const UpstreamEntry& upstream, const platform::EngineAnswer& answer) -> void;
@@ -128,6 +133,8 @@
     auto stopsAccepting(Time now) const -> bool;
     auto tick() -> void;
     auto reportLoad(Time now) -> void;
+    /** Logs how requests ended since the last call if lines of single requests may have been left out. */
+    auto logTotals() -> void;
     auto watchOverload(Time now) -> void;
     auto checkExchanges(Time now) -> void;
     auto sweep(Time now) -> void;
@@ -163,6 +170,7 @@
     std::uint64_t nextNumber_ = 1;
     ThreadLoad load_;
     OverloadMonitor overload_;
+    RequestTotals totals_;
     /** Connections accepted since the last report of the load. */
     std::uint64_t accepted_ = 0;
     /** Those of them that were closed at once. */
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -29,6 +30,9 @@
     Gone,
 };
 
+inline constexpr auto requestOutcomes = std::array { RequestOutcome::Served, RequestOutcome::Passed,
+    RequestOutcome::Refused, RequestOutcome::Failed, RequestOutcome::Cut, RequestOutcome::Gone };
+
 auto outcomeName(RequestOutcome outcome) -> std::string_view;
 
 /** When a request last reached each step; the time of a step that it did not reach is unset. */
--- a/src/camphorshuntrouter/routerlog.cpp
+++ b/src/camphorshuntrouter/routerlog.cpp
@@ -8,8 +8,6 @@
 
 /** Lines in the queue: enough for some seconds at high load. */
 constexpr auto maxWaitingLines = std::size_t { 2048 };
-/** Limit for each event; at high load a router receives about 100 requests a second. */
-constexpr auto linesPerSecond = std::uint64_t { 250 };
 
 } // namespace
 
--- a/src/camphorshuntrouter/routerlog.h
+++ b/src/camphorshuntrouter/routerlog.h
@@ -19,6 +19,9 @@
  */
 class RouterLog {
 public:
+    /** Limit for each event; at high load a router receives about 100 requests a second. */
+    static constexpr auto linesPerSecond = std::uint64_t { 250 };
+
     RouterLog();
     ~RouterLog();
     RouterLog(const RouterLog&) = delete;
--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -154,6 +154,15 @@
     return found == accounts_.end() || found->second.service < underservedShare * bestService();
 }
 
+auto OrganisationQueues::stateOf(OrganisationId organisation) const -> State
+{
+    const auto found = accounts_.find(organisation);
+    if (found == accounts_.end())
+        return {};
+    const auto best = bestService();
+    return { found->second.waiting.size(), best > 0 ? found->second.service / best : 0 };
+}
+
 auto OrganisationQueues::firstRefusal() const -> std::optional<Time>
 {
     auto first = std::optional<Time> {};
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -69,6 +69,13 @@
     /** True if the organisation's recent service is well below that of the best served one. */
     auto isUnderserved(OrganisationId organisation) const -> bool;
 
+    struct State {
+        std::size_t waiting = 0;
+        /** Recorded service relative to that of the best served organisation. */
+        double relativeService = 0;
+    };
+    auto stateOf(OrganisationId organisation) const -> State;
+
     auto size() const -> std::size_t { return organisationOf_.size(); }
     template <std::predicate<const WaitingRequest&> Matches> auto removeIf(Matches matches) -> WaitingList;
     /** The earliest `refuseAt` of the waiting requests; none if none wait. */
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -66,7 +66,8 @@
         engine.second.clearCache();
         return true;
     });
-    absl::erase_if(upstreamOf_, [this](const auto& placed) { return !engines_.contains(placed.second); });
+    absl::erase_if(
+        placed_, [this](const auto& placed) { return !engines_.contains(placed.second.upstream); });
 
     leaving_.setUpstreams(now, entries);
     for (auto& [router, rests] : rests_)
@@ -115,6 +116,7 @@
     waiting.cost = costOf(request.prompt);
     waiting.chains = PromptCache::chainsOf(request.prompt.parts);
     waiting.request = std::move(request);
+    shares_.recordAsked(waiting.request.organisation, waiting.cost);
 
     waiting.latestStart = waiting.request.goal - firstTokenTimeOf(waiting.request);
     if (isUnavailable(now, waiting)) {
@@ -141,36 +143,41 @@
 {
     const auto engine = engines_.find(running.upstream);
     const auto& request = running.request;
-    if (engine == engines_.end() || upstreamOf_.contains(request.key))
+    if (engine == engines_.end() || placed_.contains(request.key))
         return;
     engine->second.adoptRequest(
         now, request.key, request.prompt, PromptCache::chainsOf(request.prompt.parts), running.started);
     checkTimes_.hasten(running.upstream, engine->second.overdueAt());
-    upstreamOf_[request.key] = running.upstream;
-    queues_.charge(now, request.organisation, costOf(request.prompt));
+    const auto cost = costOf(request.prompt);
+    placed_[request.key] = { running.upstream, request.organisation, cost, running.started };
+    queues_.charge(now, request.organisation, cost);
 }
 
 auto Placer::onStarted(Time now, const PlacementKey& key) -> void
 {
-    const auto placed = upstreamOf_.find(key);
-    if (placed == upstreamOf_.end())
+    const auto found = placed_.find(key);
+    if (found == placed_.end())
         return;
+    auto& placed = found->second;
     reach_[key.router].record(now, true);
-    auto& engine = engines_.at(placed->second);
+    auto& engine = engines_.at(placed.upstream);
     engine.onStarted(now, key);
-    checkTimes_.hasten(placed->second, engine.overdueAt());
+    checkTimes_.hasten(placed.upstream, engine.overdueAt());
+    if (!std::exchange(placed.begun, true))
+        shares_.recordBegun(placed.organisation, placed.cost);
 }
 
 auto Placer::onEnded(Time now, const PlacementKey& key, PlacementEnd end) -> void
 {
-    const auto placed = upstreamOf_.find(key);
-    if (placed == upstreamOf_.end())
+    const auto found = placed_.find(key);
+    if (found == placed_.end())
         return;
+    const auto placed = found->second;
     const auto isEngineAtFault = recordEnd(now, key.router, end);
-    auto& engine = engines_.at(placed->second);
+    auto& engine = engines_.at(placed.upstream);
     engine.onEnded(now, key, end, isEngineAtFault);
-    checkTimes_.hasten(placed->second, engine.overdueAt());
-    upstreamOf_.erase(placed);
+    checkTimes_.hasten(placed.upstream, engine.overdueAt());
+    placed_.erase(found);
 }
 
 auto Placer::recordEnd(Time now, RouterId router, PlacementEnd end) -> bool
@@ -211,7 +218,7 @@
         engine.removeRouter(now, router);
         checkTimes_.hasten(id, engine.overdueAt());
     }
-    absl::erase_if(upstreamOf_, [router](const auto& placed) { return placed.first.router == router; });
+    absl::erase_if(placed_, [router](const auto& placed) { return placed.first.router == router; });
     reach_.erase(router);
     rests_.erase(router);
     queues_.removeIf(
@@ -290,7 +297,8 @@
     engine.beginRequest(now, key, waiting.request.prompt, std::move(waiting.chains), choice.copied);
     const auto upstream = engine.entry().id();
     checkTimes_.hasten(upstream, engine.overdueAt());
-    upstreamOf_[key] = upstream;
+    placed_[key] = { upstream, waiting.request.organisation, waiting.cost };
+    shares_.recordPlaced(waiting.request.organisation, waiting.cost);
     queues_.charge(now, waiting.request.organisation, waiting.cost);
     recordThroughput(now, waiting.cost);
     decisions_.emplace_back(PlacementAccepted { key, upstream, choice.copyFrom, inputs });
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -17,6 +17,7 @@
 #include "enginemodel.h"
 #include "failurerate.h"
 #include "organisationqueues.h"
+#include "sharerecord.h"
 #include "upstreamavailability.h"
 
 namespace camphorshunt {
@@ -79,11 +80,16 @@
      */
     auto placeWaiting(Time now) -> std::vector<PlacementDecision>;
 
+    /** Organisations that had requests refused since the last call or have some waiting, those with most of
+     * both first; at most `limit`.
+     */
+    auto takeReports(std::size_t limit) -> std::vector<OrganisationReport>;
+
     /** Ordered, so that the same events lead to the same decisions. */
     using EngineModels = absl::btree_map<UpstreamId, EngineModel>;
 
     auto waiting() const -> std::size_t { return queues_.size(); }
-    auto running() const -> std::size_t { return upstreamOf_.size(); }
+    auto running() const -> std::size_t { return placed_.size(); }
     auto engines() const -> const EngineModels& { return engines_; }
 
 private:
@@ -104,6 +110,15 @@
         std::uint32_t tokens = 0;
     };
 
+    /** A request from its placement to its end. */
+    struct PlacedRequest {
+        UpstreamId upstream;
+        OrganisationId organisation;
+        double cost = 0;
+        /** Its first token has arrived. */
+        bool begun = false;
+    };
+
     auto chooseEngine(Time now, const WaitingRequest& waiting) -> Choice;
     auto findCacheHolder(Time now, const WaitingRequest& waiting) const -> CacheHolder;
     auto placeRequest(Time now, WaitingRequest waiting, const Choice& choice) -> void;
@@ -157,7 +172,7 @@
     EngineModels engines_;
     /** Used within a pass only. */
     std::vector<EngineModel*> openEngines_;
-    absl::flat_hash_map<PlacementKey, UpstreamId> upstreamOf_;
+    absl::flat_hash_map<PlacementKey, PlacedRequest> placed_;
     /** By router: whether its requests reach their engines. */
     absl::flat_hash_map<RouterId, FailureRate> reach_;
     UpstreamAvailability leaving_;
@@ -167,6 +182,7 @@
     /** When engines are to be checked for overdue first tokens; never later than they are overdue. */
     DueTimes checkTimes_;
     OrganisationQueues queues_;
+    ShareRecord shares_;
     std::vector<PlacementDecision> decisions_;
     /** Cost of recently placed requests as of `recentCostAt_`; decays over `throughputWindow`. */
     double recentCost_ = 0;
--- a/src/libcamphorshunt/placerrefusal.cpp
+++ b/src/libcamphorshunt/placerrefusal.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 // What the placer refuses, and when the callers of refused requests are to retry.
 
@@ -38,6 +39,7 @@
     const auto inputs
         = PlacementInputs { std::chrono::duration_cast<milliseconds>(expectedWait(now, waiting)), 0,
               static_cast<std::uint32_t>(queues_.size()) };
+    shares_.recordRefused(waiting.request.organisation);
     decisions_.emplace_back(
         PlacementRefused { waiting.request.key, reason, retryAfter(now, waiting, earliest), inputs });
 }
@@ -53,4 +55,18 @@
         refuse(now, waiting, RefusalReason::Waited);
 }
 
+auto Placer::takeReports(std::size_t limit) -> std::vector<OrganisationReport>
+{
+    auto reports = std::vector<OrganisationReport> {};
+    for (const auto& [organisation, share] : shares_.take()) {
+        const auto state = queues_.stateOf(organisation);
+        if (state.waiting + share.refused > 0)
+            reports.push_back({ organisation, share, state.waiting, state.relativeService });
+    }
+    std::ranges::sort(reports, std::greater {},
+        [](const OrganisationReport& report) { return report.waiting + report.share.refused; });
+    reports.resize(std::min(reports.size(), limit));
+    return reports;
+}
+
 } // namespace camphorshunt
--- a/src/libcamphorshunt/routetable.cpp
+++ b/src/libcamphorshunt/routetable.cpp
@@ -62,6 +62,12 @@
     return found == byKey_.end() ? nullptr : found->second;
 }
 
+auto RouteTable::organisation(OrganisationId id) const -> const KeyHolder*
+{
+    const auto found = std::ranges::find(organisations_, id, &KeyHolder::id);
+    return found == organisations_.end() ? nullptr : &*found;
+}
+
 auto RouteTable::service(ServiceId id) const -> const ServiceDeclaration*
 {
     const auto found = byService_.find(id);
