--- a/tests/unit/organisationsharetest.cpp
+++ b/tests/unit/organisationsharetest.cpp
@@ -1,62 +1,10 @@
-#include "placerfixture.h"
-
-#include <set>
+#include "loadedplacer.h"
 
 #include <catch2/catch.hpp>
 
 using namespace camphorshunt;
 using namespace camphorshunt::test;
 
-namespace {
-
-/** Engines that prefill 50 tokens per millisecond, so one request of 3,000 tokens in 60 ms, with a load that
- * the test generates. */
-struct LoadedPlacer : PlacerFixture {
-    explicit LoadedPlacer(std::size_t engineCount = 2)
-        : PlacerFixture(engineCount)
-    {
-    }
-
-    auto submitFor(const std::string& name, Duration goal) -> void
-    {
-        auto submitted = request(name, 3000);
-        submitted.goal = now + goal;
-        names[submitted.key] = name;
-        submit(submitted);
-    }
-
-    auto step() -> void
-    {
-        for (const auto& [key, decision] : placed) {
-            if (hung.contains(decision.upstream))
-                continue;
-            auto& until = busyUntil[decision.upstream];
-            until = std::max(until, now) + 60ms;
-            due.emplace(until, key);
-            served[names[key]] += 3000;
-        }
-        placed.clear();
-        now += 5ms;
-        while (!due.empty() && due.begin()->first <= now) {
-            start(due.begin()->second);
-            end(due.begin()->second);
-            due.erase(due.begin());
-        }
-        placeWaiting();
-    }
-
-    /** Engines that do not answer. */
-    std::set<UpstreamId> hung;
-    std::map<std::string, double> served;
-    std::map<PlacementKey, std::string> names;
-    std::map<UpstreamId, Time> busyUntil;
-    std::multimap<Time, PlacementKey> due;
-};
-
-constexpr auto stepsOfASecond = 200;
-
-} // namespace
-
 TEST_CASE("An organisation whose requests arrive late still gets at least half of another's service")
 {
     auto load = LoadedPlacer {};
