--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -45,8 +45,10 @@
 {
     const auto factor = 1.0 / unit(now);
     epoch_ = now;
-    for (auto& [id, account] : accounts_)
+    for (auto& [id, account] : accounts_) {
         account.service *= factor;
+        account.serviceBefore *= factor;
+    }
     absl::erase_if(accounts_,
         [](const auto& entry) { return entry.second.waiting.empty() && entry.second.service < minService; });
 }
@@ -59,11 +61,36 @@
     return best;
 }
 
+auto OrganisationQueues::entryService() const -> double
+{
+    auto least = std::optional<double> {};
+    auto most = 0.0;
+    for (const auto& [id, account] : accounts_) {
+        if (!account.waiting.empty())
+            least = std::min(least.value_or(account.serviceBefore), account.serviceBefore);
+        most = std::max(most, account.serviceBefore);
+    }
+    return least.value_or(most);
+}
+
+auto OrganisationQueues::serviceOf(Accounts::const_iterator found) const -> double
+{
+    if (found == accounts_.end())
+        return entryService();
+    const auto& account = found->second;
+    return account.waiting.empty() ? std::max(account.service, entryService()) : account.service;
+}
+
 auto OrganisationQueues::add(Time now, WaitingRequest waiting) -> void
 {
     waiting.queuedAt = now;
     organisationOf_[waiting.request.key] = waiting.request.organisation;
+    const auto service = serviceOf(accounts_.find(waiting.request.organisation));
     auto& account = accounts_[waiting.request.organisation];
+    if (account.service < service) {
+        account.service = service;
+        account.serviceBefore = service;
+    }
     account.waitingCost += waiting.cost;
     const auto place = std::ranges::upper_bound(account.waiting, urgency(waiting), {}, urgency);
     account.waiting.insert(place, std::move(waiting));
@@ -102,8 +129,10 @@
             best = std::max(best, other.service);
     }
     const auto charged = cost * unit(now);
-    auto& service = accounts_[organisation].service;
-    service = std::max(service, std::min(service + charged, maxAdvance * best + charged));
+    auto& account = accounts_[organisation];
+    account.serviceBefore = account.service;
+    account.service
+        = std::max(account.service, std::min(account.service + charged, maxAdvance * best + charged));
 }
 
 auto OrganisationQueues::leastServedFirst() const -> std::vector<Backlogged>
@@ -139,8 +168,8 @@
             if (urgency(other) <= urgency(waiting))
                 ahead += other.cost;
         }
-        level += found->second.service / perToken + ahead;
     }
+    level += serviceOf(found) / perToken + ahead;
     for (const auto& [id, account] : accounts_) {
         if (id != organisation && !account.waiting.empty())
             ahead += std::clamp(level - account.service / perToken, 0.0, account.waitingCost);
@@ -150,8 +179,7 @@
 
 auto OrganisationQueues::isUnderserved(OrganisationId organisation) const -> bool
 {
-    const auto found = accounts_.find(organisation);
-    return found == accounts_.end() || found->second.service < underservedShare * bestService();
+    return serviceOf(accounts_.find(organisation)) < underservedShare * bestService();
 }
 
 auto OrganisationQueues::stateOf(OrganisationId organisation) const -> State
@@ -160,7 +188,7 @@
     if (found == accounts_.end())
         return {};
     const auto best = bestService();
-    return { found->second.waiting.size(), best > 0 ? found->second.service / best : 0 };
+    return { found->second.waiting.size(), best > 0 ? serviceOf(found) / best : 0 };
 }
 
 auto OrganisationQueues::firstRefusal() const -> std::optional<Time>
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -33,7 +33,9 @@
 /**
  * The waiting requests and the recent service of each organisation. The organisation with the least recent
  * service is first; its own requests are ordered by priority, and those of equal priority by goal, earliest
- * first.
+ * first. Service counts only against organisations that wait at the same time: one that begins to wait is
+ * taken to have had at least as much as the least served one that waits had before its last request, or, if
+ * none waits, as the best served one (start-time fair queueing).
  */
 class OrganisationQueues {
 public:
@@ -87,16 +89,24 @@
         double waitingCost = 0;
         /** Recent service, in units of `unit`, so that accounts compare without decaying each. */
         double service = 0;
+        /** `service` before the last request was placed, in the same units. */
+        double serviceBefore = 0;
     };
 
+    using Accounts = absl::btree_map<OrganisationId, Account>;
+
     /** Value of one token of service at `now` in the units of the accounts; doubles every `window * ln 2`. */
     auto unit(Time now) const -> double;
     /** Restarts the units at `now` and drops accounts without service. */
     auto rebase(Time now) -> void;
     auto bestService() const -> double;
+    /** The least service that an organisation that begins to wait is taken to have had. */
+    auto entryService() const -> double;
+    /** The service by which the organisation is ordered; `found` may be the end. */
+    auto serviceOf(Accounts::const_iterator found) const -> double;
 
     Duration window_;
-    absl::btree_map<OrganisationId, Account> accounts_;
+    Accounts accounts_;
     absl::flat_hash_map<PlacementKey, OrganisationId> organisationOf_;
     Time epoch_ {};
 };
