--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -135,6 +135,17 @@
         = std::max(account.service, std::min(account.service + charged, maxAdvance * best + charged));
 }
 
+auto OrganisationQueues::refund(Time chargedAt, OrganisationId organisation, double cost) -> void
+{
+    const auto found = accounts_.find(organisation);
+    if (found == accounts_.end())
+        return;
+    auto& account = found->second;
+    const auto floor = std::min(account.service, entryService());
+    account.service = std::max(floor, account.service - cost * unit(chargedAt));
+    account.serviceBefore = std::min(account.serviceBefore, account.service);
+}
+
 auto OrganisationQueues::leastServedFirst() const -> std::vector<Backlogged>
 {
     auto byService = std::vector<std::pair<double, OrganisationId>> {};
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -52,6 +52,8 @@
     /** Removes a request by its position in `waitingOf(organisation)`. */
     auto take(OrganisationId organisation, std::size_t position) -> WaitingRequest;
     auto charge(Time now, OrganisationId organisation, double cost) -> void;
+    /** Takes back a charge of `chargedAt`, but puts the organisation before no other one that waits. */
+    auto refund(Time chargedAt, OrganisationId organisation, double cost) -> void;
 
     struct Backlogged {
         OrganisationId organisation;
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -149,7 +149,7 @@
         now, request.key, request.prompt, PromptCache::chainsOf(request.prompt.parts), running.started);
     checkTimes_.hasten(running.upstream, engine->second.overdueAt());
     const auto cost = costOf(request.prompt);
-    placed_[request.key] = { running.upstream, request.organisation, cost, running.started };
+    placed_[request.key] = { running.upstream, request.organisation, cost, now, running.started };
     queues_.charge(now, request.organisation, cost);
 }
 
@@ -178,6 +178,29 @@
     engine.onEnded(now, key, end, isEngineAtFault);
     checkTimes_.hasten(placed.upstream, engine.overdueAt());
     placed_.erase(found);
+    if (!placed.begun && isEngineAtFault && isWithoutService(now, key.router, engine, end))
+        queues_.refund(placed.placedAt, placed.organisation, placed.cost);
+}
+
+auto Placer::isWithoutService(Time now, RouterId router, const EngineModel& engine, PlacementEnd end) const
+    -> bool
+{
+    switch (end) {
+    case PlacementEnd::Full:
+    case PlacementEnd::Misdirected:
+    case PlacementEnd::Unreachable:
+    case PlacementEnd::Silent:
+        return true;
+    case PlacementEnd::Cancelled: {
+        const auto* const rests = restsOf(router);
+        return isLeaving(engine) || (rests != nullptr && !rests->maySend(now, engine.entry()));
+    }
+    case PlacementEnd::Finished:
+    case PlacementEnd::Broken:
+    case PlacementEnd::Failed:
+        return false;
+    }
+    return false;
 }
 
 auto Placer::recordEnd(Time now, RouterId router, PlacementEnd end) -> bool
@@ -297,7 +320,7 @@
     engine.beginRequest(now, key, waiting.request.prompt, std::move(waiting.chains), choice.copied);
     const auto upstream = engine.entry().id();
     checkTimes_.hasten(upstream, engine.overdueAt());
-    placed_[key] = { upstream, waiting.request.organisation, waiting.cost };
+    placed_[key] = { upstream, waiting.request.organisation, waiting.cost, now };
     shares_.recordPlaced(waiting.request.organisation, waiting.cost);
     queues_.charge(now, waiting.request.organisation, waiting.cost);
     recordThroughput(now, waiting.cost);
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -115,6 +115,7 @@
         UpstreamId upstream;
         OrganisationId organisation;
         double cost = 0;
+        Time placedAt;
         /** Its first token has arrived. */
         bool begun = false;
     };
@@ -133,6 +134,9 @@
     auto checkEngine(Time now, EngineModel& engine) -> void;
     /** Records how a request of the router ended; returns whether a failure is the engine's. */
     auto recordEnd(Time now, RouterId router, PlacementEnd end) -> bool;
+    /** Whether a request that ended so before its first token had nothing of the engine's time. */
+    auto isWithoutService(Time now, RouterId router, const EngineModel& engine, PlacementEnd end) const
+        -> bool;
     /** Finds the engines that may get a request now. */
     auto findOpenEngines(Time now) -> void;
     auto placeAll(Time now, OrganisationFilter filter, Timeliness timeliness) -> void;
--- a/tests/unit/loadedplacer.h
+++ b/tests/unit/loadedplacer.h
@@ -25,23 +25,28 @@
     {
         submitted.goal = now + goal;
         names[submitted.key] = name;
-        tokens[submitted.key] = submitted.prompt.tokens;
+        requests[submitted.key] = submitted;
         submit(submitted);
     }
 
     auto step() -> void
     {
         for (const auto& [key, decision] : placed) {
+            upstreams[key] = decision.upstream;
             if (hung.contains(decision.upstream))
                 continue;
             if (cutRouters.contains(key.router)) {
-                unreachable.emplace(now + connectTime, key);
+                failures.emplace(now + connectTime, std::pair { key, PlacementEnd::Unreachable });
+                continue;
+            }
+            if (refusing.contains(decision.upstream) && ++arrivals % refusalPeriod != 0) {
+                failures.emplace(now + refusalTime, std::pair { key, PlacementEnd::Full });
                 continue;
             }
             auto& until = busyUntil[decision.upstream];
             until = std::max(until, now) + 60ms;
             due.emplace(until, key);
-            served[names[key]] += tokens[key];
+            served[names[key]] += requests.at(key).prompt.tokens;
         }
         placed.clear();
         now += 5ms;
@@ -49,12 +54,23 @@
             start(due.begin()->second);
             end(due.begin()->second);
         }
-        for (; !unreachable.empty() && unreachable.begin()->first <= now;
-             unreachable.erase(unreachable.begin()))
-            end(unreachable.begin()->second, PlacementEnd::Unreachable);
+        for (; !failures.empty() && failures.begin()->first <= now; failures.erase(failures.begin())) {
+            const auto& [key, result] = failures.begin()->second;
+            end(key, result);
+            submitAgain(key);
+        }
         placeWaiting();
     }
 
+    /** Submits a request that has not begun once more, for another engine. */
+    auto submitAgain(const PlacementKey& key) -> void
+    {
+        auto again = requests.at(key);
+        again.avoid.push_back(upstreams.at(key));
+        if (again.avoid.size() < 4 && again.goal > now)
+            submitFor(names.at(key), again.goal - now, again);
+    }
+
     auto bestServed() const -> double
     {
         auto best = 0.0;
@@ -71,13 +87,19 @@
     std::set<UpstreamId> hung;
     /** Routers that can open no connection to an engine. */
     std::set<RouterId> cutRouters;
+    /** Engines that refuse all but each `refusalPeriod`th request as full. */
+    std::set<UpstreamId> refusing;
+    std::size_t refusalPeriod = 4;
+    Duration refusalTime = 5ms;
     /** Tokens of requests that have begun, by organisation. */
     std::map<std::string, double> served;
     std::map<PlacementKey, std::string> names;
-    std::map<PlacementKey, std::uint32_t> tokens;
+    std::map<PlacementKey, PlacementRequest> requests;
+    std::map<PlacementKey, UpstreamId> upstreams;
     std::map<UpstreamId, Time> busyUntil;
     std::multimap<Time, PlacementKey> due;
-    std::multimap<Time, PlacementKey> unreachable;
+    std::multimap<Time, std::pair<PlacementKey, PlacementEnd>> failures;
+    std::size_t arrivals = 0;
 };
 
 inline constexpr auto stepsOfASecond = 200;
--- a/tests/unit/organisationdebttest.cpp
+++ b/tests/unit/organisationdebttest.cpp
@@ -81,6 +81,22 @@
     CHECK(load.served["partly-cut"] >= load.bestServed() / 2);
 }
 
+TEST_CASE("An organisation is not held back for requests that engines refused as full")
+{
+    // The refusals hit the organisations unequally, as they follow the order of arrival.
+    auto load = LoadedPlacer(8);
+    for (auto index = std::size_t { 0 }; index < 4; ++index)
+        load.refusing.insert(load.engine(index));
+    for (auto step = 0; step < windowSeconds * stepsOfASecond; ++step) {
+        submitAll(load, step, requestInterval, { "a", "b", "c", "d" });
+        load.step();
+    }
+    for (const auto& [name, served] : load.served) {
+        CAPTURE(name);
+        CHECK(served >= 0.85 * load.bestServed());
+    }
+}
+
 TEST_CASE(
     "A new placer does not hold organisations back for requests that run already when engines fall silent")
 {
