--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -136,6 +136,7 @@
     checkStoreReachability(now, wasReachable);
     if (!read.page)
         return;
+    logUnreadable("upstreams", std::exchange(read.page.value().unreadable, 0));
     applyDirectoryPage(now, read.page.value(), std::nullopt, pacer_.lastDirectoryUpdate());
     if (!isReader_)
         return;
@@ -151,10 +152,20 @@
     pacer_.configurationRead(now, read.content, read.answeredAt);
     metrics_.storeCall(static_cast<bool>(read.content));
     checkStoreReachability(now, wasReachable);
+    if (read.content)
+        logUnreadable("operators", read.content.value().unreadable);
     if (read.content && read.content.value().configuration)
         applyConfiguration(now, std::move(*read.content.value().configuration), std::nullopt);
 }
 
+auto FleetSync::logUnreadable(std::string_view topic, std::size_t records) -> void
+{
+    if (records > 0) {
+        log_.write(LogLevel::Warning, "store-record-unreadable",
+            { { "topic", std::string(topic) }, { "records", std::to_string(records) } });
+    }
+}
+
 auto FleetSync::fleetJoined(Time now, bool succeeded) -> void
 {
     pacer_.fleetJoined(now, succeeded);
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -80,6 +80,7 @@
     auto logOwnReads(Time now, std::span<const SchedulerToStore> calls) -> void;
     auto answerPeer(Time now, RouterId router, const PeerFrame& frame) -> void;
     auto checkStoreReachability(Time now, bool wasReachable) -> void;
+    auto logUnreadable(std::string_view topic, std::size_t records) -> void;
 
     Handlers handlers_;
     RouterLog& log_;
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -130,6 +130,8 @@
     std::vector<DirectoryRecord> records;
     /** Time from the read of the store to the sending of the page. */
     std::chrono::milliseconds age {};
+    /** Records of the store that could not be decoded; not sent to peers. */
+    std::size_t unreadable = 0;
 };
 
 /** The unit of transfer between routers; only the parts that are set are encoded. */
--- a/src/camphorshuntrouter/storegateway.cpp
+++ b/src/camphorshuntrouter/storegateway.cpp
@@ -15,6 +15,7 @@
 auto directoryPage(platform::KeyedPage page, std::optional<std::uint64_t> from) -> DirectoryPage
 {
     auto result = DirectoryPage { !from.has_value(), from.value_or(0), page.end, {} };
+    result.unreadable = page.unreadable;
     for (auto& record : page.records)
         result.records.push_back({ std::move(record.key), std::move(record.value), record.offset });
     // `page.end` may lie beyond this page: one read does not return all records.
@@ -26,7 +27,7 @@
 auto configurationOf(const platform::KeyedPage& page, std::optional<std::uint64_t> from)
     -> ConfigurationRead::Content
 {
-    auto content = ConfigurationRead::Content { std::nullopt, page.end };
+    auto content = ConfigurationRead::Content { std::nullopt, page.end, page.unreadable };
     for (const auto& record : page.records) {
         if (record.key == topic::configurationKey && record.value)
             content.configuration = record.value;
@@ -63,8 +64,10 @@
             // The pages are not read atomically: later changes are read again from the end of the first page.
             if (after.empty())
                 readSoFar.end = page.value().end;
+            const auto hasRecords = !page.value().records.empty();
+            readSoFar.unreadable += page.value().unreadable;
             std::ranges::move(page.value().records, std::back_inserter(readSoFar.records));
-            if (page.value().more && !page.value().records.empty())
+            if (page.value().more && hasRecords)
                 readAll(std::move(topic), std::move(readSoFar), std::move(handler));
             else
                 handler(std::move(readSoFar));
--- a/src/camphorshuntrouter/storegateway.h
+++ b/src/camphorshuntrouter/storegateway.h
@@ -49,6 +49,8 @@
         std::optional<std::string> configuration;
         /** Log offset at which the next read starts. */
         std::uint64_t end = 0;
+        /** Records that could not be decoded. */
+        std::size_t unreadable = 0;
     };
     Result<Content> content;
     /** When the answer arrived at this router. */
--- a/tests/unit/platformwiretest.cpp
+++ b/tests/unit/platformwiretest.cpp
@@ -228,6 +228,14 @@
         R"({"service":"s","address":"x","zone":"z","slots":4,"state":"ready"})",
         R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"4","state":"ready"})",
         R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"odd"})",
-        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","born":-2})");
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","born":-2})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","born":9223372036854775808})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4,"state":"ready","born":4102444800001})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":4294967300,"state":"ready"})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":1e300,"state":"ready"})",
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":99999999999999999999,"state":"ready"})",
+        R"({"service":"s","address":"10.0.0.9:70000","zone":"z","slots":4,"state":"ready"})",
+        R"({"service":"s","address":"10.0.0.9:0","zone":"z","slots":4,"state":"ready"})",
+        R"({"service":)" + std::string(100000, '[') + std::string(100000, ']') + "}");
     CHECK(!decodeDirectoryEntry("i-1", bad));
 }
