--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -13,9 +13,7 @@
 {
     const auto answer = platform::readEngineAnswer(header);
     received_ = statedBy(answer, expected.upstream);
-    // Only a refusal may lack the id: an upstream refuses requests of which it could not read one.
-    const auto lacksId = answer.notRun && answer.attempt.empty();
-    if (answer.attempt != expected.attempt && !lacksId)
+    if (!answers(answer, expected.attempt, expected.isFirstAnswer))
         return Head::Mismatched;
     answer_ = received_;
     if (answer.notRun)
@@ -37,6 +35,12 @@
     return Head::Accepted;
 }
 
+auto AnswerIntake::answers(const platform::EngineAnswer& answer, std::string_view attempt, bool isFirstAnswer)
+    -> bool
+{
+    return answer.attempt == attempt || (isFirstAnswer && answer.notRun && answer.attempt.empty());
+}
+
 auto AnswerIntake::statedBy(platform::EngineAnswer answer, std::string_view upstream)
     -> platform::EngineAnswer
 {
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -45,8 +45,17 @@
         bool lastAnswer = false;
         /** Name of the upstream to which the request was sent. */
         std::string_view upstream = {};
+        /** See `UpstreamConnection::isFirstAnswer`. */
+        bool isFirstAnswer = true;
     };
 
+    /**
+     * Whether the answer is for the attempt. Without an id only a refusal is, as an upstream refuses requests
+     * of which it could not read one; on a kept connection it may be an earlier refusal once more.
+     */
+    static auto answers(const platform::EngineAnswer& answer, std::string_view attempt, bool isFirstAnswer)
+        -> bool;
+
     /** An answer without views, and without what another upstream says about itself. */
     static auto statedBy(platform::EngineAnswer answer, std::string_view upstream) -> platform::EngineAnswer;
 
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -176,8 +176,8 @@
     relay_.recordReach(lastByteAt_, true);
     if (!answer_.hasBegun())
         keepAlive_ = keepAlive_ && caller_->staysOpen();
-    const auto head
-        = answer_.consumeHead(header, { request_.attempt, *route_, isHead(), !keepAlive_, upstream_->name });
+    const auto head = answer_.consumeHead(header,
+        { request_.attempt, *route_, isHead(), !keepAlive_, upstream_->name, connection_->isFirstAnswer() });
     relay_.recordAvailability(*upstream_, answer_.received());
     switch (head) {
     case Head::Mismatched:
--- a/src/camphorshuntrouter/exchangemove.cpp
+++ b/src/camphorshuntrouter/exchangemove.cpp
@@ -101,6 +101,7 @@
     move_->listener = std::make_shared<TakeoverListener>(std::string(request_.attempt), answer_.hasBegun(),
         TakeoverListener::Handlers {
             .maySend = [this] { return relay_.availability().maySend(steadyNow(), *move_->upstream); },
+            .isFirstAnswer = [this] { return move_->connection->isFirstAnswer(); },
             .onAnswer =
                 [this](const platform::EngineAnswer& answer) {
                     const auto& target = *move_->upstream;
--- a/src/camphorshuntrouter/takeover.cpp
+++ b/src/camphorshuntrouter/takeover.cpp
@@ -24,8 +24,8 @@
     const auto answer = platform::readEngineAnswer(header);
     if (handlers_.onAnswer)
         handlers_.onAnswer(answer);
-    const auto lacksId = answer.notRun && answer.attempt.empty();
-    if (answer.attempt != attempt_ && !lacksId)
+    const auto isFirstAnswer = !handlers_.isFirstAnswer || handlers_.isFirstAnswer();
+    if (!AnswerIntake::answers(answer, attempt_, isFirstAnswer))
         return false;
     const auto isUnusable = answer.status >= firstServerError || !answer.hasSignature
         || (continuesStream_ && !isSuccess(answer.status));
--- a/src/camphorshuntrouter/takeover.h
+++ b/src/camphorshuntrouter/takeover.h
@@ -25,6 +25,8 @@
     struct Handlers {
         /** Whether the request may still be sent there, once the connection has been set up. */
         std::function<bool()> maySend;
+        /** See `UpstreamConnection::isFirstAnswer`; none if it is always the first one. */
+        std::function<bool()> isFirstAnswer;
         /** The head of any answer, for what it says about the upstream. */
         std::function<void(const platform::EngineAnswer&)> onAnswer;
         /** The upstream does not take the request, which has ended there in this way. */
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -70,6 +70,7 @@
 
 auto UpstreamConnection::beginAnswer() -> void
 {
+    ++requests_;
     written_ = 0;
     reusable_ = false;
     skippedAnswers_ = 0;
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -100,6 +100,8 @@
     /** Idle after a complete answer, and the upstream keeps the connection open. */
     auto isReusable() const -> bool { return open_ && listener_ == nullptr && reusable_; }
     auto isConnected() const -> bool { return connected_; }
+    /** No other answer can have been sent here: the request is the first one, and no answer was skipped. */
+    auto isFirstAnswer() const -> bool { return requests_ == 1 && skippedAnswers_ == 0; }
     auto upstream() const -> UpstreamId { return upstream_; }
     auto idleUntil() const -> Time { return idleUntil_; }
     auto setIdleUntil(Time time) -> void { idleUntil_ = time; }
@@ -131,6 +133,7 @@
     /** Received bytes that the parser has not consumed yet. */
     std::string pending_;
     std::optional<Parser> parser_;
+    std::uint64_t requests_ = 0;
     unsigned skippedAnswers_ = 0;
     std::size_t skippedBytes_ = 0;
     Time idleUntil_ {};
--- a/tests/unit/answerintaketest.cpp
+++ b/tests/unit/answerintaketest.cpp
@@ -59,6 +59,20 @@
     CHECK(!intake.notRun());
 }
 
+TEST_CASE(
+    "A refusal without an id on a kept connection is not taken for a proof that this request has not run")
+{
+    const auto route = streamRoute(false);
+    auto intake = AnswerIntake {};
+    auto refusal = header(503, "");
+    refusal.set("X-Not-Executed", "1");
+    auto expected = AnswerIntake::Expected { "a1", route };
+    expected.isFirstAnswer = false;
+    CHECK(intake.consumeHead(refusal, expected) == Head::Mismatched);
+    CHECK(!intake.notRun());
+    CHECK(intake.consumeHead(header(200), expected) == Head::Accepted);
+}
+
 TEST_CASE("An answer without an upstream's signature is not passed on")
 {
     const auto route = streamRoute(false);
