--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -1,5 +1,7 @@
 #include "answerintake.h"
 
+#include "platform/text.h"
+
 namespace camphorshunt::router {
 
 auto isSuccess(unsigned status) -> bool { return status >= 200 && status < 300; }
@@ -22,7 +24,7 @@
         return Head::NotGenuine;
     const auto isStream = expected.route.kind == RequestKind::Stream && isSuccess(answer.status);
     if (hasBegun()) {
-        if (!isStream)
+        if (!resumes(header, relay_->status()))
             return Head::NotResumed;
         relay_->resume();
         return Head::Accepted;
@@ -41,6 +43,14 @@
     return answer.attempt == attempt || (isFirstAnswer && answer.notRun && answer.attempt.empty());
 }
 
+auto AnswerIntake::resumes(const platform::ResponseHeader& header, unsigned status) -> bool
+{
+    constexpr auto eventStream = std::string_view("text/event-stream");
+    auto type = platform::valueOf(header, "Content-Type");
+    return header.result_int() == status
+        && (type.empty() || platform::equalNames(platform::takeField(type, ';'), eventStream));
+}
+
 auto AnswerIntake::statedBy(platform::EngineAnswer answer, std::string_view upstream)
     -> platform::EngineAnswer
 {
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -56,6 +56,9 @@
     static auto answers(const platform::EngineAnswer& answer, std::string_view attempt, bool isFirstAnswer)
         -> bool;
 
+    /** Whether the answer can be the rest of a stream that began with this status. */
+    static auto resumes(const platform::ResponseHeader& header, unsigned status) -> bool;
+
     /** An answer without views, and without what another upstream says about itself. */
     static auto statedBy(platform::EngineAnswer answer, std::string_view upstream) -> platform::EngineAnswer;
 
@@ -112,6 +115,8 @@
     auto hasAdvanced() const -> bool { return advanced_; }
     /** A stream has sent more bytes without completing an event than any event has. */
     auto isEndless() const -> bool { return relay_ && relay_->isEndless(); }
+    /** See `AnswerRelay::isForeign`. */
+    auto isForeign() const -> bool { return relay_ && relay_->isForeign(); }
     /** The answer is a stream that can't be resumed at another upstream. */
     auto isFinalStream() const -> bool { return finalStream_; }
 
--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -6,6 +6,7 @@
 #include "eventstream.h"
 
 #include "platform/callerwire.h"
+#include "platform/text.h"
 
 namespace camphorshunt::router {
 
@@ -64,7 +65,11 @@
     pending_ += bytes;
     auto begin = std::size_t { 0 };
     for (auto end = eventEnd(pending_, 0); end != std::string::npos; end = eventEnd(pending_, begin)) {
-        const auto fields = eventFields(std::string_view(pending_).substr(begin, end - begin));
+        const auto block = std::string_view(pending_).substr(begin, end - begin);
+        foreign_ = foreign_ || (resumed_ && !follows(block));
+        if (foreign_)
+            break;
+        const auto fields = eventFields(block);
         if (!fields.id.empty())
             lastEventId_ = fields.id;
         begin = end;
@@ -74,8 +79,20 @@
     return events;
 }
 
+auto AnswerRelay::follows(std::string_view block) const -> bool
+{
+    const auto fields = eventFields(block);
+    if (fields.id.empty())
+        return !fields.data.empty() || !fields.name.empty() || block.starts_with(':');
+    const auto id = platform::parseNumber<std::uint64_t>(fields.id);
+    const auto last = platform::parseNumber<std::uint64_t>(lastEventId_);
+    return !id || !last || *id > *last;
+}
+
 auto AnswerRelay::resume() -> void
 {
+    resumed_ = true;
+    foreign_ = false;
     pending_.clear();
     boundary_.discardPartial();
     eventsBefore_ = boundary_.events();
@@ -83,7 +100,7 @@
 
 auto AnswerRelay::isComplete(AnswerEnd end) const -> bool
 {
-    if (end == AnswerEnd::Broken)
+    if (end == AnswerEnd::Broken || foreign_)
         return false;
     if (!isStream() || isHead_)
         return true;
@@ -109,6 +126,8 @@
         return {};
     if (mode_ == Mode::Stream || mode_ == Mode::Unbuffered)
         return framed(bytes);
+    if (foreign_)
+        return {};
     if (mode_ == Mode::ResumableStream) {
         const auto events = completeEvents(bytes);
         return events.empty() ? std::string {} : framed(events);
--- a/src/camphorshuntrouter/answerrelay.h
+++ b/src/camphorshuntrouter/answerrelay.h
@@ -51,6 +51,12 @@
     /** A stream has sent more bytes without completing an event than any event has. */
     auto isEndless() const -> bool { return isStream() && boundary_.partialBytes() > maxEventBytes; }
 
+    /**
+     * A resumed stream has sent something that does not follow on the events passed on: no event, or one
+     * whose id is not a later one. Nothing is passed on from there.
+     */
+    auto isForeign() const -> bool { return foreign_; }
+
     /** Part of the answer has been passed on, so that no other one can replace it. */
     auto hasBegun() const -> bool { return begun_; }
     /** Another engine can continue the stream after the last event passed on. */
@@ -64,6 +70,8 @@
 private:
     auto isStream() const -> bool { return mode_ == Mode::Stream || mode_ == Mode::ResumableStream; }
     auto completeEvents(std::string_view bytes) -> std::string;
+    /** Whether the block may follow on the last event passed on. */
+    auto follows(std::string_view block) const -> bool;
     auto framed(std::string_view body) -> std::string;
 
     Mode mode_;
@@ -83,6 +91,8 @@
     std::uint64_t received_ = 0;
     std::string lastEventId_;
     bool begun_ = false;
+    bool resumed_ = false;
+    bool foreign_ = false;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -215,15 +215,10 @@
     }
     if (answer_.hasAdvanced())
         recordProgress();
-    if (text.empty())
-        return;
-    if (times_.firstByte == Time {}) {
-        times_.firstByte = steadyNow();
-        relay_.metrics().firstByte(times_.firstByte - times_.arrived);
-    }
-    state_ = State::Answering;
-    caller_->write(std::move(text));
-    pauseIfCongested();
+    if (!text.empty())
+        passOn(std::move(text));
+    if (answer_.isForeign())
+        abandonAttempt(PlacementEnd::Broken, "the stream was not resumed");
 }
 
 auto Exchange::answerEnded(AnswerEnd end) -> void
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -110,6 +110,7 @@
     auto recordSilence(Time now) -> void;
     auto recordProgress() -> void;
     /** Stops reading the upstream if the caller takes the answer more slowly than it arrives. */
+    auto passOn(std::string text) -> void;
     auto pauseIfCongested() -> void;
 
     /** Whether the request may be sent or resumed elsewhere while its attempt still runs. */
--- a/src/camphorshuntrouter/exchangemove.cpp
+++ b/src/camphorshuntrouter/exchangemove.cpp
@@ -98,7 +98,8 @@
         relay_.balancer(service_).requestStarted(upstream.id());
     move_->upstream = upstream;
     move_->sent = now;
-    move_->listener = std::make_shared<TakeoverListener>(std::string(request_.attempt), answer_.hasBegun(),
+    const auto streamStatus = answer_.hasBegun() ? std::optional(answer_.sentStatus()) : std::nullopt;
+    move_->listener = std::make_shared<TakeoverListener>(std::string(request_.attempt), streamStatus,
         TakeoverListener::Handlers {
             .maySend = [this] { return relay_.availability().maySend(steadyNow(), *move_->upstream); },
             .isFirstAnswer = [this] { return move_->connection->isFirstAnswer(); },
--- a/src/camphorshuntrouter/exchangepause.cpp
+++ b/src/camphorshuntrouter/exchangepause.cpp
@@ -1,11 +1,23 @@
 #include "exchange.h"
 
 #include "clock.h"
+#include "relay.h"
 
 // How an exchange waits for a caller that takes its answer slowly.
 
 namespace camphorshunt::router {
 
+auto Exchange::passOn(std::string text) -> void
+{
+    if (times_.firstByte == Time {}) {
+        times_.firstByte = steadyNow();
+        relay_.metrics().firstByte(times_.firstByte - times_.arrived);
+    }
+    state_ = State::Answering;
+    caller_->write(std::move(text));
+    pauseIfCongested();
+}
+
 auto Exchange::pauseIfCongested() -> void
 {
     if (pausedAt_ || !caller_->isCongested())
--- a/src/camphorshuntrouter/takeover.cpp
+++ b/src/camphorshuntrouter/takeover.cpp
@@ -28,7 +28,7 @@
     if (!AnswerIntake::answers(answer, attempt_, isFirstAnswer))
         return false;
     const auto isUnusable = answer.status >= firstServerError || !answer.hasSignature
-        || (continuesStream_ && !isSuccess(answer.status));
+        || (streamStatus_ && !AnswerIntake::resumes(header, *streamStatus_));
     if (answer.notRun)
         reject(answer.misdirected ? PlacementEnd::Misdirected : PlacementEnd::Full);
     else if (isUnusable)
--- a/src/camphorshuntrouter/takeover.h
+++ b/src/camphorshuntrouter/takeover.h
@@ -35,10 +35,10 @@
         std::function<bool(const platform::ResponseHeader&)> onAccepted;
     };
 
-    /** `continuesStream`: only another part of the same stream will do as an answer. */
-    TakeoverListener(std::string attempt, bool continuesStream, Handlers handlers)
+    /** `streamStatus`: of a stream that has begun; only its rest will do as an answer then. */
+    TakeoverListener(std::string attempt, std::optional<unsigned> streamStatus, Handlers handlers)
         : attempt_(std::move(attempt))
-        , continuesStream_(continuesStream)
+        , streamStatus_(streamStatus)
         , handlers_(std::move(handlers))
     {
     }
@@ -53,7 +53,7 @@
     auto reject(PlacementEnd end) -> void;
 
     std::string attempt_;
-    bool continuesStream_;
+    std::optional<unsigned> streamStatus_;
     Handlers handlers_;
 };
 
--- a/tests/unit/answerintaketest.cpp
+++ b/tests/unit/answerintaketest.cpp
@@ -121,3 +121,23 @@
     CHECK(answer.find("200") != std::string::npos);
     CHECK(answer.ends_with("good"));
 }
+
+TEST_CASE("A stream that has begun is not continued with another status or another type of content")
+{
+    const auto route = streamRoute(true);
+    auto intake = AnswerIntake {};
+    REQUIRE(intake.consumeHead(header(200), { "a1", route }) == Head::Accepted);
+    REQUIRE(!intake.consumeBody("id: 1\ndata: x\n\n").empty());
+    for (const auto status : { 201U, 204U, 206U, 302U, 404U, 500U }) {
+        intake.beginAttempt();
+        CHECK(intake.consumeHead(header(status), { "a1", route }) == Head::NotResumed);
+    }
+    intake.beginAttempt();
+    auto page = header(200);
+    page.set("Content-Type", "application/json");
+    CHECK(intake.consumeHead(page, { "a1", route }) == Head::NotResumed);
+    intake.beginAttempt();
+    auto rest = header(200);
+    rest.set("Content-Type", "Text/Event-Stream; charset=utf-8");
+    CHECK(intake.consumeHead(rest, { "a1", route }) == Head::Accepted);
+}
--- a/tests/unit/answerrelaytest.cpp
+++ b/tests/unit/answerrelaytest.cpp
@@ -125,3 +125,26 @@
     CHECK(relay.isComplete(AnswerEnd::Connection));
     CHECK(!relay.isComplete(AnswerEnd::Broken));
 }
+
+TEST_CASE(
+    "A resumed stream passes on nothing that does not follow on its events, and is not complete with it")
+{
+    const auto foreign = GENERATE(as<std::string> {}, "upstream failed\n\n", "<html>\n<p>error</p>\n\n",
+        "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", "id: 2\ndata: again\n\n",
+        "id: 1\ndata: from the start\n\n");
+    auto relay = AnswerRelay(header(), AnswerRelay::Mode::ResumableStream, false, false);
+    CHECK(!relay.consume("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda").empty());
+    relay.resume();
+    const auto before = GENERATE(as<std::string> {}, "", "id: 3\ndata: c\n\n");
+    CAPTURE(foreign, before);
+    const auto text = relay.consume(before + foreign + "id: 9\ndata: z\n\n");
+    CHECK(bodyOf(text) == before);
+    CHECK(relay.isForeign());
+    CHECK_FALSE(relay.isComplete(AnswerEnd::Framed));
+    CHECK(relay.consume("id: 10\ndata: z\n\n").empty());
+
+    relay.resume();
+    CHECK_FALSE(relay.isForeign());
+    CHECK(bodyOf(relay.consume("id: 4\ndata: d\n\n: comment\n\n")) == "id: 4\ndata: d\n\n: comment\n\n");
+    CHECK(relay.isComplete(AnswerEnd::Framed));
+}
