--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -15,6 +15,7 @@
 {
     const auto answer = platform::readEngineAnswer(header);
     received_ = statedBy(answer, expected.upstream);
+    otherSender_ = otherSender(answer, expected.upstream);
     if (!answers(answer, expected.attempt, expected.isFirstAnswer))
         return Head::Mismatched;
     answer_ = received_;
@@ -51,6 +52,14 @@
         && (type.empty() || platform::equalNames(platform::takeField(type, ';'), eventStream));
 }
 
+auto AnswerIntake::otherSender(const platform::EngineAnswer& answer, std::string_view upstream)
+    -> std::optional<OtherSender>
+{
+    if (answer.answeredBy.empty() || answer.answeredBy == upstream)
+        return std::nullopt;
+    return OtherSender { std::string(answer.answeredBy), answer.misdirected, answer.leaving };
+}
+
 auto AnswerIntake::statedBy(platform::EngineAnswer answer, std::string_view upstream)
     -> platform::EngineAnswer
 {
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -59,6 +59,16 @@
     /** Whether the answer can be the rest of a stream that began with this status. */
     static auto resumes(const platform::ResponseHeader& header, unsigned status) -> bool;
 
+    /** An upstream that answered at the address of another one. */
+    struct OtherSender {
+        std::string name;
+        /** It refused the request, as that was meant for the other one. */
+        bool misdirected = false;
+        bool leaving = false;
+    };
+    static auto otherSender(const platform::EngineAnswer& answer, std::string_view upstream)
+        -> std::optional<OtherSender>;
+
     /** An answer without views, and without what another upstream says about itself. */
     static auto statedBy(platform::EngineAnswer answer, std::string_view upstream) -> platform::EngineAnswer;
 
@@ -82,6 +92,8 @@
      * availability is removed if another upstream sent it. Contains no views.
      */
     auto received() const -> const platform::EngineAnswer& { return received_; }
+    /** Who else sent the last answer, by its own account; empty if nobody did. */
+    auto otherSender() const -> const std::optional<OtherSender>& { return otherSender_; }
     auto hasHead() const -> bool { return answer_.has_value(); }
     auto isSuccessful() const -> bool { return answer_ && isSuccess(answer_->status); }
     auto notRun() const -> bool { return answer_ && answer_->notRun; }
@@ -123,6 +135,7 @@
 private:
     std::optional<platform::EngineAnswer> answer_;
     platform::EngineAnswer received_;
+    std::optional<OtherSender> otherSender_;
     std::optional<AnswerRelay> relay_;
     bool finalStream_ = false;
     bool advanced_ = false;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -179,6 +179,8 @@
     const auto head = answer_.consumeHead(header,
         { request_.attempt, *route_, isHead(), !keepAlive_, upstream_->name, connection_->isFirstAnswer() });
     relay_.recordAvailability(*upstream_, answer_.received());
+    if (answer_.otherSender())
+        relay_.recordOtherSender(*upstream_, *answer_.otherSender());
     switch (head) {
     case Head::Mismatched:
         relay_.log(LogLevel::Warning, "answer-of-another-request",
--- a/src/camphorshuntrouter/exchangemove.cpp
+++ b/src/camphorshuntrouter/exchangemove.cpp
@@ -107,6 +107,8 @@
                 [this](const platform::EngineAnswer& answer) {
                     const auto& target = *move_->upstream;
                     relay_.recordAvailability(target, AnswerIntake::statedBy(answer, target.name));
+                    if (const auto other = AnswerIntake::otherSender(answer, target.name))
+                        relay_.recordOtherSender(target, *other);
                 },
             .onRejected = [this](PlacementEnd end) { onMoveRejected(end); },
             .onAccepted =
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -82,6 +82,8 @@
     auto availability() const -> const UpstreamAvailability& { return availability_; }
     /** Records what the head of an upstream's answer says about its availability. */
     auto recordAvailability(const UpstreamEntry& upstream, const platform::EngineAnswer& answer) -> void;
+    /** Records what an upstream has said that answered at the address of another one. */
+    auto recordOtherSender(const UpstreamEntry& addressed, const AnswerIntake::OtherSender& other) -> void;
     /** Tells the placer again why this router does not send to the engine that it chose. */
     auto repeatAvailability(const UpstreamEntry& upstream) -> void;
     auto log(LogLevel level, std::string_view event, std::vector<LogField> fields) -> void
--- a/src/camphorshuntrouter/relayavailability.cpp
+++ b/src/camphorshuntrouter/relayavailability.cpp
@@ -34,6 +34,27 @@
             answer.rest.value_or(std::chrono::milliseconds(0)) });
 }
 
+auto Relay::recordOtherSender(const UpstreamEntry& addressed, const AnswerIntake::OtherSender& other) -> void
+{
+    if (other.misdirected && availability_.recordLeaving(steadyNow(), addressed.process())) {
+        // The process that had the address has ended.
+        log(LogLevel::Info, "upstream-replaced",
+            { { "upstream", addressed.name }, { "address", addressed.endpoint.text() },
+                { "by", other.name } });
+        repeatAvailability(addressed);
+    }
+    const auto listed = byId_.find(idOf<UpstreamId>(other.name));
+    const auto isListed = listed != byId_.end();
+    if (!other.leaving || (isListed && listed->second->endpoint != addressed.endpoint))
+        return;
+    auto sender = addressed;
+    sender.name = other.name;
+    sender.startedAt = isListed ? listed->second->startedAt : std::chrono::milliseconds(0);
+    auto answer = platform::EngineAnswer {};
+    answer.leaving = true;
+    recordAvailability(sender, answer);
+}
+
 auto Relay::repeatAvailability(const UpstreamEntry& upstream) -> void
 {
     const auto now = steadyNow();
--- a/src/libcamphorshunt/upstreamavailability.cpp
+++ b/src/libcamphorshunt/upstreamavailability.cpp
@@ -50,6 +50,8 @@
         auto& state = found->second;
         if (entry.process().isLaterThan(state.process))
             state = State { entry.process(), false, {}, now, now };
+        else if (state.process.startedAt.count() == 0 && state.process.endpoint == entry.endpoint)
+            state.process = entry.process();
         state.unlistedSince.reset();
     }
 }
--- a/tests/unit/upstreamavailabilitytest.cpp
+++ b/tests/unit/upstreamavailabilitytest.cpp
@@ -182,3 +182,21 @@
         }
     }));
 }
+
+TEST_CASE("An upstream that said that it leaves before it was listed gets no requests until it has restarted")
+{
+    auto availability = UpstreamAvailability {};
+    // Its answer at another upstream's address tells its name, not its start time.
+    CHECK(availability.recordLeaving(start, upstream("u1").process()));
+    const auto listed = upstream("u1", 500ms);
+    CHECK(!availability.maySend(start, listed));
+    availability.setUpstreams(start, std::array { listed });
+    CHECK(!availability.maySend(start, listed));
+    const auto restarted = upstream("u1", 900ms);
+    availability.setUpstreams(start + 1s, std::array { restarted });
+    CHECK(availability.maySend(start + 1s, restarted));
+
+    // An upstream at another address is not meant.
+    CHECK(availability.recordLeaving(start, upstream("u2").process()));
+    CHECK(availability.maySend(start, upstream("u2", 500ms, 81)));
+}
