--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -127,6 +127,10 @@
         refuseUnavailable(now, waiting);
         return;
     }
+    if (!mayPlaceFor(now, waiting.request.key.router)) {
+        refuse(now, waiting, RefusalReason::NoUpstream);
+        return;
+    }
     const auto wait = hasPlaceAfterRest(now, waiting) ? Duration {} : expectedWait(now, waiting);
     // A request of an underserved organisation is not refused merely because it will be late.
     const auto latest = queues_.isUnderserved(waiting.request.organisation)
