--- a/src/libcamphorshunt/organisationqueues.cpp
+++ b/src/libcamphorshunt/organisationqueues.cpp
@@ -18,6 +18,11 @@
 /** Fraction of the best served organisation's service below which an organisation is underserved. Shares are
  * fair down to one half; the difference leaves room for one large request. */
 constexpr auto underservedShare = 0.7;
+/**
+ * How far an organisation that begins to wait may be behind the best served one, as a part of an equal share
+ * of what all organisations got in a window. It bounds the time for which the best served one is held back.
+ */
+constexpr auto maxCredit = 0.25;
 
 /** Accounts are kept in units that grow with time; they are restarted after this many windows. */
 constexpr auto maxEpochWindows = 8;
@@ -45,9 +50,11 @@
 {
     const auto factor = 1.0 / unit(now);
     epoch_ = now;
+    total_ *= factor;
     for (auto& [id, account] : accounts_) {
         account.service *= factor;
         account.serviceBefore *= factor;
+        account.received *= factor;
     }
     absl::erase_if(accounts_,
         [](const auto& entry) { return entry.second.waiting.empty() && entry.second.service < minService; });
@@ -65,12 +72,16 @@
 {
     auto least = std::optional<double> {};
     auto most = 0.0;
+    auto waiting = 1.0;
     for (const auto& [id, account] : accounts_) {
-        if (!account.waiting.empty())
-            least = std::min(least.value_or(account.serviceBefore), account.serviceBefore);
         most = std::max(most, account.serviceBefore);
+        if (account.waiting.empty())
+            continue;
+        least = std::min(least.value_or(account.serviceBefore), account.serviceBefore);
+        ++waiting;
     }
-    return least.value_or(most);
+    const auto entry = most - total_ * maxCredit / waiting;
+    return std::max(0.0, std::min(least.value_or(entry), entry));
 }
 
 auto OrganisationQueues::serviceOf(Accounts::const_iterator found) const -> double
@@ -129,7 +140,9 @@
             best = std::max(best, other.service);
     }
     const auto charged = cost * unit(now);
+    total_ += charged;
     auto& account = accounts_[organisation];
+    account.received += charged;
     account.serviceBefore = account.service;
     account.service
         = std::max(account.service, std::min(account.service + charged, maxAdvance * best + charged));
@@ -140,7 +153,9 @@
     const auto found = accounts_.find(organisation);
     if (found == accounts_.end())
         return;
+    total_ = std::max(0.0, total_ - cost * unit(chargedAt));
     auto& account = found->second;
+    account.received = std::max(0.0, account.received - cost * unit(chargedAt));
     const auto floor = std::min(account.service, entryService());
     account.service = std::max(floor, account.service - cost * unit(chargedAt));
     account.serviceBefore = std::min(account.serviceBefore, account.service);
@@ -190,7 +205,11 @@
 
 auto OrganisationQueues::isUnderserved(OrganisationId organisation) const -> bool
 {
-    return serviceOf(accounts_.find(organisation)) < underservedShare * bestService();
+    auto best = 0.0;
+    for (const auto& [id, account] : accounts_)
+        best = std::max(best, account.received);
+    const auto found = accounts_.find(organisation);
+    return found == accounts_.end() || found->second.received < underservedShare * best;
 }
 
 auto OrganisationQueues::stateOf(OrganisationId organisation) const -> State
--- a/src/libcamphorshunt/organisationqueues.h
+++ b/src/libcamphorshunt/organisationqueues.h
@@ -33,9 +33,9 @@
 /**
  * The waiting requests and the recent service of each organisation. The organisation with the least recent
  * service is first; its own requests are ordered by priority, and those of equal priority by goal, earliest
- * first. Service counts only against organisations that wait at the same time: one that begins to wait is
- * taken to have had at least as much as the least served one that waits had before its last request, or, if
- * none waits, as the best served one (start-time fair queueing).
+ * first. Service counts mainly against organisations that wait at the same time (start-time fair queueing):
+ * one that begins to wait is behind the best served one by a bounded part of what all got of late, or as far
+ * as the least served one that waits.
  */
 class OrganisationQueues {
 public:
@@ -91,6 +91,8 @@
         double waitingCost = 0;
         /** Recent service, in units of `unit`, so that accounts compare without decaying each. */
         double service = 0;
+        /** Recent service that it had in fact, in the same units. */
+        double received = 0;
         /** `service` before the last request was placed, in the same units. */
         double serviceBefore = 0;
     };
@@ -110,6 +112,8 @@
     Duration window_;
     Accounts accounts_;
     absl::flat_hash_map<PlacementKey, OrganisationId> organisationOf_;
+    /** Recent service of all organisations, in the units of the accounts. */
+    double total_ = 0;
     Time epoch_ {};
 };
 
