--- a/include/camphorshunt/prompt.h
+++ b/include/camphorshunt/prompt.h
@@ -26,6 +26,8 @@
 /** Expected tokens of output: the caller's estimate, capped at the limit, or the limit if there is no
  * estimate. */
 auto expectedOutput(const Prompt& prompt) -> std::uint32_t;
+/** All parts but the last one, which belongs to the request itself or to its session. */
+auto sharedParts(std::span<const PromptPart> parts) -> std::span<const PromptPart>;
 auto tokensOf(std::span<const PromptPart> parts) -> std::uint64_t;
 /** Tokens of the prompt that belong to none of its parts. */
 auto tokensBesideParts(const Prompt& prompt) -> std::uint64_t;
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -290,8 +290,10 @@
 
 auto Exchange::endFailedAttempt(PlacementEnd end, std::string_view reason, bool again) -> void
 {
-    const auto failed
-        = FailedAttempt { request_.attempt, upstream_->name, end, reason, mayHaveRun_, sends_, again };
+    auto failed = FailedAttempt { request_.attempt, upstream_->name, end, reason, mayHaveRun_, sends_, again,
+        startReported_ };
+    if (request_.prompt)
+        failed.parts = request_.prompt->parts;
     relay_.log(LogLevel::Warning, "attempt-failed", failed.fields());
     endAttempt(end);
     if (again)
--- a/src/camphorshuntrouter/requestrecord.cpp
+++ b/src/camphorshuntrouter/requestrecord.cpp
@@ -1,12 +1,29 @@
 #include "requestrecord.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <iterator>
 
 #include "clock.h"
 
 namespace camphorshunt::router {
 
+namespace {
+
+/** Parts of a prompt that a line names at most. */
+constexpr auto maxPartsLogged = std::size_t { 8 };
+
+} // namespace
+
+auto partName(std::uint64_t part) -> std::string
+{
+    constexpr auto hexadecimal = 16;
+    auto digits = std::array<char, 16> {};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), part, hexadecimal).ptr;
+    return { digits.data(), end };
+}
+
 auto outcomeName(RequestOutcome outcome) -> std::string_view
 {
     switch (outcome) {
@@ -37,10 +54,19 @@
 
 auto FailedAttempt::fields() const -> std::vector<LogField>
 {
-    return { { "id", std::string(attempt) }, { "upstream", std::string(upstream) },
-        { "end", std::string(placementEndName(end)) }, { "reason", std::string(reason) },
-        { "may-have-run", mayHaveRun ? "true" : "false" }, { "sends", std::to_string(sends) },
-        { "again", again ? "true" : "false" } };
+    auto fields
+        = std::vector<LogField> { { "id", std::string(attempt) }, { "upstream", std::string(upstream) },
+              { "end", std::string(placementEndName(end)) }, { "reason", std::string(reason) },
+              { "may-have-run", mayHaveRun ? "true" : "false" }, { "sends", std::to_string(sends) },
+              { "again", again ? "true" : "false" }, { "begun", begun ? "true" : "false" } };
+    const auto shared = sharedParts(parts);
+    if (shared.empty())
+        return fields;
+    auto names = std::string {};
+    for (const auto& part : shared.first(std::min(shared.size(), maxPartsLogged)))
+        names += (names.empty() ? "" : ",") + partName(part.id);
+    fields.push_back({ "parts", std::move(names) });
+    return fields;
 }
 
 namespace {
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -3,12 +3,14 @@
 #include <array>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "camphorshunt/action.h"
 #include "camphorshunt/placement.h"
+#include "camphorshunt/prompt.h"
 #include "camphorshunt/time.h"
 
 #include "answerend.h"
@@ -47,6 +49,9 @@
     auto fields() const -> std::vector<LogField>;
 };
 
+/** The id of a prompt part as callers write it. */
+auto partName(std::uint64_t part) -> std::string;
+
 /** The log record of an attempt that failed. */
 struct FailedAttempt {
     std::string_view attempt;
@@ -57,6 +62,9 @@
     std::uint32_t sends = 0;
     /** The request is tried once more. */
     bool again = false;
+    /** Bytes of the answer's body have arrived. */
+    bool begun = false;
+    std::span<const PromptPart> parts {};
 
     auto fields() const -> std::vector<LogField>;
 };
--- a/src/libcamphorshunt/prompt.cpp
+++ b/src/libcamphorshunt/prompt.cpp
@@ -11,6 +11,11 @@
     return prompt.outputLimit == 0 ? prompt.outputHint : std::min(prompt.outputHint, prompt.outputLimit);
 }
 
+auto sharedParts(std::span<const PromptPart> parts) -> std::span<const PromptPart>
+{
+    return parts.first(parts.empty() ? 0 : parts.size() - 1);
+}
+
 auto tokensOf(std::span<const PromptPart> parts) -> std::uint64_t
 {
     auto tokens = std::uint64_t { 0 };
