--- /dev/null
+++ b/tests/unit/crashingprompttest.cpp
@@ -0,0 +1,182 @@
+#include "placerfixture.h"
+
+#include <set>
+
+#include <catch2/catch.hpp>
+
+using namespace camphorshunt;
+using namespace camphorshunt::test;
+
+namespace {
+
+constexpr auto stepTime = 5ms;
+constexpr auto contactTime = 3s;
+constexpr auto soundInterval = 15ms;
+constexpr auto startTime = 40ms;
+constexpr auto crashTime = 60ms;
+constexpr auto answerTime = 1500ms;
+constexpr auto restartTime = 3s;
+constexpr auto firstPart = std::uint64_t { 1 };
+constexpr auto crashingPart = std::uint64_t { 2 };
+constexpr auto crashesOfRule = std::size_t { 5 };
+
+/** Engines that crash when they begin to answer a prompt with a certain part, and start again. */
+struct CrashingEngines : PlacerFixture {
+    explicit CrashingEngines(std::size_t engineCount)
+        : PlacerFixture(engineCount)
+    {
+        for (auto& entry : entries) {
+            entry.slots = 32;
+            entry.startedAt = 1000ms;
+        }
+        placer.setTraits({ 32, 1000000, 500.0 }, 0);
+        placer.setUpstreams(now, entries);
+    }
+
+    auto soundRequest() -> PlacementRequest { return requestWith({ firstPart, 100 + number % 20 }); }
+
+    auto requestWith(std::initializer_list<std::uint64_t> parts) -> PlacementRequest
+    {
+        auto made = request("acme", 300);
+        made.prompt.parts.clear();
+        for (const auto part : parts)
+            made.prompt.parts.push_back({ part, 100 });
+        made.prompt.parts.push_back({ 1000000 + number, 300 });
+        made.prompt.tokens = static_cast<std::uint32_t>(tokensOf(made.prompt.parts));
+        return made;
+    }
+
+    auto submitSound() -> void { sound.insert(submit(soundRequest())); }
+    auto submitCrashing(std::initializer_list<std::uint64_t> parts) -> void
+    {
+        crashing.insert(submit(requestWith(parts)));
+    }
+
+    auto step() -> void
+    {
+        now += stepTime;
+        placeWaiting();
+        for (const auto& [key, decision] : placed) {
+            if (!live.insert({ key, decision.upstream }).second)
+                continue;
+            if (isCrashing(key)) {
+                ++sentCrashing;
+                due.emplace(now + crashTime, key);
+            } else {
+                due.emplace(now + startTime, key);
+                due.emplace(now + answerTime, key);
+            }
+        }
+        placed.clear();
+        for (; !due.empty() && due.begin()->first <= now; due.erase(due.begin()))
+            progress(due.begin()->second);
+        for (; !restarts.empty() && restarts.begin()->first <= now; restarts.erase(restarts.begin()))
+            restart(restarts.begin()->second);
+        if (crashes == crashesOfRule && !boundStart)
+            boundStart = now + contactTime;
+        if (boundStart && now < *boundStart)
+            sentBeforeBound = sentCrashing;
+    }
+
+    auto progress(const PlacementKey& key) -> void
+    {
+        const auto found = live.find(key);
+        if (found == live.end())
+            return;
+        if (isCrashing(key) && crashesEngines) {
+            crash(found->second);
+        } else if (begun.insert(key).second) {
+            start(key);
+        } else {
+            end(key);
+            live.erase(key);
+        }
+    }
+
+    auto crash(UpstreamId engine) -> void
+    {
+        ++crashes;
+        for (auto next = live.begin(); next != live.end();) {
+            const auto [key, upstream] = *next;
+            if (upstream != engine) {
+                ++next;
+                continue;
+            }
+            end(key, PlacementEnd::Broken);
+            next = live.erase(next);
+        }
+        restarts.emplace(now + restartTime, engine);
+    }
+
+    auto restart(UpstreamId engine) -> void
+    {
+        for (auto& entry : entries) {
+            if (entry.id() == engine)
+                entry.startedAt += 1000ms;
+        }
+        placer.setUpstreams(now, entries);
+    }
+
+    auto isCrashing(const PlacementKey& key) const -> bool { return crashing.contains(key); }
+    /** Requests with the part that were placed after the time that the users' rule allows. */
+    auto sentTooLate() const -> std::size_t { return boundStart ? sentCrashing - sentBeforeBound : 0; }
+    auto soundRefused() const -> std::size_t
+    {
+        auto count = std::size_t { 0 };
+        for (const auto& [key, refusal] : refused)
+            count += sound.contains(key) ? 1 : 0;
+        return count;
+    }
+
+    bool crashesEngines = true;
+    std::set<PlacementKey> sound;
+    std::set<PlacementKey> crashing;
+    std::set<PlacementKey> begun;
+    std::map<PlacementKey, UpstreamId> live;
+    std::multimap<Time, PlacementKey> due;
+    std::multimap<Time, UpstreamId> restarts;
+    std::size_t crashes = 0;
+    std::size_t sentCrashing = 0;
+    std::size_t sentBeforeBound = 0;
+    std::optional<Time> boundStart;
+};
+
+} // namespace
+
+TEST_CASE("Requests with a prompt part under which engines crash do not end one engine after the other")
+{
+    const auto interval = GENERATE(20ms, 100ms, 500ms);
+    const auto isFirst = GENERATE(false, true);
+    auto engines = CrashingEngines(18);
+    for (auto time = 0ms; time < 14s; time += stepTime) {
+        if (time % soundInterval == 0ms)
+            engines.submitSound();
+        if (time % interval == 0ms) {
+            if (isFirst)
+                engines.submitCrashing({ crashingPart, 100 + engines.number % 20 });
+            else
+                engines.submitCrashing({ firstPart, crashingPart });
+        }
+        engines.step();
+    }
+    CAPTURE(interval.count(), isFirst, engines.crashes, engines.sentCrashing);
+    CHECK(engines.sentTooLate() <= 3);
+    CHECK(engines.soundRefused() == 0);
+}
+
+TEST_CASE("Engines that crash by themselves keep no prompt part away from the others")
+{
+    auto engines = CrashingEngines(18);
+    auto next = std::size_t { 0 };
+    for (auto time = 0ms; time < 14s; time += stepTime) {
+        if (time % soundInterval == 0ms)
+            engines.submitSound();
+        engines.step();
+        if (time % 3s == 0ms) {
+            for (auto count = 0; count < 3; ++count)
+                engines.crash(engines.entries.at(next++ % engines.entries.size()).id());
+        }
+    }
+    CHECK(engines.crashes >= 12);
+    CHECK(engines.soundRefused() == 0);
+}
