--- a/src/camphorshuntrouter/calleradmission.cpp
+++ b/src/camphorshuntrouter/calleradmission.cpp
@@ -1,5 +1,7 @@
 #include "calleradmission.h"
 
+#include <algorithm>
+
 namespace camphorshunt::router {
 
 namespace {
@@ -9,6 +11,20 @@
 /** Retry time for a caller of a router that shuts down: another router accepts it immediately. */
 constexpr auto drainRetry = std::chrono::milliseconds(50);
 
+/** Part of a shutdown in which requests are accepted however long they may take. */
+constexpr auto earlyShutdown = 0.3;
+/** Time from a request's timeout until its answer has been sent. */
+constexpr auto answerTime = Duration(std::chrono::milliseconds(200));
+
+auto mayEndBeforeProcess(
+    const Route& route, const platform::CallerRequest& request, const ShutdownProgress& shutdown) -> bool
+{
+    if (shutdown.passed < scaled(shutdown.passed + shutdown.left, earlyShutdown))
+        return true;
+    const auto timeout = std::min<Duration>(request.timeout.value_or(route.timeout), route.timeout);
+    return route.kind != RequestKind::Stream && timeout + answerTime <= shutdown.left;
+}
+
 auto refused(unsigned status, std::string_view reason,
     std::optional<std::chrono::milliseconds> retryAfter = std::nullopt) -> CallerAdmission
 {
@@ -17,8 +33,8 @@
 
 } // namespace
 
-auto CallerAdmission::decide(
-    const RouteTable* table, const platform::CallerRequest& request, bool acceptsStreams) -> CallerAdmission
+auto CallerAdmission::decide(const RouteTable* table, const platform::CallerRequest& request,
+    const std::optional<ShutdownProgress>& shutdown) -> CallerAdmission
 {
     if (table == nullptr)
         return refused(503, "no configuration has been read yet", startRetry);
@@ -35,8 +51,8 @@
             return admission;
         }
     }
-    if (route->kind == RequestKind::Stream && !acceptsStreams)
-        admission.refusal = Refusal { 503, "the router shuts down before the stream would end", drainRetry };
+    if (shutdown && !mayEndBeforeProcess(*route, request, *shutdown))
+        admission.refusal = Refusal { 503, "the router may shut down before the answer ends", drainRetry };
     return admission;
 }
 
--- a/src/camphorshuntrouter/calleradmission.h
+++ b/src/camphorshuntrouter/calleradmission.h
@@ -5,11 +5,19 @@
 #include <string_view>
 
 #include "camphorshunt/routetable.h"
+#include "camphorshunt/time.h"
 
 #include "platform/callerwire.h"
 
 namespace camphorshunt::router {
 
+/** How far the shutdown of a router has come. */
+struct ShutdownProgress {
+    Duration passed {};
+    /** Time until the process ends. */
+    Duration left {};
+};
+
 /** The result of checking a request against one version of the configuration: its route, or a refusal. */
 struct CallerAdmission {
     struct Refusal {
@@ -25,11 +33,11 @@
     std::optional<Refusal> refusal;
 
     /**
-     * `table` is null while no configuration has been read yet. `acceptsStreams` is false if the router may
-     * exit before a new stream would end.
+     * `table` is null while no configuration has been read yet. While the router shuts down, a request is
+     * refused that arrived when its caller could have known, and that might not end before the process.
      */
-    static auto decide(const RouteTable* table, const platform::CallerRequest& request, bool acceptsStreams)
-        -> CallerAdmission;
+    static auto decide(const RouteTable* table, const platform::CallerRequest& request,
+        const std::optional<ShutdownProgress>& shutdown) -> CallerAdmission;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -253,6 +253,10 @@
 
 auto CallerConnection::stop() -> void
 {
+    if (const auto exchange = exchange_)
+        exchange->onShutdown();
+    if (!open_)
+        return;
     if (isUnfinished())
         abort();
     else
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -57,7 +57,7 @@
 
 auto Exchange::admit() -> bool
 {
-    const auto admission = CallerAdmission::decide(table_.get(), request_, relay_.acceptsStreams());
+    const auto admission = CallerAdmission::decide(table_.get(), request_, relay_.shutdown());
     route_ = admission.route;
     organisation_ = admission.organisation;
     if (!admission.refusal)
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -55,6 +55,8 @@
     /** The chosen engine drains or has left the directory: requests another one, until the deadline. */
     auto placeAgain(std::uint64_t number, const UpstreamProcess& left) -> void;
     auto onCallerDisconnected() -> void;
+    /** The process ends: its caller gets an answer unless a part of one has been passed on. */
+    auto onShutdown() -> void;
     /** The caller, which was congested, takes bytes again. */
     auto onCallerReady() -> void;
     /** Handles expired timeouts. Returns the time of the next check, or none if the request has ended. */
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -33,6 +33,21 @@
         sendOwnAnswer(503, reason, retryAfter.value_or(shortRetry + spread));
 }
 
+auto Exchange::onShutdown() -> void
+{
+    if (state_ == State::Done)
+        return;
+    const auto self = shared_from_this();
+    if (state_ == State::Placing && onEngine_) {
+        relay_.withdraw(number_, service_);
+    } else if (connection_) {
+        mayHaveRun_ = true;
+        connection_->close();
+        endAttempt(PlacementEnd::Cancelled);
+    }
+    giveUp("the router shuts down");
+}
+
 auto Exchange::sendOwnAnswer(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
     -> void
 {
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -18,10 +18,11 @@
 /** Resolution of deadlines and other timeouts. */
 constexpr auto tickInterval = 15ms;
 constexpr auto sweepInterval = Duration(250ms);
-/** New connections are accepted for this long into a drain, while callers switch to other routers. */
+/** New connections are accepted for this long into a drain, and for this part of it at most, while callers
+ * switch to other routers.
+ */
 constexpr auto acceptInDrain = Duration(3500ms);
-/** Streams that begin later into a drain than this are refused: they might not end before the process. */
-constexpr auto streamsInDrain = Duration(2400ms);
+constexpr auto maxAcceptPart = 0.45;
 constexpr auto acceptPause = 50ms;
 /** Connections accepted before other work gets its turn, and those of them that are served. */
 constexpr auto maxAcceptsPerTurn = std::size_t { 256 };
@@ -214,11 +215,18 @@
     checks_.emplace(time, exchange);
 }
 
-auto Relay::stopsAccepting(Time now) const -> bool { return draining_ && now - drainBegan_ > acceptInDrain; }
+auto Relay::stopsAccepting(Time now) const -> bool
+{
+    return draining_
+        && now - drainBegan_ > std::min(acceptInDrain, scaled(drainEnds_ - drainBegan_, maxAcceptPart));
+}
 
-auto Relay::acceptsStreams() const -> bool
+auto Relay::shutdown() const -> std::optional<ShutdownProgress>
 {
-    return !draining_ || steadyNow() - drainBegan_ < streamsInDrain;
+    if (!draining_)
+        return std::nullopt;
+    const auto now = steadyNow();
+    return ShutdownProgress { now - drainBegan_, drainEnds_ - now };
 }
 
 auto Relay::tick() -> void
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -20,6 +20,7 @@
 #include "camphorshunt/ring.h"
 #include "camphorshunt/routetable.h"
 
+#include "calleradmission.h"
 #include "callerconnection.h"
 #include "exchange.h"
 #include "overloadmonitor.h"
@@ -111,8 +112,8 @@
     }
     /** Buffer that all connections share; its content must be consumed before the next read. */
     auto readBuffer() -> std::span<char> { return readBuffer_; }
-    /** False if the process may exit before a new stream would end. */
-    auto acceptsStreams() const -> bool;
+    /** None unless the router shuts down. */
+    auto shutdown() const -> std::optional<ShutdownProgress>;
     auto drawRandom() -> std::uint64_t { return random_(); }
     auto callers() const -> std::size_t { return callers_.size(); }
     /** Callers with a request or an answer that is not complete. */
@@ -183,6 +184,7 @@
     Time nextSweep_ {};
     bool draining_ = false;
     Time drainBegan_ {};
+    Time drainEnds_ {};
     std::mt19937_64 random_;
 };
 
--- a/src/camphorshuntrouter/relaymessages.h
+++ b/src/camphorshuntrouter/relaymessages.h
@@ -36,8 +36,14 @@
     Time appliedAt {};
 };
 
-/** Starts a drain: requests in progress are completed, new connections and streams soon refused. */
-struct StartDrain { };
+/**
+ * Starts a drain: requests in progress are completed; new connections, and requests that might not end before
+ * the process, are soon refused.
+ */
+struct StartDrain {
+    /** Time until the process ends. */
+    Duration left {};
+};
 
 /** An upstream has said to another router that it leaves. */
 struct UpstreamLeaves {
--- a/src/camphorshuntrouter/relayscheduler.cpp
+++ b/src/camphorshuntrouter/relayscheduler.cpp
@@ -97,10 +97,11 @@
     }
 }
 
-auto Relay::handle(const StartDrain& /*drain*/) -> void
+auto Relay::handle(const StartDrain& drain) -> void
 {
     draining_ = true;
     drainBegan_ = steadyNow();
+    drainEnds_ = drainBegan_ + drain.left;
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -1,5 +1,6 @@
 #include "router.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -199,7 +200,8 @@
     state_.ready = false;
     drainBegan_ = std::chrono::steady_clock::now();
     boost::asio::post(schedulerThread_.context(), [this] { scheduler_->startDrain(); });
-    boost::asio::post(relayThread_.context(), [this] { relay_->handleMessage(StartDrain {}); });
+    boost::asio::post(relayThread_.context(),
+        [this, left = settings_.stopTime - stopMargin] { relay_->handleMessage(StartDrain { left }); });
     awaitDrain();
 }
 
@@ -209,7 +211,7 @@
     drainTimer_.expires_after(drainInterval);
     drainTimer_.async_wait([this](const boost::system::error_code& error) {
         const auto passed = std::chrono::steady_clock::now() - drainBegan_;
-        const auto finished = busy_ == 0 && passed > minDrainTime;
+        const auto finished = busy_ == 0 && passed > std::min<Duration>(minDrainTime, settings_.stopTime / 2);
         if (error || finished || passed > settings_.stopTime - stopMargin)
             mainContext_.stop();
         else
--- a/tests/process/routerstoptest.cpp
+++ b/tests/process/routerstoptest.cpp
@@ -3,12 +3,53 @@
 #include <signal.h>
 #include <thread>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <catch2/catch.hpp>
 
 using namespace camphorshunt;
 using namespace camphorshunt::test;
 using namespace std::chrono_literals;
 
+namespace {
+
+/** A request whose body arrives slowly, on a connection of its own. */
+class SlowCall {
+public:
+    SlowCall(const Endpoint& endpoint, const net::HttpRequest& request)
+        : text_(request.method + ' ' + request.target + " HTTP/1.1\r\nContent-Length: 2\r\n")
+        , socket_(context_)
+    {
+        for (const auto& header : request.headers)
+            text_ += header.name + ": " + header.value + "\r\n";
+        text_ += "\r\nx";
+        socket_.connect({ boost::asio::ip::make_address(endpoint.address), endpoint.port });
+    }
+
+    auto sendAllButOneByte() -> void { boost::asio::write(socket_, boost::asio::buffer(text_)); }
+    auto sendLastByte() -> void { boost::asio::write(socket_, boost::asio::buffer("y", 1)); }
+    /** Of the complete answer; 0 if the connection ended before it was. */
+    auto status() -> unsigned
+    {
+        auto buffer = boost::beast::flat_buffer {};
+        auto answer = boost::beast::http::response<boost::beast::http::string_body> {};
+        auto error = boost::beast::error_code {};
+        boost::beast::http::read(socket_, buffer, answer, error);
+        return error ? 0 : answer.result_int();
+    }
+
+private:
+    std::string text_;
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::socket socket_;
+};
+
+} // namespace
+
 TEST_CASE("A stopping router reports not ready immediately, finishes its streams and refuses late ones")
 {
     auto options = RouterFleet::Options {};
@@ -30,6 +71,28 @@
     CHECK(fleet.router(0).process->wait() == 0);
 }
 
+TEST_CASE("A stopping router refuses a request that it could not finish before its end")
+{
+    auto options = RouterFleet::Options {};
+    options.engineFlags = { "--slots=8", "--token_ms=100" };
+    options.plainFlags = { "--call_ms=1200" };
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    auto& router = fleet.router(0);
+    auto unfinished = WatchedCall(
+        router.callers, withHeader(RouterFleet::stream("stream", 1000), "X-Deadline-Ms", "20000"));
+    REQUIRE(unfinished.waitFor("id: 2\n"));
+    auto late = SlowCall(router.callers, RouterFleet::request("book", "POST"));
+    router.process->signal(SIGTERM);
+    std::this_thread::sleep_for(2s);
+    late.sendAllButOneByte();
+    std::this_thread::sleep_for(2900ms);
+    late.sendLastByte();
+    CHECK(late.status() == 503);
+    CHECK(fleet.totalRuns() == 1);
+    CHECK(router.process->wait() == 0);
+}
+
 TEST_CASE("A router that is told to stop ends before it would be killed, whatever still runs")
 {
     auto options = RouterFleet::Options {};
--- a/tests/unit/callerconnectiontest.cpp
+++ b/tests/unit/callerconnectiontest.cpp
@@ -71,7 +71,7 @@
 {
     auto driven = test::DrivenRelay {};
     auto& client = connectIdle(driven);
-    driven.relay->handleMessage(StartDrain {});
+    driven.relay->handleMessage(StartDrain { std::chrono::milliseconds(7800) });
     // The time for which new connections are accepted in a drain.
     std::this_thread::sleep_for(3600ms);
     runTimerAfter(driven, [&client] { test::send(client, request); });
@@ -95,7 +95,7 @@
 {
     auto driven = test::DrivenRelay {};
     auto& client = connectIdle(driven);
-    driven.relay->handleMessage(StartDrain {});
+    driven.relay->handleMessage(StartDrain { std::chrono::milliseconds(7800) });
     test::send(client, request + request + request);
     const auto answers = driven.receive(client, 200ms);
     CHECK(countOf(answers, "HTTP/1.1 404") == 3);
