--- a/src/camphorshuntload/simulatedstore.cpp
+++ b/src/camphorshuntload/simulatedstore.cpp
@@ -115,6 +115,23 @@
     answerLater(answer, FleetJoined { std::move(routers) });
 }
 
+auto SimulatedStore::handle(const StoreQuarantine& store, const Answer& answer) -> void
+{
+    const auto& quarantine = store.quarantine;
+    quarantines_[{ quarantine.service, quarantine.part }] = quarantine;
+    answerLater(answer, QuarantineStored { quarantine, boost::outcome_v2::success() });
+}
+
+auto SimulatedStore::handle(const ReadQuarantines& /*read*/, const Answer& answer) -> void
+{
+    auto content = QuarantinesRead::Content {};
+    for (const auto& [key, quarantine] : quarantines_) {
+        if (!quarantine.released)
+            content.quarantines.push_back(quarantine);
+    }
+    answerLater(answer, QuarantinesRead { std::move(content) });
+}
+
 auto SimulatedStore::publish() -> void
 {
     ++version_;
--- a/src/camphorshuntload/simulatedstore.h
+++ b/src/camphorshuntload/simulatedstore.h
@@ -44,6 +44,8 @@
     auto handle(const router::ReadDirectory& read, const Answer& answer) -> void;
     auto handle(const router::ReadConfiguration& read, const Answer& answer) -> void;
     auto handle(const router::JoinFleet& join, const Answer& answer) -> void;
+    auto handle(const router::StoreQuarantine& store, const Answer& answer) -> void;
+    auto handle(const router::ReadQuarantines& read, const Answer& answer) -> void;
     auto answerLater(const Answer& answer, router::StoreToScheduler message) -> void;
     auto newest() const -> router::ConfigurationRead;
 
@@ -53,6 +55,7 @@
     std::vector<router::DirectoryRecord> directory_;
     std::uint64_t version_ = 0;
     std::map<std::string, router::RouterAddress> routers_;
+    std::map<std::pair<ServiceId, std::uint64_t>, router::PeerQuarantine> quarantines_;
     std::map<std::uint64_t, LongPoll> longPolls_;
     std::uint64_t nextPoll_ = 0;
     std::vector<std::uint64_t> callsBySecond_;
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -115,13 +115,19 @@
     auto newlyLeaving(Time now, std::span<const PeerAvailability> reports) -> std::vector<PeerAvailability>;
     /** Logs what placers here have found out about prompt parts, tells the other routers and stores it. */
     auto publishQuarantines(Time now, std::span<const PlacementCoordinator::ServiceQuarantine> found) -> void;
+    /** `from`: the router that has told it, or the store. */
+    auto logTold(const PeerQuarantine& told, std::string from) -> void;
     /** A peer has told which prompt parts are in quarantine; told on if that is new. */
     auto quarantinesArrived(Time now, RouterId peer, std::span<const PeerQuarantine> told) -> void;
-    /** Tells again, as a router may have missed it or learnt of the service since. */
+    /** Tells again, as a router may have missed it or learnt of the service since, and repeats calls to the
+     * store that have failed.
+     */
     auto repeatQuarantines(Time now) -> void;
     auto handle(Time now, DirectoryRead read) -> void;
     auto handle(Time now, ConfigurationRead read) -> void;
     auto handle(Time now, const FleetJoined& joined) -> void;
+    auto handle(Time now, const QuarantineStored& stored) -> void;
+    auto handle(Time now, const QuarantinesRead& read) -> void;
 
     auto fleetChanged(Time now) -> void;
     auto relayChanged(Time now) -> void;
@@ -147,6 +153,10 @@
     Time rejoinAt_ {};
     Time nextAnnouncement_ {};
     Time nextQuarantineRepeat_ {};
+    /** To be stored once more, as the store did not answer. */
+    std::vector<PeerQuarantine> unstoredQuarantines_;
+    /** The quarantines of before this process are to be read from the store. */
+    bool quarantinesUnread_ = true;
     std::size_t fleetSize_ = 1;
     Time nextFlush_ {};
     bool draining_ = false;
--- a/src/camphorshuntrouter/fleetquarantine.cpp
+++ b/src/camphorshuntrouter/fleetquarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "clock.h"
 #include "requestrecord.h"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr auto repeatInterval = Duration(std::chrono::milliseconds(1000));
+constexpr auto maxUnstored = std::size_t { 256 };
 
 } // namespace
 
@@ -32,10 +34,18 @@
                 { "last-upstream", std::to_string(change.engine.value) },
                 { "ms", std::to_string(told.left.count()) } });
         frame.quarantines.push_back(told);
+        handlers_.callStore(StoreQuarantine { told });
     }
     sendUpdate(now, std::move(frame), true);
 }
 
+auto FleetControl::logTold(const PeerQuarantine& told, std::string from) -> void
+{
+    log_.write(LogLevel::Info, "prompt-part-told",
+        { { "part", partName(told.part) }, { "from", std::move(from) },
+            { "released", told.released ? "true" : "false" }, { "ms", std::to_string(told.left.count()) } });
+}
+
 auto FleetControl::quarantinesArrived(Time now, RouterId peer, std::span<const PeerQuarantine> told) -> void
 {
     auto frame = PeerFrame {};
@@ -43,21 +53,50 @@
         [this, now](const PeerQuarantine& item) { return placement_.applyQuarantine(now, item); });
     if (frame.quarantines.empty())
         return;
-    for (const auto& item : frame.quarantines) {
-        log_.write(LogLevel::Info, "prompt-part-told",
-            { { "part", partName(item.part) }, { "from", std::to_string(peer.value) },
-                { "released", item.released ? "true" : "false" },
-                { "ms", std::to_string(item.left.count()) } });
-    }
+    for (const auto& item : frame.quarantines)
+        logTold(item, std::to_string(peer.value));
     // A hub tells all hubs itself; other routers may be connected to some of them only.
     sendUpdate(now, std::move(frame), !plan_.hubs().isHub(peer));
 }
 
+auto FleetControl::handle(Time /*now*/, const QuarantineStored& stored) -> void
+{
+    if (stored.done)
+        return;
+    log_.write(LogLevel::Warning, "quarantine-not-stored",
+        { { "part", partName(stored.quarantine.part) }, { "error", stored.done.error().text() } });
+    if (unstoredQuarantines_.size() < maxUnstored)
+        unstoredQuarantines_.push_back(stored.quarantine);
+}
+
+auto FleetControl::handle(Time now, const QuarantinesRead& read) -> void
+{
+    if (!read.content) {
+        quarantinesUnread_ = true;
+        return;
+    }
+    const auto& content = read.content.value();
+    if (content.unreadable > 0) {
+        log_.write(LogLevel::Warning, "store-record-unreadable",
+            { { "topic", "quarantines" }, { "records", std::to_string(content.unreadable) } });
+    }
+    for (const auto& item : content.quarantines) {
+        if (placement_.applyQuarantine(now, item))
+            logTold(item, "store");
+    }
+}
+
 auto FleetControl::repeatQuarantines(Time now) -> void
 {
     if (now < nextQuarantineRepeat_)
         return;
     nextQuarantineRepeat_ = now + repeatInterval;
+    for (const auto& quarantine : std::exchange(unstoredQuarantines_, {}))
+        handlers_.callStore(StoreQuarantine { quarantine });
+    if (quarantinesUnread_ && sync_.fleet().table() && plan_.hubs().isHub(plan_.self())) {
+        quarantinesUnread_ = false;
+        handlers_.callStore(ReadQuarantines {});
+    }
     auto frame = PeerFrame {};
     frame.quarantines = placement_.quarantines(now);
     if (!frame.quarantines.empty())
--- a/src/camphorshuntrouter/storegateway.cpp
+++ b/src/camphorshuntrouter/storegateway.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "clock.h"
+#include "quarantinerecord.h"
 #include "routerrecord.h"
 
 namespace camphorshunt::router {
@@ -12,6 +13,12 @@
 
 namespace topic = platform::topic;
 
+auto wallClockNow() -> std::chrono::milliseconds
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
 auto directoryPage(platform::KeyedPage page, std::optional<std::uint64_t> from) -> DirectoryPage
 {
     auto result = DirectoryPage { !from.has_value(), from.value_or(0), page.end, {} };
@@ -115,6 +122,35 @@
         });
 }
 
+auto StoreGateway::handle(const StoreQuarantine& store) -> void
+{
+    const auto record = encodeQuarantineRecord(wallClockNow(), store.quarantine);
+    client_.put(topic::quarantines, record.key, record.value,
+        [this, quarantine = store.quarantine](const Result<void>& done) {
+            toScheduler_.push(QuarantineStored { quarantine, done });
+        });
+}
+
+auto StoreGateway::handle(const ReadQuarantines& /*read*/) -> void
+{
+    readAll(std::string(topic::quarantines), {}, [this](Result<platform::KeyedPage> page) {
+        if (!page) {
+            toScheduler_.push(QuarantinesRead { page.error() });
+            return;
+        }
+        auto content = QuarantinesRead::Content { {}, page.value().unreadable };
+        const auto now = wallClockNow();
+        for (const auto& record : page.value().records) {
+            const auto quarantine = decodeQuarantineRecord(now, record.key, record.value.value_or(""));
+            if (quarantine)
+                content.quarantines.push_back(*quarantine);
+            else
+                ++content.unreadable;
+        }
+        toScheduler_.push(QuarantinesRead { std::move(content) });
+    });
+}
+
 auto StoreGateway::readRouters() -> void
 {
     readAll(std::string(topic::routers), {}, [this](Result<platform::KeyedPage> page) {
--- a/src/camphorshuntrouter/storegateway.h
+++ b/src/camphorshuntrouter/storegateway.h
@@ -36,7 +36,13 @@
     RouterAddress self;
     bool readsOthers = true;
 };
-using SchedulerToStore = std::variant<ReadDirectory, ReadConfiguration, JoinFleet>;
+/** Stores a prompt part in quarantine for routers that start later, or removes it if it is released. */
+struct StoreQuarantine {
+    PeerQuarantine quarantine;
+};
+struct ReadQuarantines { };
+using SchedulerToStore
+    = std::variant<ReadDirectory, ReadConfiguration, JoinFleet, StoreQuarantine, ReadQuarantines>;
 
 struct DirectoryRead {
     Result<DirectoryPage> page;
@@ -59,7 +65,20 @@
 struct FleetJoined {
     Result<std::vector<RouterAddress>> routers;
 };
-using StoreToScheduler = std::variant<DirectoryRead, ConfigurationRead, FleetJoined>;
+struct QuarantineStored {
+    PeerQuarantine quarantine;
+    Result<void> done;
+};
+struct QuarantinesRead {
+    struct Content {
+        std::vector<PeerQuarantine> quarantines;
+        /** Records that could not be decoded. */
+        std::size_t unreadable = 0;
+    };
+    Result<Content> content;
+};
+using StoreToScheduler
+    = std::variant<DirectoryRead, ConfigurationRead, FleetJoined, QuarantineStored, QuarantinesRead>;
 
 /** Calls the platform's store on behalf of the scheduler. Used on the store thread. */
 class StoreGateway {
@@ -77,6 +96,8 @@
     auto handle(const ReadDirectory& read) -> void;
     auto handle(const ReadConfiguration& read) -> void;
     auto handle(const JoinFleet& join) -> void;
+    auto handle(const StoreQuarantine& store) -> void;
+    auto handle(const ReadQuarantines& read) -> void;
     auto readRouters() -> void;
     /** Reads the newest record of each key of a topic, page by page. */
     auto readAll(std::string topic, platform::KeyedPage readSoFar, PageHandler handler) -> void;
--- a/tests/process/crashingparttest.cpp
+++ b/tests/process/crashingparttest.cpp
@@ -80,3 +80,23 @@
     CHECK(sound.status == 200);
     CHECK(crashes(fleet) == ended);
 }
+
+TEST_CASE("A prompt part under which engines crash is refused after all routers were killed at once")
+{
+    auto fleet = RouterFleet(crashingFleet(2));
+    REQUIRE(fleet.awaitReady());
+    while (!isQuarantined(callCrashing(fleet, 0)))
+        std::this_thread::sleep_for(50ms);
+    const auto ended = crashes(fleet);
+    // The quarantine is stored some milliseconds after it began.
+    std::this_thread::sleep_for(500ms);
+    for (const auto router : { 0U, 1U })
+        fleet.router(router).process->kill();
+    for (const auto router : { 0U, 1U })
+        fleet.startRouter(router);
+    REQUIRE(fleet.awaitReady());
+    std::this_thread::sleep_for(1500ms);
+    CHECK(isQuarantined(callCrashing(fleet, 0)));
+    CHECK(isQuarantined(callCrashing(fleet, 1)));
+    CHECK(crashes(fleet) == ended);
+}
--- a/tests/unit/latefeedtest.cpp
+++ b/tests/unit/latefeedtest.cpp
@@ -94,7 +94,9 @@
             .send = [this, index](RouterId, const PeerFrame& frame) { send(index, frame); },
             .callStore =
                 [this, index](SchedulerToStore call) {
-                    if (index == 1 && !std::holds_alternative<JoinFleet>(call))
+                    const auto isRead = std::holds_alternative<ReadDirectory>(call)
+                        || std::holds_alternative<ReadConfiguration>(call);
+                    if (index == 1 && isRead)
                         ++lateRouterReads;
                     store.call(std::move(call), [this, index](const StoreToScheduler& message) {
                         routers_[index]->control.handleMessage(events.now(), message);
