--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -14,11 +14,6 @@
 
 using std::chrono::milliseconds;
 
-/** An attempt with less time left before the deadline is not worth sending. */
-constexpr auto minTimeLeft = Duration(milliseconds(5));
-/** Limit of upstreams tried for one request, also without a connection, which does not count as a send. */
-constexpr auto maxUpstreamsTried = std::size_t { 4 };
-
 } // namespace
 
 Exchange::Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive)
@@ -271,22 +266,20 @@
         relay_.balancer(service_).requestEnded(steadyNow(), upstream_->id(), end);
 }
 
+auto Exchange::maySendAgain(std::size_t tried) const -> bool
+{
+    return sends_ < route_->attempts && tried < maxUpstreamsTried && brokenOff_ < maxBrokenOff
+        && timeLeft() >= minTimeLeft && answer_.isReplaceable();
+}
+
 auto Exchange::mayRetry() -> bool
 {
-    if (mayHaveRun_ && !route_->repeatable())
-        return false;
-    if (sends_ >= route_->attempts || tried_.size() >= maxUpstreamsTried || timeLeft() < minTimeLeft)
-        return false;
-    if (!answer_.isReplaceable())
+    if ((mayHaveRun_ && !route_->repeatable()) || !maySendAgain(tried_.size()))
         return false;
     return sends_ == 0 || relay_.retryBudget(service_).tryAcquire(steadyNow());
 }
 
-auto Exchange::mayMove() const -> bool
-{
-    return route_->repeatable() && answer_.isReplaceable() && sends_ < route_->attempts
-        && tried_.size() + 1 < maxUpstreamsTried && timeLeft() >= minTimeLeft;
-}
+auto Exchange::mayMove() const -> bool { return route_->repeatable() && maySendAgain(tried_.size() + 1); }
 
 auto Exchange::endFailedAttempt(PlacementEnd end, std::string_view reason, bool again) -> void
 {
@@ -303,6 +296,7 @@
 auto Exchange::retryElsewhere(PlacementEnd end, std::string_view reason) -> bool
 {
     tried_.push_back(upstream_->id());
+    brokenOff_ += end == PlacementEnd::Broken ? 1 : 0;
     if (move_ && move_->isSent()) {
         takeOver(end, reason);
         return true;
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -72,6 +72,14 @@
     /** Interval of checks while the upstream is not read because its caller is congested. */
     static constexpr auto pauseCheckInterval = Duration(std::chrono::milliseconds(100));
 
+    /** An attempt with less time left before the deadline is not worth sending. */
+    static constexpr auto minTimeLeft = Duration(std::chrono::milliseconds(5));
+    /** Limit of upstreams tried for one request, also without a connection, which does not count as a send.
+     */
+    static constexpr auto maxUpstreamsTried = std::size_t { 4 };
+    /** A request under which so many upstreams have broken off may have ended them, and is not sent again. */
+    static constexpr auto maxBrokenOff = 2U;
+
     enum class State : std::uint8_t { Placing, Sent, Answering, Done };
 
     Exchange(Relay& relay, CallerConnection& caller, CallerConnection::Request request, bool keepAlive);
@@ -115,6 +123,8 @@
     auto passOn(std::string text) -> void;
     auto pauseIfCongested() -> void;
 
+    /** Whether the limits of a request allow another upstream after so many. */
+    auto maySendAgain(std::size_t tried) const -> bool;
     /** Whether the request may be sent or resumed elsewhere while its attempt still runs. */
     auto mayMove() const -> bool;
     /**
@@ -178,6 +188,8 @@
     std::optional<Time> waitUntil_;
     Time nextMoveAt_ {};
     std::uint32_t sends_ = 0;
+    /** Upstreams whose answers broke off. */
+    std::uint32_t brokenOff_ = 0;
     bool mayHaveRun_ = false;
     bool startReported_ = false;
     std::optional<PlacementInputs> placementInputs_;
--- a/tests/process/crashingparttest.cpp
+++ b/tests/process/crashingparttest.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <thread>
 
+#include <boost/json/serialize.hpp>
 #include <catch2/catch.hpp>
 
 using namespace camphorshunt;
@@ -100,3 +101,20 @@
     CHECK(isQuarantined(callCrashing(fleet, 1)));
     CHECK(crashes(fleet) == ended);
 }
+
+TEST_CASE("A request under which two upstreams have broken off is not sent to a third one")
+{
+    auto options = RouterFleet::Options {};
+    options.plain = 4;
+    auto fleet = RouterFleet(options);
+    REQUIRE(fleet.awaitReady());
+    auto configuration = RouterFleet::configuration(3);
+    for (auto& route : configuration["routes"].as_array())
+        route.as_object()["attempts"] = 4;
+    fleet.putConfiguration(boost::json::serialize(configuration));
+    REQUIRE(eventually([&] { return fleet.metric(0, "router_configuration_version") == 3; }));
+    for (auto index = options.engines; index < options.engines + options.plain; ++index)
+        fleet.fault(index, R"({"mode":"lost-ack"})");
+    CHECK(call(fleet.router(0).callers, RouterFleet::request("plain")).status == 502);
+    CHECK(fleet.totalRuns() == 2);
+}
