--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -272,6 +272,7 @@
 {
     checkOverdue(now);
     sweepRests(now);
+    quarantine_.settle(now);
     if (quarantine_.takeNewBlock())
         refuseQuarantined(now);
     if (queues_.size() > 0)
--- a/src/libcamphorshunt/placerprogress.cpp
+++ b/src/libcamphorshunt/placerprogress.cpp
@@ -20,7 +20,7 @@
     reach_[request.key.router].pending += running.started ? 0 : 1;
     quarantine_.recordPlaced(now, request.key, request.prompt.parts);
     if (running.started)
-        quarantine_.recordStarted(now, request.key);
+        quarantine_.recordStarted(now, request.key, engine->second.entry().process());
     // What has begun was service of the time before; only what begins now counts against what waits now.
     if (!running.started)
         queues_.charge(now, request.organisation, cost);
@@ -37,7 +37,7 @@
     engine.onStarted(now, key);
     checkTimes_.hasten(placed.upstream, engine.overdueAt());
     endPending(key, placed);
-    quarantine_.recordStarted(now, key);
+    quarantine_.recordStarted(now, key, engine.entry().process());
     if (!std::exchange(placed.begun, true))
         shares_.recordBegun(placed.organisation, placed.cost);
 }
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -15,9 +15,21 @@
 constexpr auto quarantineGrowth = 4;
 /** Wait of other requests while one is tried. */
 constexpr auto trialTime = Duration(1s);
+/** Reports on an engine from before its crash may arrive for so long after it. */
+constexpr auto maxReportLag = Duration(150ms);
 /** Crashes that lie further apart are not counted together. */
 constexpr auto crashMemory = Duration(3600s);
 
+auto isSignOfLife(PlacementEnd end) -> bool
+{
+    return end == PlacementEnd::Finished || end == PlacementEnd::Full || end == PlacementEnd::Failed;
+}
+
+auto showsLife(Time now, Time crashedAt, Time placedAt) -> bool
+{
+    return placedAt > crashedAt || now - crashedAt >= maxReportLag;
+}
+
 } // namespace
 
 auto PromptQuarantine::blockedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>
@@ -27,10 +39,12 @@
         return until;
     for (const auto& part : sharedParts(parts)) {
         const auto found = suspects_.find(part.id);
-        if (found == suspects_.end() || !found->second.isQuarantined())
+        if (found == suspects_.end())
             continue;
         const auto& suspect = found->second;
-        const auto free = suspect.trial ? std::max(now, suspect.until) + trialTime : suspect.until;
+        auto free = suspect.verdictDue.value_or(now);
+        if (suspect.isQuarantined())
+            free = suspect.trial ? std::max(now, suspect.until) + trialTime : suspect.until;
         if (free > now)
             until = std::max(until.value_or(free), free);
     }
@@ -54,12 +68,13 @@
         requests_.erase(key);
 }
 
-auto PromptQuarantine::recordStarted(Time now, const PlacementKey& key) -> void
+auto PromptQuarantine::recordStarted(Time now, const PlacementKey& key, const UpstreamProcess& engine) -> void
 {
     clearLasting(now);
     const auto found = requests_.find(key);
     if (found == requests_.end() || found->second.startedAt)
         return;
+    recordLife(now, engine, found->second.placedAt);
     found->second.startedAt = now;
     started_.emplace_back(now, key);
 }
@@ -74,13 +89,33 @@
     const auto request = std::move(found->second);
     requests_.erase(found);
     const auto hasLasted = request.startedAt && now - *request.startedAt >= lastingAnswer;
+    if (isSignOfLife(end))
+        recordLife(now, engine, request.placedAt);
+    if (end == PlacementEnd::Broken && !hasLasted) {
+        recordCrash(now, key, request, engine);
+        return;
+    }
     if (end == PlacementEnd::Finished)
         clear(now, request);
-    else if (end == PlacementEnd::Broken && !hasLasted)
-        recordCrash(now, key, request, engine);
     endTrials(key, request);
 }
 
+auto PromptQuarantine::recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> void
+{
+    const auto crashed = crashedEngines_.find(engine.upstream);
+    if (crashed == crashedEngines_.end() || !showsLife(now, crashed->second, placedAt))
+        return;
+    crashedEngines_.erase(crashed);
+    absl::erase_if(suspects_, [&engine](auto& entry) {
+        auto& suspect = entry.second;
+        const auto disproved = std::erase_if(
+            suspect.crashes, [&engine](const Crash& crash) { return crash.engine == engine; });
+        if (!suspect.isConvicted())
+            suspect.verdictDue.reset();
+        return disproved > 0 && suspect.crashes.empty() && !suspect.isQuarantined();
+    });
+}
+
 auto PromptQuarantine::forget(const PlacementKey& key) -> void
 {
     const auto found = requests_.find(key);
@@ -130,29 +165,55 @@
 auto PromptQuarantine::recordCrash(
     Time now, const PlacementKey& key, const Request& request, const UpstreamProcess& engine) -> void
 {
+    const auto due = now + lifeSignTime;
     if (const auto known = findQuarantined(request.parts)) {
         // Requests that were placed before the quarantine say nothing new about the other parts.
-        if (suspects_.at(*known).trial == key)
-            quarantine(now, *known, engine.upstream);
+        auto& suspect = suspects_.at(*known);
+        if (suspect.trial != key)
+            return;
+        suspect.crashes = { { engine, now } };
+        crashedEngines_[engine.upstream] = now;
+        verdicts_.push_back({ due, *known, {} });
         return;
     }
     auto convicted = std::optional<std::uint64_t> {};
     for (const auto part : request.parts) {
         auto& suspect = observe(now, part);
-        const auto isNew = std::ranges::find(suspect.crashed, engine) == suspect.crashed.end();
-        if (!isNew || (!suspect.crashed.empty() && request.placedAt <= suspect.lastCrash))
+        auto& crashes = suspect.crashes;
+        if (std::ranges::find(crashes, engine, &Crash::engine) != crashes.end()
+            || (!crashes.empty() && request.placedAt <= suspect.lastCrash))
             continue;
-        suspect.crashed.push_back(engine);
+        crashes.push_back({ engine, now });
+        crashedEngines_[engine.upstream] = now;
         suspect.lastCrash = now;
-        if (suspect.crashed.size() >= crashLimit)
+        if (suspect.isConvicted())
             convicted = part;
     }
-    if (!convicted)
+    if (!convicted || suspects_.at(*convicted).verdictDue)
         return;
-    quarantine(now, *convicted, engine.upstream);
-    for (const auto part : request.parts) {
-        if (part != *convicted)
-            suspects_.erase(part);
+    suspects_.at(*convicted).verdictDue = due;
+    hasNewBlock_ = true;
+    verdicts_.push_back({ due, *convicted, request.parts });
+}
+
+auto PromptQuarantine::settle(Time now) -> void
+{
+    clearLasting(now);
+    for (; !verdicts_.empty() && verdicts_.front().due <= now; verdicts_.pop_front()) {
+        const auto& verdict = verdicts_.front();
+        const auto found = suspects_.find(verdict.part);
+        if (found == suspects_.end() || !found->second.awaitsVerdict(now))
+            continue;
+        if (!found->second.isConvicted()) {
+            found->second.trial.reset();
+            found->second.verdictDue.reset();
+            continue;
+        }
+        quarantine(now, verdict.part);
+        for (const auto part : verdict.parts) {
+            if (part != verdict.part && suspects_.contains(part) && !suspects_.at(part).isQuarantined())
+                suspects_.erase(part);
+        }
     }
 }
 
@@ -167,7 +228,7 @@
     return std::nullopt;
 }
 
-auto PromptQuarantine::quarantine(Time now, std::uint64_t part, UpstreamId engine) -> void
+auto PromptQuarantine::quarantine(Time now, std::uint64_t part) -> void
 {
     auto& suspect = suspects_.at(part);
     suspect.length = suspect.isQuarantined() ? std::min(suspect.length * quarantineGrowth, maxQuarantine)
@@ -175,9 +236,11 @@
     suspect.until = now + suspect.length;
     suspect.lastCrash = now;
     suspect.trial.reset();
+    suspect.verdictDue.reset();
     hasNewBlock_ = true;
     changes_.push_back({ { part, suspect.until, suspect.length, false },
-        static_cast<std::uint32_t>(suspect.crashed.size()), engine });
+        static_cast<std::uint32_t>(suspect.crashes.size()), suspect.crashes.back().engine.upstream });
+    suspect.crashes.clear();
 }
 
 auto PromptQuarantine::observe(Time now, std::uint64_t part) -> Suspect&
@@ -187,7 +250,7 @@
         evict();
     auto& suspect = suspects_[part];
     if (!suspect.isQuarantined() && now - suspect.lastCrash > crashMemory)
-        suspect.crashed.clear();
+        suspect.crashes.clear();
     return suspect;
 }
 
@@ -216,6 +279,8 @@
     suspect.until = told.until;
     suspect.lastCrash = now;
     suspect.trial.reset();
+    suspect.verdictDue.reset();
+    suspect.crashes.clear();
     hasNewBlock_ = true;
     return true;
 }
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -43,8 +43,9 @@
  *
  * A request counts against its parts if its answer breaks off before it has lasted for a while. It counts
  * once for each engine process, and only if it was placed after the part's previous crash was known, as one
- * failure breaks off many requests. A lasting answer clears all parts of its prompt. Of several parts of a
- * prompt that qualify, the last one, which fewest requests share, is kept away. Not thread-safe.
+ * failure breaks off many requests. It does not count any more if the engine process turns out to live. A
+ * lasting answer clears all parts of its prompt. Of several parts of a prompt that qualify, the last one,
+ * which fewest requests share, is kept away. Not thread-safe.
  */
 class PromptQuarantine {
 public:
@@ -52,6 +53,8 @@
     static constexpr auto crashLimit = std::size_t { 3 };
     /** An answer that has lasted for so long did not end its engine. */
     static constexpr auto lastingAnswer = Duration(std::chrono::milliseconds(500));
+    /** Time in which a live engine that only broke off an answer begins or ends another one. */
+    static constexpr auto lifeSignTime = Duration(std::chrono::milliseconds(500));
     /** Limit of parts that are observed at a time. */
     static constexpr auto maxParts = std::size_t { 1024 };
 
@@ -60,9 +63,11 @@
 
     auto recordPlaced(Time now, const PlacementKey& key, std::span<const PromptPart> parts) -> void;
     /** The first bytes of its answer have arrived. */
-    auto recordStarted(Time now, const PlacementKey& key) -> void;
+    auto recordStarted(Time now, const PlacementKey& key, const UpstreamProcess& engine) -> void;
     auto recordEnded(Time now, const PlacementKey& key, PlacementEnd end, const UpstreamProcess& engine)
         -> void;
+    /** Quarantines parts whose last crash was long enough ago for its engine to show that it lives. */
+    auto settle(Time now) -> void;
     /** The request is not observed any more. */
     auto forget(const PlacementKey& key) -> void;
 
@@ -83,9 +88,15 @@
         Time placedAt;
         std::optional<Time> startedAt;
     };
+    struct Crash {
+        UpstreamProcess engine;
+        Time at;
+    };
     struct Suspect {
-        std::vector<UpstreamProcess> crashed;
+        std::vector<Crash> crashes;
         Time lastCrash;
+        /** While a verdict is due, requests with the part wait for it. */
+        std::optional<Time> verdictDue;
         /** Zero unless the part is in quarantine. */
         Duration length {};
         Time until;
@@ -93,15 +104,30 @@
         std::optional<PlacementKey> trial;
 
         auto isQuarantined() const -> bool { return length > Duration {}; }
+        auto awaitsVerdict(Time now) const -> bool
+        {
+            return isQuarantined() ? trial.has_value() : verdictDue && *verdictDue <= now;
+        }
+        /** Whether the crashes suffice for a quarantine, or for a longer one. */
+        auto isConvicted() const -> bool { return crashes.size() >= (isQuarantined() ? 1 : crashLimit); }
+    };
+    /** A part that is to be quarantined unless an engine shows that it lives. */
+    struct Verdict {
+        Time due;
+        std::uint64_t part = 0;
+        /** Of the prompt under which the last engine crashed. */
+        std::vector<std::uint64_t> parts;
     };
 
     /** Clears the parts of requests whose answers have lasted. */
     auto clearLasting(Time now) -> void;
     auto clear(Time now, const Request& request) -> void;
+    /** The engine has answered a request that was placed at this time. */
+    auto recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> void;
     auto recordCrash(Time now, const PlacementKey& key, const Request& request, const UpstreamProcess& engine)
         -> void;
     auto findQuarantined(std::span<const std::uint64_t> parts) const -> std::optional<std::uint64_t>;
-    auto quarantine(Time now, std::uint64_t part, UpstreamId engine) -> void;
+    auto quarantine(Time now, std::uint64_t part) -> void;
     /** Adds the part to those that are observed; another one may have to go. */
     auto observe(Time now, std::uint64_t part) -> Suspect&;
     auto evict() -> void;
@@ -111,6 +137,10 @@
     absl::flat_hash_map<std::uint64_t, Suspect> suspects_;
     /** In order of time. */
     std::deque<std::pair<Time, PlacementKey>> started_;
+    /** In order of time. */
+    std::deque<Verdict> verdicts_;
+    /** Engines of which crashes count, and when the last one was. */
+    absl::flat_hash_map<UpstreamId, Time> crashedEngines_;
     std::vector<QuarantineChange> changes_;
     bool hasNewBlock_ = false;
 };
--- a/tests/unit/promptquarantinetest.cpp
+++ b/tests/unit/promptquarantinetest.cpp
@@ -15,6 +15,11 @@
 struct Fixture {
     using Parts = std::vector<PromptPart>;
 
+    static auto process(std::uint64_t engine) -> UpstreamProcess
+    {
+        return { UpstreamId { engine }, 1ms, {} };
+    }
+
     auto place(const Parts& parts) -> PlacementKey
     {
         const auto key = PlacementKey { RouterId { 1 }, ++number };
@@ -31,7 +36,7 @@
 
     auto end(const PlacementKey& key, PlacementEnd end, std::uint64_t engine) -> void
     {
-        quarantine.recordEnded(now, key, end, { UpstreamId { engine }, 1ms, {} });
+        quarantine.recordEnded(now, key, end, process(engine));
         now += 1ms;
     }
 
@@ -39,6 +44,13 @@
     {
         for (auto engine = std::uint64_t { 1 }; engine <= PromptQuarantine::crashLimit; ++engine)
             crash(prompt, engine);
+        settle();
+    }
+
+    auto settle() -> void
+    {
+        now += PromptQuarantine::lifeSignTime;
+        quarantine.settle(now);
     }
 
     auto isBlocked(const Parts& parts) const -> bool
@@ -74,6 +86,7 @@
         keys.push_back(fixture.place(fixture.prompt));
     for (const auto& key : keys)
         fixture.end(key, PlacementEnd::Broken, key.number);
+    fixture.settle();
     CHECK_FALSE(fixture.isBlocked(fixture.prompt));
 }
 
@@ -82,6 +95,7 @@
     auto fixture = Fixture {};
     for (auto count = 0; count < 12; ++count)
         fixture.crash(fixture.prompt, 7);
+    fixture.settle();
     CHECK_FALSE(fixture.isBlocked(fixture.prompt));
 }
 
@@ -92,12 +106,15 @@
     fixture.crash(fixture.prompt, 1);
     fixture.crash(fixture.prompt, 2);
     const auto key = fixture.place(fixture.prompt);
-    fixture.quarantine.recordStarted(fixture.now, key);
+    fixture.quarantine.recordStarted(fixture.now, key, Fixture::process(5));
+    if (cleared == 0)
+        fixture.end(key, PlacementEnd::Cancelled, 5);
     if (cleared == 1)
         fixture.end(key, PlacementEnd::Finished, 5);
     if (cleared == 2)
         fixture.now += PromptQuarantine::lastingAnswer;
     fixture.crash(fixture.prompt, 3);
+    fixture.settle();
     CHECK(fixture.isBlocked(fixture.prompt) == (cleared == 0));
 }
 
@@ -111,6 +128,8 @@
     const auto trial = fixture.place(fixture.prompt);
     CHECK(fixture.isBlocked(fixture.prompt));
     fixture.end(trial, PlacementEnd::Broken, 8);
+    CHECK(fixture.isBlocked(fixture.prompt));
+    fixture.settle();
     CHECK(fixture.endOfQuarantine() - fixture.now > 2 * firstLength);
 
     fixture.now = fixture.endOfQuarantine();
@@ -143,6 +162,7 @@
             fixture.end(fixture.place(fixture.sound), PlacementEnd::Finished, 1);
         }
     }
+    fixture.settle();
     CHECK(fixture.quarantine.quarantined().size() == 10);
     CHECK_FALSE(fixture.isBlocked(fixture.sound));
 }
@@ -169,3 +189,35 @@
     CHECK_FALSE(fixture.isBlocked(fixture.prompt));
     CHECK(fixture.quarantine.takeChanges().empty());
 }
+
+TEST_CASE("A part is not quarantined for engines that break off answers and live")
+{
+    // By an answer that was placed afterwards, or that ends later than reports may be on their way.
+    const auto isPlacedAfterwards = GENERATE(false, true);
+    auto fixture = Fixture {};
+    for (auto engine = std::uint64_t { 1 }; engine <= 12; ++engine) {
+        const auto early = fixture.place(fixture.sound);
+        fixture.crash(fixture.prompt, engine);
+        if (isPlacedAfterwards) {
+            const auto key = fixture.place({ { 30, 100 }, { 31, 100 } });
+            fixture.quarantine.recordStarted(fixture.now, key, Fixture::process(engine));
+        } else {
+            fixture.now += 200ms;
+            fixture.end(early, PlacementEnd::Failed, engine);
+        }
+    }
+    fixture.settle();
+    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+}
+
+TEST_CASE("A report that was on its way when an engine crashed does not show that it lives")
+{
+    auto fixture = Fixture {};
+    for (auto engine = std::uint64_t { 1 }; engine <= 3; ++engine) {
+        const auto early = fixture.place({ { 30, 100 }, { 31, 100 } });
+        fixture.crash(fixture.prompt, engine);
+        fixture.end(early, PlacementEnd::Finished, engine);
+    }
+    fixture.settle();
+    CHECK(fixture.isBlocked(fixture.prompt));
+}
