--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -321,17 +321,23 @@
     attemptFailed(end, true, reason);
 }
 
-auto Exchange::onCallerDisconnected() -> void
+auto Exchange::cancelAttempt() -> void
 {
-    if (state_ == State::Done)
-        return;
-    const auto self = shared_from_this();
     if (state_ == State::Placing && onEngine_) {
         relay_.withdraw(number_, service_);
     } else if (connection_) {
+        mayHaveRun_ = true;
         connection_->close();
         endAttempt(PlacementEnd::Cancelled);
     }
+}
+
+auto Exchange::onCallerDisconnected() -> void
+{
+    if (state_ == State::Done)
+        return;
+    const auto self = shared_from_this();
+    cancelAttempt();
     finish(RequestOutcome::Gone, 0, "the caller left");
 }
 
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -115,6 +115,8 @@
     auto abandonAttempt(PlacementEnd end, std::string_view reason) -> void;
     auto attemptFailed(PlacementEnd end, bool mayHaveRun, std::string_view reason) -> void;
     auto endAttempt(PlacementEnd end) -> void;
+    /** Ends the attempt, or takes the request for an engine back, for a reason of this router's own. */
+    auto cancelAttempt() -> void;
     /** Ends the current attempt; `again`: another one follows. */
     auto endFailedAttempt(PlacementEnd end, std::string_view reason, bool again) -> void;
     auto recordSilence(Time now) -> void;
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -38,13 +38,7 @@
     if (state_ == State::Done)
         return;
     const auto self = shared_from_this();
-    if (state_ == State::Placing && onEngine_) {
-        relay_.withdraw(number_, service_);
-    } else if (connection_) {
-        mayHaveRun_ = true;
-        connection_->close();
-        endAttempt(PlacementEnd::Cancelled);
-    }
+    cancelAttempt();
     giveUp("the router shuts down");
 }
 
