--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -172,7 +172,7 @@
         if (suspect.trial != key)
             return;
         suspect.crashes = { { engine, now } };
-        crashedEngines_[engine.upstream] = now;
+        recordCrashed(now, engine);
         verdicts_.push_back({ due, *known, {} });
         return;
     }
@@ -184,7 +184,7 @@
             || (!crashes.empty() && request.placedAt <= suspect.lastCrash))
             continue;
         crashes.push_back({ engine, now });
-        crashedEngines_[engine.upstream] = now;
+        recordCrashed(now, engine);
         suspect.lastCrash = now;
         if (suspect.isConvicted())
             convicted = part;
@@ -196,6 +196,16 @@
     verdicts_.push_back({ due, *convicted, request.parts });
 }
 
+auto PromptQuarantine::recordCrashed(Time now, const UpstreamProcess& engine) -> void
+{
+    if (crashedEngines_.size() >= maxParts && !crashedEngines_.contains(engine.upstream)) {
+        // An engine that has shown no sign of life for longest is the least likely to show one.
+        crashedEngines_.erase(std::ranges::min_element(
+            crashedEngines_, {}, [](const auto& crashed) { return crashed.second; }));
+    }
+    crashedEngines_[engine.upstream] = now;
+}
+
 auto PromptQuarantine::settle(Time now) -> void
 {
     clearLasting(now);
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -81,6 +81,7 @@
     auto takeNewBlock() -> bool { return std::exchange(hasNewBlock_, false); }
 
     auto observedParts() const -> std::size_t { return suspects_.size(); }
+    auto observedEngines() const -> std::size_t { return crashedEngines_.size(); }
 
 private:
     struct Request {
@@ -95,7 +96,7 @@
     struct Suspect {
         std::vector<Crash> crashes;
         Time lastCrash;
-        /** While a verdict is due, requests with the part wait for it. */
+        /** Until then requests with the part are refused, as a verdict is due. */
         std::optional<Time> verdictDue;
         /** Zero unless the part is in quarantine. */
         Duration length {};
@@ -131,6 +132,8 @@
     /** Adds the part to those that are observed; another one may have to go. */
     auto observe(Time now, std::uint64_t part) -> Suspect&;
     auto evict() -> void;
+    /** Remembers an engine of which a crash counts. */
+    auto recordCrashed(Time now, const UpstreamProcess& engine) -> void;
     auto endTrials(const PlacementKey& key, const Request& request) -> void;
 
     absl::flat_hash_map<PlacementKey, Request> requests_;
--- a/tests/unit/promptquarantinetest.cpp
+++ b/tests/unit/promptquarantinetest.cpp
@@ -174,6 +174,7 @@
     for (auto part = std::uint64_t { 1000 }; part < 1000 + 3 * PromptQuarantine::maxParts; ++part)
         fixture.crash({ { part, 100 }, { 9, 100 } }, part);
     CHECK(fixture.quarantine.observedParts() <= PromptQuarantine::maxParts);
+    CHECK(fixture.quarantine.observedEngines() <= PromptQuarantine::maxParts);
     CHECK(fixture.isBlocked(fixture.prompt));
 }
 
