--- a/src/camphorshuntrouter/fleetquarantine.cpp
+++ b/src/camphorshuntrouter/fleetquarantine.cpp
@@ -72,6 +72,7 @@
 auto FleetControl::handle(Time now, const QuarantinesRead& read) -> void
 {
     if (!read.content) {
+        log_.write(LogLevel::Warning, "quarantines-not-read", { { "error", read.content.error().text() } });
         quarantinesUnread_ = true;
         return;
     }
