--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Requests with a prompt part that crashes engines come six at a time: see claim.txt."""
+"""Requests with a prompt part that crashes engines come in groups that share a second part: see claim.txt."""
 import asyncio
 import os
 import pathlib
@@ -17,9 +17,13 @@
 SERVICE = "asistent-model"
 KEY = "key-of-organisation-1"
 BAD_PART = "bad0bad0"
-BURST = 6
-BURST_PAUSE_S = 4.0
-BURSTS = 6
+GROUPS = 6
+GROUP_SIZE = 3
+PAUSE_S = 0.5
+GROUP_PAUSE_S = 2.5
+# A sound request with the second part of each group comes so long before the group, and every so often.
+SOUND_BEFORE_S = 2.0
+SOUND_EVERY_S = 12.0
 PREFILL_S = 0.25
 BACK_AFTER_S = 3.0
 EVENTS = 12
@@ -104,17 +108,14 @@
                        "idle_timeout_ms": 15000, "tokens_per_s": 510000},
             "tenants": [{"name": "organisation-1", "api_keys": [KEY]}]}).encode()
 
-    async def request(self, client, bad):
+    async def request(self, client, parts, bad=False):
         self.sent += 1
         attempt = f"{'bad' if bad else 'sound'}-{self.sent}"
-        # The requests differ in all parts but the bad one; sound ones share the other parts with them.
-        first = f"{0xa0000 + self.sent % 7:x}:600"
-        middle = f"{BAD_PART}:400," if bad else ""
+        parts = [f"{part}:400" for part in parts] + [f"{0xf000000 + self.sent:x}:500"]
         headers = [("Host", "assistant.example"), ("X-Attempt-Id", attempt), ("X-Model", "m"),
-                   ("X-Token-Count", f"{1500 if bad else 1100},120"),
-                   ("X-Prompt-Prefix", f"{first},{middle}{0xf000000 + self.sent:x}:500"),
+                   ("X-Token-Count", f"{400 * len(parts) + 100},120"), ("X-Prompt-Prefix", ",".join(parts)),
                    ("X-Deadline-Ms", "15000"), ("Authorization", f"Bearer {KEY}")]
-        self.record.add("sent", attempt, client.router.name)
+        self.record.add("sent", attempt, client.router.name, ",".join(parts))
         answer = await client.send("POST", "/dossier/2f", headers, b"{}", timeout=16)
         self.record.add("answered", attempt, answer.status, "complete" if answer.complete else "cut")
         if not bad:
@@ -123,14 +124,43 @@
             self.sound[kind] += 1
 
 
+def second_part(group):
+    return f"{0xd0c000 + group:x}"
+
+
+def first_part(number):
+    return f"{0xa0000 + number % 7:x}"
+
+
 async def sound_callers(fleet, router, until):
     client = Client(router)
     while now() < until:
-        await fleet.request(client, False)
+        await fleet.request(client, [first_part(fleet.sent)])
         await asyncio.sleep(0.05)
     client.close()
 
 
+async def sound_with_second_part(fleet, router, group, begin, until):
+    """Sound requests that share the second part of a group: one shortly before the group, and others later."""
+    client = Client(router)
+    await asyncio.sleep(max(0.0, begin - SOUND_BEFORE_S - now()))
+    while now() < until:
+        await fleet.request(client, [first_part(group), second_part(group)])
+        await asyncio.sleep(SOUND_EVERY_S)
+    client.close()
+
+
+async def bad_requests(fleet, routers):
+    """One at a time, each after the answer to the one before it."""
+    for group in range(GROUPS):
+        for number in range(GROUP_SIZE):
+            client = Client(routers[(group + number) % len(routers)])
+            await fleet.request(client, [BAD_PART, second_part(group)], bad=True)
+            client.close()
+            await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(GROUP_PAUSE_S - PAUSE_S)
+
+
 async def play(record, folder, routers):
     fleet = Fleet(record)
     store = Store(record)
@@ -146,15 +176,16 @@
         router.start(seeds)
     await standins.await_ready(routers)
     await asyncio.sleep(CONTACT_S + 1)
-    until = now() + BURSTS * BURST_PAUSE_S + 4
+    lead_s = 3.0
+    group_s = GROUP_SIZE * (PAUSE_S + PREFILL_S) + GROUP_PAUSE_S - PAUSE_S
+    begin = now() + lead_s
+    until = begin + GROUPS * group_s + 4
     callers = [asyncio.create_task(sound_callers(fleet, router, until)) for router in routers for _ in range(4)]
-    await asyncio.sleep(3)
-    for _ in range(BURSTS if TROUBLE else 0):
-        clients = [Client(routers[number % len(routers)]) for number in range(BURST)]
-        await asyncio.gather(*(fleet.request(client, True) for client in clients))
-        for client in clients:
-            client.close()
-        await asyncio.sleep(BURST_PAUSE_S)
+    callers += [asyncio.create_task(sound_with_second_part(
+        fleet, routers[group % len(routers)], group, begin + group * group_s, until)) for group in range(GROUPS)]
+    await asyncio.sleep(lead_s)
+    if TROUBLE:
+        await bad_requests(fleet, routers)
     await asyncio.gather(*callers)
     return fleet
 
