--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 import asyncio
 import os
 import pathlib
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -26,6 +27,8 @@
 # It serves for `drain_ms` after the entry's removal and "a little longer (at times many seconds)".
 LINGERS_S = 6.0
 PAUSE_S = 0.05
+# The longest work of a booking on this site.
+WORK_S = 0.11
 
 
 def configuration():
@@ -47,6 +50,7 @@
 class Calls:
     def __init__(self):
         self.sent = {}
+        self.cut = 0
         self.answers = {"served": 0, "refused": 0, "failed": 0}
 
 
@@ -67,8 +71,9 @@
         good = answer.complete and answer.status == 200 and answer.body == f"done {attempt}".encode()
         kind = "served" if good else "refused" if answer.status in (429, 503) else "failed"
         calls.answers[kind] += 1
+        calls.cut += booking and kind == "failed"
         record.add("answered", attempt, "booking" if booking else "history", answer.status, kind)
-        await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(PAUSE_S * random.uniform(0.5, 1.5))
     client.close()
 
 
@@ -93,6 +98,7 @@
     upstreams = [Upstream(f"i-{number:02d}", SERVICE if number < SERVERS else MODEL_SERVICE,
                           ZONES[number % len(ZONES)], store, record) for number in range(SERVERS + ENGINES)]
     for upstream in upstreams:
+        upstream.work_s = WORK_S
         await upstream.start()
     for number, zone in enumerate(ZONES):
         routers.append(Router(f"front-{zone}-{number}", zone, folder, store, BOUNDS))
@@ -105,7 +111,7 @@
     calls = Calls()
     until = now() + AWAY_S + LEAVES_AFTER_S + DRAIN_S + LINGERS_S + 4
     callers = [asyncio.create_task(caller(number, routers[number % len(routers)], calls, record, until))
-               for number in range(9)]
+               for number in range(18)]
     await asyncio.sleep(1)
     if TROUBLE:
         await drill(store, config, record)
@@ -127,7 +133,7 @@
 def judge(calls, leaver, removed, record):
     late = [attempt for at, attempt in leaver.arrivals
             if calls.sent.get(attempt, 0) > removed + DRAIN_S and at > removed + DRAIN_S]
-    record.add("requests", len(calls.sent), calls.answers)
+    record.add("requests", len(calls.sent), calls.answers, "bookings that failed", calls.cut)
     record.add("sent later than drain_ms after the removal was acknowledged, and reached", leaver.name, len(late))
     if calls.answers["served"] < 100:
         return 2
@@ -139,6 +145,7 @@
     folder = standins.work_folder()
     routers = []
     result = 2
+    standins.exit_on_sigterm(routers, folder)
     try:
         result = judge(*asyncio.run(play(record, folder, routers)), record)
     except Exception as error:  # The case could not run.
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -5,6 +5,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import pathlib
@@ -22,20 +23,25 @@
 HOST = "127.0.0.1"
 
 
+# So that processes end with the script even if it is killed.
+PR_SET_PDEATHSIG = 1
+LIBC = ctypes.CDLL(None)
+
+
 def now():
     return time.monotonic()
 
 
-def free_port():
-    """A port below the range from which the kernel takes ports of outgoing connections."""
-    while True:
-        port = random.randrange(12000, 30000)
-        with socket.socket() as probe:
-            try:
-                probe.bind((HOST, port))
-                return port
-            except OSError:
-                continue
+def end_with_parent():
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+def exit_on_sigterm(routers, folder):
+    def handle(*_):
+        end_processes(routers)
+        remove_folder(folder)
+        os._exit(2)
+    signal.signal(signal.SIGTERM, handle)
 
 
 class Record:
@@ -363,7 +369,8 @@
         environment = {"PATH": os.environ["PATH"], "CAMPHORSHUNT_BOOT": str(settings)}
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
-                command.split(), cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT)
+                command.split(), cwd=ROOT, env=environment, stdout=log, stderr=subprocess.STDOUT,
+                preexec_fn=end_with_parent)
 
     def signal(self, number):
         self.process.send_signal(number)
