--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -21,8 +21,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
-
-
 # So that processes end with the script even if it is killed.
 PR_SET_PDEATHSIG = 1
 LIBC = ctypes.CDLL(None)
@@ -44,6 +42,18 @@
     signal.signal(signal.SIGTERM, handle)
 
 
+def free_port():
+    """A port below the range from which the kernel takes ports of outgoing connections."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+                return port
+            except OSError:
+                continue
+
+
 class Record:
     """Collects what was sent, answered and run, for record.txt."""
 
