--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -42,10 +42,13 @@
     signal.signal(signal.SIGTERM, handle)
 
 
-def free_port():
-    """A port below the range from which the kernel takes ports of outgoing connections."""
+def free_port(taken=set()):
+    """A port below the range from which the kernel takes ports of outgoing connections; a new one for each call."""
     while True:
         port = random.randrange(12000, 30000)
+        if port in taken:
+            continue
+        taken.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind((HOST, port))
