--- a/src/camphorshuntrouter/fleetquarantine.cpp
+++ b/src/camphorshuntrouter/fleetquarantine.cpp
@@ -28,15 +28,21 @@
     for (const auto& [id, change] : found) {
         const auto* const service = table ? table->service(id) : nullptr;
         const auto told = toldAt(now, id, change.part);
+        auto names = partName(told.part);
+        for (const auto part : change.with)
+            names += '+' + partName(part);
         log_.write(LogLevel::Warning, told.released ? "prompt-part-released" : "prompt-part-quarantined",
-            { { "service", service == nullptr ? "-" : service->name }, { "part", partName(told.part) },
+            { { "service", service == nullptr ? "-" : service->name }, { "part", std::move(names) },
                 { "crashes", std::to_string(change.crashes) },
                 { "last-upstream", std::to_string(change.engine.value) },
                 { "ms", std::to_string(told.left.count()) } });
+        if (!change.with.empty())
+            continue;
         frame.quarantines.push_back(told);
         handlers_.callStore(StoreQuarantine { told });
     }
-    sendUpdate(now, std::move(frame), true);
+    if (!frame.quarantines.empty())
+        sendUpdate(now, std::move(frame), true);
 }
 
 auto FleetControl::logTold(const PeerQuarantine& told, std::string from) -> void
--- a/src/camphorshuntrouter/placementquarantine.cpp
+++ b/src/camphorshuntrouter/placementquarantine.cpp
@@ -17,8 +17,7 @@
 {
     const auto found = services_.find(told.service);
     return found != services_.end()
-        && found->second.placer->applyQuarantine(
-            now, { told.part, now + told.left, told.length, told.released });
+        && found->second.placer->applyQuarantine({ told.part, now + told.left, told.length, told.released });
 }
 
 auto PlacementCoordinator::quarantines(Time now) const -> std::vector<PeerQuarantine>
--- /dev/null
+++ b/src/libcamphorshunt/crashevidence.cpp
@@ -0,0 +1,207 @@
+#include "crashevidence.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorshunt {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Reports on an engine from before its end may arrive for so long after it. */
+constexpr auto maxReportLag = Duration(150ms);
+/** Ends of engines that lie further apart are not counted together. */
+constexpr auto crashMemory = Duration(3600s);
+/** Broken requests that are kept of an engine, and shared parts of a prompt. */
+constexpr auto maxRequests = std::size_t { 16 };
+constexpr auto maxPromptParts = std::size_t { 128 };
+
+auto showsLife(Time now, Time endedAt, Time placedAt) -> bool
+{
+    return placedAt > endedAt || now - endedAt >= maxReportLag;
+}
+
+} // namespace
+
+auto containsAll(std::span<const std::uint64_t> parts, std::span<const std::uint64_t> set) -> bool
+{
+    return std::ranges::all_of(
+        set, [parts](std::uint64_t part) { return std::ranges::find(parts, part) != parts.end(); });
+}
+
+auto CrashEvidence::find(const UpstreamProcess& engine) const -> std::deque<EngineEnd>::const_iterator
+{
+    return std::ranges::find(ends_, engine, &EngineEnd::engine);
+}
+
+auto CrashEvidence::hasEnded(const UpstreamProcess& engine) const -> bool
+{
+    return find(engine) != ends_.end();
+}
+
+auto CrashEvidence::recordBreak(Time now, const UpstreamProcess& engine, BrokenRequest request) -> void
+{
+    expire(now);
+    if (request.parts.size() > maxPromptParts)
+        request.parts.resize(maxPromptParts);
+    const auto found = find(engine);
+    if (found == ends_.end())
+        ends_.push_back({ engine, now, {} });
+    auto& end = found == ends_.end() ? ends_.back() : ends_[static_cast<std::size_t>(found - ends_.cbegin())];
+    if (request.parts.empty() || end.requests.size() >= maxRequests)
+        return;
+    for (const auto part : request.parts)
+        ++parts_[part];
+    end.requests.push_back(std::move(request));
+    while (ends_.size() > 1 && (ends_.size() > maxEngines || parts_.size() > maxParts))
+        forget(ends_.cbegin());
+}
+
+auto CrashEvidence::expire(Time now) -> void
+{
+    while (!ends_.empty() && (now - ends_.front().at > crashMemory || ends_.size() >= maxEngines))
+        forget(ends_.cbegin());
+}
+
+auto CrashEvidence::release(std::uint64_t part) -> void
+{
+    if (const auto found = parts_.find(part); --found->second == 0)
+        parts_.erase(found);
+}
+
+auto CrashEvidence::forget(std::deque<EngineEnd>::const_iterator end) -> void
+{
+    for (const auto& request : end->requests) {
+        for (const auto part : request.parts)
+            release(part);
+    }
+    ends_.erase(end);
+}
+
+auto CrashEvidence::recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> bool
+{
+    const auto found = find(engine);
+    if (found == ends_.end() || !showsLife(now, found->at, placedAt))
+        return false;
+    forget(found);
+    return true;
+}
+
+auto CrashEvidence::recordAnswered(std::span<const std::uint64_t> parts) -> void
+{
+    for (const auto part : parts) {
+        if (!parts_.contains(part))
+            continue;
+        for (auto& end : ends_) {
+            for (auto& request : end.requests) {
+                for (auto erased = std::erase(request.parts, part); erased > 0; --erased)
+                    release(part);
+            }
+        }
+    }
+}
+
+auto CrashEvidence::explain(std::uint64_t part) -> void
+{
+    const auto hasPart = [part](const BrokenRequest& request) {
+        return containsAll(request.parts, { &part, 1 });
+    };
+    for (auto end = ends_.cbegin(); end != ends_.cend();) {
+        const auto next = end + 1;
+        const auto index = next - ends_.cbegin();
+        if (std::ranges::any_of(end->requests, hasPart)) {
+            forget(end);
+            end = ends_.cbegin() + index - 1;
+        } else {
+            end = next;
+        }
+    }
+}
+
+auto CrashEvidence::enginesWith(std::span<const std::uint64_t> set) const -> std::size_t
+{
+    const auto count = std::ranges::count_if(ends_, [set](const EngineEnd& end) {
+        return std::ranges::any_of(
+            end.requests, [set](const BrokenRequest& request) { return containsAll(request.parts, set); });
+    });
+    return static_cast<std::size_t>(count);
+}
+
+auto CrashEvidence::presencesOf(const EngineEnd& end, std::size_t limit) const -> Presences
+{
+    auto presences = Presences {};
+    for (const auto& request : end.requests) {
+        for (const auto part : request.parts) {
+            if (parts_.at(part) >= limit)
+                presences.try_emplace(part);
+        }
+    }
+    if (presences.empty())
+        return presences;
+    for (auto index = std::size_t { 0 }; index < ends_.size(); ++index) {
+        for (const auto& request : ends_[index].requests) {
+            for (const auto part : request.parts) {
+                const auto found = presences.find(part);
+                if (found == presences.end())
+                    continue;
+                auto& list = found->second;
+                if (list.empty() || list.back().end != index)
+                    list.push_back({ index, request.placedAt });
+                else
+                    list.back().placedAt = std::max(list.back().placedAt, request.placedAt);
+            }
+        }
+    }
+    return presences;
+}
+
+auto CrashEvidence::failuresOf(std::span<const Presence> presences) const -> std::size_t
+{
+    auto failures = std::size_t { 0 };
+    auto last = Time {};
+    for (const auto& presence : presences) {
+        // What was placed before the previous end was known may have broken off by the same failure.
+        if (failures > 0 && presence.placedAt <= last)
+            continue;
+        ++failures;
+        last = ends_[presence.end].at;
+    }
+    return failures;
+}
+
+auto CrashEvidence::suspectsOf(const UpstreamProcess& engine, std::size_t limit) const
+    -> std::vector<std::vector<std::uint64_t>>
+{
+    const auto found = find(engine);
+    if (found == ends_.end())
+        return {};
+    const auto presences = presencesOf(*found, limit);
+    const auto isEnough = [this, limit](const auto& entry) { return failuresOf(entry.second) >= limit; };
+    if (std::ranges::none_of(presences, isEnough))
+        return {};
+    auto most = std::size_t { 0 };
+    for (const auto& [part, list] : presences)
+        most = std::max(most, list.size());
+
+    auto sets = std::vector<std::vector<std::uint64_t>> {};
+    for (const auto& request : found->requests) {
+        auto set = std::vector<std::uint64_t> {};
+        for (const auto part : request.parts) {
+            const auto list = presences.find(part);
+            if (list != presences.end() && list->second.size() == most)
+                set.push_back(part);
+        }
+        std::ranges::sort(set);
+        const auto repeated = std::ranges::unique(set);
+        set.erase(repeated.begin(), repeated.end());
+        const auto isPartOf = [&set](const auto& other) { return containsAll(other, set); };
+        if (set.empty() || std::ranges::any_of(sets, isPartOf))
+            continue;
+        std::erase_if(sets, [&set](const auto& other) { return containsAll(set, other); });
+        sets.push_back(std::move(set));
+    }
+    return sets;
+}
+
+} // namespace camphorshunt
--- /dev/null
+++ b/src/libcamphorshunt/crashevidence.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <span>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "camphorshunt/time.h"
+#include "camphorshunt/upstreamentry.h"
+
+namespace camphorshunt {
+
+/** A request whose answer broke off before it had lasted for a while. */
+struct BrokenRequest {
+    /** Shared parts of its prompt. */
+    std::vector<std::uint64_t> parts;
+    Time placedAt;
+};
+
+/** Whether all parts of `set` are among `parts`. */
+auto containsAll(std::span<const std::uint64_t> parts, std::span<const std::uint64_t> set) -> bool;
+
+/**
+ * Which prompt parts were on engines that ended and have not been answered since. Bounded; the oldest
+ * evidence is dropped first. Not thread-safe.
+ */
+class CrashEvidence {
+public:
+    /** Limit of engines and of prompt parts that are remembered. */
+    static constexpr auto maxEngines = std::size_t { 256 };
+    static constexpr auto maxParts = std::size_t { 1024 };
+
+    /** The engine broke off this request, and does not live unless it shows that it does. */
+    auto recordBreak(Time now, const UpstreamProcess& engine, BrokenRequest request) -> void;
+    /** The engine has answered a request placed at this time; true if it had been taken for ended. */
+    auto recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> bool;
+    /** An answer to a request with these parts has lasted: none of them ended an engine before. */
+    auto recordAnswered(std::span<const std::uint64_t> parts) -> void;
+    /** Drops the engines that had the part: it alone explains why they ended. */
+    auto explain(std::uint64_t part) -> void;
+
+    auto hasEnded(const UpstreamProcess& engine) const -> bool;
+    /**
+     * Sets of parts, each from one prompt, that explain best why the engine and `limit - 1` others ended.
+     * Parts that the evidence does not tell apart are in one set, and no set is a part of another. Empty if
+     * no part was on enough engines.
+     */
+    auto suspectsOf(const UpstreamProcess& engine, std::size_t limit) const
+        -> std::vector<std::vector<std::uint64_t>>;
+
+    /** Number of ended engines that had a request with all parts of the set. */
+    auto enginesWith(std::span<const std::uint64_t> set) const -> std::size_t;
+
+    auto observedParts() const -> std::size_t { return parts_.size(); }
+    auto observedEngines() const -> std::size_t { return ends_.size(); }
+
+private:
+    struct EngineEnd {
+        UpstreamProcess engine;
+        Time at;
+        std::vector<BrokenRequest> requests;
+    };
+    /** A part was on the engine whose end has this index. */
+    struct Presence {
+        std::size_t end = 0;
+        /** When the last of the broken requests with the part was placed. */
+        Time placedAt;
+    };
+    using Presences = absl::flat_hash_map<std::uint64_t, std::vector<Presence>>;
+
+    /** Of the parts that were on this engine and may have been on `limit` engines. */
+    auto presencesOf(const EngineEnd& end, std::size_t limit) const -> Presences;
+    /** Number of ends that have no common cause other than the part. */
+    auto failuresOf(std::span<const Presence> presences) const -> std::size_t;
+    auto find(const UpstreamProcess& engine) const -> std::deque<EngineEnd>::const_iterator;
+    auto forget(std::deque<EngineEnd>::const_iterator end) -> void;
+    auto release(std::uint64_t part) -> void;
+    auto expire(Time now) -> void;
+
+    /** In order of time. */
+    std::deque<EngineEnd> ends_;
+    /** Number of broken requests with the part. */
+    absl::flat_hash_map<std::uint64_t, std::size_t> parts_;
+};
+
+} // namespace camphorshunt
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -74,10 +74,7 @@
     auto recordRest(Time now, UpstreamId engine, RouterId router, Time until) -> void;
     auto recordRest(Time now, const UpstreamProcess& process, RouterId router, Time until) -> void;
     /** See `PromptQuarantine::apply`. */
-    auto applyQuarantine(Time now, const QuarantinedPart& told) -> bool
-    {
-        return quarantine_.apply(now, told);
-    }
+    auto applyQuarantine(const QuarantinedPart& told) -> bool { return quarantine_.apply(told); }
     /** What was found out since the last call about prompt parts under which engines crash. */
     auto takeQuarantineChanges() -> std::vector<QuarantineChange> { return quarantine_.takeChanges(); }
     auto quarantinedParts() const -> std::vector<QuarantinedPart> { return quarantine_.quarantined(); }
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -15,19 +15,22 @@
 constexpr auto quarantineGrowth = 4;
 /** Wait of other requests while one is tried. */
 constexpr auto trialTime = Duration(1s);
-/** Reports on an engine from before its crash may arrive for so long after it. */
-constexpr auto maxReportLag = Duration(150ms);
-/** Crashes that lie further apart are not counted together. */
-constexpr auto crashMemory = Duration(3600s);
-
+/** Time for all routers to report the requests that broke off as an engine ended. */
+constexpr auto reportSpread = Duration(20ms);
+/** Sets of parts that are suspected at a time. */
+constexpr auto maxSuspicions = std::size_t { 64 };
 auto isSignOfLife(PlacementEnd end) -> bool
 {
     return end == PlacementEnd::Finished || end == PlacementEnd::Full || end == PlacementEnd::Failed;
 }
 
-auto showsLife(Time now, Time crashedAt, Time placedAt) -> bool
+auto idsOf(std::span<const PromptPart> parts) -> std::vector<std::uint64_t>
 {
-    return placedAt > crashedAt || now - crashedAt >= maxReportLag;
+    auto ids = std::vector<std::uint64_t> {};
+    ids.reserve(parts.size());
+    for (const auto& part : parts)
+        ids.push_back(part.id);
+    return ids;
 }
 
 } // namespace
@@ -35,18 +38,22 @@
 auto PromptQuarantine::blockedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>
 {
     auto until = std::optional<Time> {};
-    if (suspects_.empty())
+    if (concernedParts_.empty())
         return until;
-    for (const auto& part : sharedParts(parts)) {
-        const auto found = suspects_.find(part.id);
-        if (found == suspects_.end())
-            continue;
-        const auto& suspect = found->second;
-        auto free = suspect.verdictDue.value_or(now);
-        if (suspect.isQuarantined())
-            free = suspect.trial ? std::max(now, suspect.until) + trialTime : suspect.until;
+    const auto ids = idsOf(sharedParts(parts));
+    if (!mayConcern(ids))
+        return until;
+    const auto block = [&until, now](Time free) {
         if (free > now)
             until = std::max(until.value_or(free), free);
+    };
+    for (const auto& quarantine : quarantines_) {
+        if (containsAll(ids, quarantine.parts))
+            block(quarantine.trial ? std::max(now, quarantine.until) + trialTime : quarantine.until);
+    }
+    for (const auto& suspicion : suspicions_) {
+        if (containsAll(ids, suspicion.parts))
+            block(suspicion.until);
     }
     return until;
 }
@@ -55,17 +62,15 @@
     -> void
 {
     auto& request = requests_[key];
-    request = { {}, now, std::nullopt };
-    for (const auto& part : sharedParts(parts)) {
-        request.parts.push_back(part.id);
-        const auto found = suspects_.find(part.id);
-        if (found == suspects_.end() || !found->second.isQuarantined())
+    request = { idsOf(sharedParts(parts)), now, std::nullopt };
+    if (!mayConcern(request.parts))
+        return;
+    for (auto& quarantine : quarantines_) {
+        if (!containsAll(request.parts, quarantine.parts))
             continue;
-        found->second.trial = key;
+        quarantine.trial = key;
         hasNewBlock_ = true;
     }
-    if (request.parts.empty())
-        requests_.erase(key);
 }
 
 auto PromptQuarantine::recordStarted(Time now, const PlacementKey& key, const UpstreamProcess& engine) -> void
@@ -86,51 +91,39 @@
     const auto found = requests_.find(key);
     if (found == requests_.end())
         return;
-    const auto request = std::move(found->second);
+    auto request = std::move(found->second);
     requests_.erase(found);
     const auto hasLasted = request.startedAt && now - *request.startedAt >= lastingAnswer;
     if (isSignOfLife(end))
         recordLife(now, engine, request.placedAt);
     if (end == PlacementEnd::Broken && !hasLasted) {
-        recordCrash(now, key, request, engine);
+        recordCrash(now, key, std::move(request), engine);
         return;
     }
     if (end == PlacementEnd::Finished)
         clear(now, request);
-    endTrials(key, request);
+    endTrials(key);
 }
 
 auto PromptQuarantine::recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> void
 {
-    const auto crashed = crashedEngines_.find(engine.upstream);
-    if (crashed == crashedEngines_.end() || !showsLife(now, crashed->second, placedAt))
+    if (!evidence_.recordLife(now, engine, placedAt))
         return;
-    crashedEngines_.erase(crashed);
-    absl::erase_if(suspects_, [&engine](auto& entry) {
-        auto& suspect = entry.second;
-        const auto disproved = std::erase_if(
-            suspect.crashes, [&engine](const Crash& crash) { return crash.engine == engine; });
-        if (!suspect.isConvicted())
-            suspect.verdictDue.reset();
-        return disproved > 0 && suspect.crashes.empty() && !suspect.isQuarantined();
-    });
+    std::erase_if(suspicions_,
+        [this](const Suspicion& suspicion) { return evidence_.enginesWith(suspicion.parts) < crashLimit; });
 }
 
 auto PromptQuarantine::forget(const PlacementKey& key) -> void
 {
-    const auto found = requests_.find(key);
-    if (found == requests_.end())
-        return;
-    endTrials(key, found->second);
-    requests_.erase(found);
+    if (requests_.erase(key) > 0)
+        endTrials(key);
 }
 
-auto PromptQuarantine::endTrials(const PlacementKey& key, const Request& request) -> void
+auto PromptQuarantine::endTrials(const PlacementKey& key) -> void
 {
-    for (const auto part : request.parts) {
-        const auto suspect = suspects_.find(part);
-        if (suspect != suspects_.end() && suspect->second.trial == key)
-            suspect->second.trial.reset();
+    for (auto& quarantine : quarantines_) {
+        if (quarantine.trial == key)
+            quarantine.trial.reset();
     }
 }
 
@@ -146,161 +139,218 @@
 
 auto PromptQuarantine::clear(Time now, const Request& request) -> void
 {
-    if (suspects_.empty())
+    evidence_.recordAnswered(request.parts);
+    if (!mayConcern(request.parts))
         return;
-    for (const auto part : request.parts) {
-        const auto found = suspects_.find(part);
-        if (found == suspects_.end())
+    const auto isCleared = [&request](std::uint64_t part) {
+        return std::ranges::find(request.parts, part) != request.parts.end();
+    };
+    std::erase_if(suspicions_,
+        [&isCleared](const Suspicion& suspicion) { return std::ranges::any_of(suspicion.parts, isCleared); });
+    auto narrowed = std::vector<Quarantine> {};
+    std::erase_if(quarantines_, [&](const Quarantine& quarantine) {
+        if (std::ranges::none_of(quarantine.parts, isCleared))
+            return false;
+        auto rest = quarantine;
+        std::erase_if(rest.parts, isCleared);
+        // Only a request that was placed after the quarantine shows that engines bear the parts now.
+        if (rest.parts.empty() && request.placedAt < quarantine.until)
+            return false;
+        reportRelease(now, quarantine.parts);
+        if (!rest.parts.empty())
+            narrowed.push_back(std::move(rest));
+        return true;
+    });
+    for (auto& rest : narrowed) {
+        if (find(rest.parts) != quarantines_.end())
             continue;
-        if (found->second.isQuarantined()) {
-            // Only a request that was placed after the quarantine shows that engines bear the part now.
-            if (request.placedAt < found->second.until)
-                continue;
-            changes_.push_back({ { part, now, {}, true }, 0, {} });
-        }
-        suspects_.erase(found);
+        dropExplained(now, rest.parts);
+        rest.trial.reset();
+        reportChange(rest);
+        add(std::move(rest));
     }
 }
 
 auto PromptQuarantine::recordCrash(
-    Time now, const PlacementKey& key, const Request& request, const UpstreamProcess& engine) -> void
+    Time now, const PlacementKey& key, Request request, const UpstreamProcess& engine) -> void
 {
     const auto due = now + lifeSignTime;
-    if (const auto known = findQuarantined(request.parts)) {
-        // Requests that were placed before the quarantine say nothing new about the other parts.
-        auto& suspect = suspects_.at(*known);
-        if (suspect.trial != key)
-            return;
-        suspect.crashes = { { engine, now } };
-        recordCrashed(now, engine);
-        verdicts_.push_back({ due, *known, {} });
-        return;
-    }
-    auto convicted = std::optional<std::uint64_t> {};
-    for (const auto part : request.parts) {
-        auto& suspect = observe(now, part);
-        auto& crashes = suspect.crashes;
-        if (std::ranges::find(crashes, engine, &Crash::engine) != crashes.end()
-            || (!crashes.empty() && request.placedAt <= suspect.lastCrash))
+    auto isExplained = false;
+    for (const auto& quarantine : quarantines_) {
+        if (!containsAll(request.parts, quarantine.parts))
             continue;
-        crashes.push_back({ engine, now });
-        recordCrashed(now, engine);
-        suspect.lastCrash = now;
-        if (suspect.isConvicted())
-            convicted = part;
+        isExplained = true;
+        if (quarantine.trial == key)
+            verdicts_.push_back({ due, engine, quarantine.parts });
     }
-    if (!convicted || suspects_.at(*convicted).verdictDue)
+    // Requests that were placed before a quarantine say nothing new about their other parts.
+    if (isExplained)
+        request.parts.clear();
+    evidence_.recordBreak(now, engine, { std::move(request.parts), request.placedAt });
+    if (isExplained)
         return;
-    suspects_.at(*convicted).verdictDue = due;
-    hasNewBlock_ = true;
-    verdicts_.push_back({ due, *convicted, request.parts });
+    judgeLater(now, engine);
 }
 
-auto PromptQuarantine::recordCrashed(Time now, const UpstreamProcess& engine) -> void
+auto PromptQuarantine::judgeLater(Time now, const UpstreamProcess& engine) -> void
 {
-    if (crashedEngines_.size() >= maxParts && !crashedEngines_.contains(engine.upstream)) {
-        // An engine that has shown no sign of life for longest is the least likely to show one.
-        crashedEngines_.erase(std::ranges::min_element(
-            crashedEngines_, {}, [](const auto& crashed) { return crashed.second; }));
+    if (!toBeJudged_.insert(engine.upstream).second)
+        return;
+    toBeSuspected_.emplace_back(now + reportSpread, engine);
+    verdicts_.push_back({ now + lifeSignTime, engine, {} });
+}
+
+auto PromptQuarantine::suspectDue(Time now) -> void
+{
+    for (; !toBeSuspected_.empty() && toBeSuspected_.front().first <= now; toBeSuspected_.pop_front()) {
+        for (auto& parts : evidence_.suspectsOf(toBeSuspected_.front().second, crashLimit)) {
+            const auto isKnown
+                = std::ranges::find(suspicions_, parts, &Suspicion::parts) != suspicions_.end();
+            if (isKnown || suspicions_.size() >= maxSuspicions)
+                continue;
+            noteConcerned(parts);
+            suspicions_.push_back({ std::move(parts), now + lifeSignTime });
+            hasNewBlock_ = true;
+        }
     }
-    crashedEngines_[engine.upstream] = now;
 }
 
 auto PromptQuarantine::settle(Time now) -> void
 {
     clearLasting(now);
+    suspectDue(now);
     for (; !verdicts_.empty() && verdicts_.front().due <= now; verdicts_.pop_front()) {
         const auto& verdict = verdicts_.front();
-        const auto found = suspects_.find(verdict.part);
-        if (found == suspects_.end() || !found->second.awaitsVerdict(now))
-            continue;
-        if (!found->second.isConvicted()) {
-            found->second.trial.reset();
-            found->second.verdictDue.reset();
+        const auto& engine = verdict.engine;
+        if (verdict.tried.empty()) {
+            toBeJudged_.erase(engine.upstream);
+            for (auto& parts : evidence_.suspectsOf(engine, crashLimit))
+                quarantine(now, std::move(parts), engine.upstream);
             continue;
         }
-        quarantine(now, verdict.part);
-        for (const auto part : verdict.parts) {
-            if (part != verdict.part && suspects_.contains(part) && !suspects_.at(part).isQuarantined())
-                suspects_.erase(part);
-        }
+        const auto found = find(verdict.tried);
+        if (found == quarantines_.end() || !found->trial)
+            continue;
+        if (evidence_.hasEnded(engine))
+            prolong(now, *found, engine.upstream);
+        else
+            found->trial.reset();
     }
+    std::erase_if(suspicions_, [now](const Suspicion& suspicion) { return suspicion.until <= now; });
 }
 
-auto PromptQuarantine::findQuarantined(std::span<const std::uint64_t> parts) const
-    -> std::optional<std::uint64_t>
+auto PromptQuarantine::find(std::span<const std::uint64_t> parts) -> std::vector<Quarantine>::iterator
 {
-    for (const auto part : parts) {
-        const auto found = suspects_.find(part);
-        if (found != suspects_.end() && found->second.isQuarantined())
-            return part;
-    }
-    return std::nullopt;
+    return std::ranges::find_if(quarantines_,
+        [parts](const Quarantine& quarantine) { return std::ranges::equal(quarantine.parts, parts); });
+}
+
+auto PromptQuarantine::quarantine(Time now, Parts parts, UpstreamId engine) -> void
+{
+    const auto isCovered
+        = [&parts](const Quarantine& quarantine) { return containsAll(parts, quarantine.parts); };
+    if (std::ranges::any_of(quarantines_, isCovered))
+        return;
+    auto added = Quarantine {};
+    added.length = firstQuarantine;
+    added.until = now + added.length;
+    added.crashes = evidence_.enginesWith(parts);
+    added.lastEngine = engine;
+    dropExplained(now, parts);
+    added.parts = std::move(parts);
+    reportChange(added);
+    add(std::move(added));
 }
 
-auto PromptQuarantine::quarantine(Time now, std::uint64_t part) -> void
+auto PromptQuarantine::prolong(Time now, Quarantine& quarantine, UpstreamId engine) -> void
 {
-    auto& suspect = suspects_.at(part);
-    suspect.length = suspect.isQuarantined() ? std::min(suspect.length * quarantineGrowth, maxQuarantine)
-                                             : firstQuarantine;
-    suspect.until = now + suspect.length;
-    suspect.lastCrash = now;
-    suspect.trial.reset();
-    suspect.verdictDue.reset();
+    quarantine.length = std::min(quarantine.length * quarantineGrowth, maxQuarantine);
+    quarantine.until = now + quarantine.length;
+    quarantine.trial.reset();
+    quarantine.crashes = 1;
+    quarantine.lastEngine = engine;
     hasNewBlock_ = true;
-    changes_.push_back({ { part, suspect.until, suspect.length, false },
-        static_cast<std::uint32_t>(suspect.crashes.size()), suspect.crashes.back().engine.upstream });
-    suspect.crashes.clear();
+    reportChange(quarantine);
 }
 
-auto PromptQuarantine::observe(Time now, std::uint64_t part) -> Suspect&
+auto PromptQuarantine::dropExplained(Time now, std::span<const std::uint64_t> parts) -> void
 {
-    const auto found = suspects_.find(part);
-    if (found == suspects_.end() && suspects_.size() >= maxParts)
-        evict();
-    auto& suspect = suspects_[part];
-    if (!suspect.isQuarantined() && now - suspect.lastCrash > crashMemory)
-        suspect.crashes.clear();
-    return suspect;
+    std::erase_if(quarantines_, [&](const Quarantine& quarantine) {
+        if (!containsAll(quarantine.parts, parts))
+            return false;
+        reportRelease(now, quarantine.parts);
+        return true;
+    });
+    if (parts.size() == 1)
+        evidence_.explain(parts.front());
 }
 
-auto PromptQuarantine::evict() -> void
+auto PromptQuarantine::add(Quarantine quarantine) -> void
 {
-    const auto isLessUseful = [](const auto& left, const auto& right) {
-        return std::pair(left.second.isQuarantined(), left.second.lastCrash)
-            < std::pair(right.second.isQuarantined(), right.second.lastCrash);
-    };
-    suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(), isLessUseful));
+    if (quarantines_.size() >= maxParts)
+        quarantines_.erase(std::ranges::min_element(quarantines_, {}, &Quarantine::until));
+    noteConcerned(quarantine.parts);
+    quarantines_.push_back(std::move(quarantine));
+    hasNewBlock_ = true;
 }
 
-auto PromptQuarantine::apply(Time now, const QuarantinedPart& told) -> bool
+auto PromptQuarantine::mayConcern(std::span<const std::uint64_t> parts) const -> bool
 {
-    const auto found = suspects_.find(told.part);
+    return !concernedParts_.empty()
+        && std::ranges::any_of(parts, [this](std::uint64_t part) { return concernedParts_.contains(part); });
+}
+
+auto PromptQuarantine::noteConcerned(std::span<const std::uint64_t> parts) -> void
+{
+    if (concernedParts_.size() >= 2 * maxParts) {
+        concernedParts_.clear();
+        for (const auto& quarantine : quarantines_)
+            concernedParts_.insert(quarantine.parts.begin(), quarantine.parts.end());
+        for (const auto& suspicion : suspicions_)
+            concernedParts_.insert(suspicion.parts.begin(), suspicion.parts.end());
+    }
+    concernedParts_.insert(parts.begin(), parts.end());
+}
+
+auto PromptQuarantine::reportChange(const Quarantine& quarantine) -> void
+{
+    changes_.push_back({ { quarantine.parts.front(), quarantine.until, quarantine.length, false },
+        static_cast<std::uint32_t>(quarantine.crashes), quarantine.lastEngine,
+        { quarantine.parts.begin() + 1, quarantine.parts.end() } });
+}
+
+auto PromptQuarantine::reportRelease(Time now, std::span<const std::uint64_t> parts) -> void
+{
+    changes_.push_back({ { parts.front(), now, {}, true }, 0, {}, { parts.begin() + 1, parts.end() } });
+}
+
+auto PromptQuarantine::apply(const QuarantinedPart& told) -> bool
+{
+    const auto found = find({ &told.part, 1 });
     if (told.released) {
-        if (found == suspects_.end() || !found->second.isQuarantined())
+        if (found == quarantines_.end())
             return false;
-        suspects_.erase(found);
+        quarantines_.erase(found);
         return true;
     }
-    if (found != suspects_.end() && found->second.length >= told.length)
+    if (found != quarantines_.end() && found->length >= told.length)
         return false;
-    auto& suspect = observe(now, told.part);
-    suspect.length = told.length;
-    suspect.until = told.until;
-    suspect.lastCrash = now;
-    suspect.trial.reset();
-    suspect.verdictDue.reset();
-    suspect.crashes.clear();
-    hasNewBlock_ = true;
+    if (found != quarantines_.end())
+        quarantines_.erase(found);
+    std::erase_if(quarantines_, [&told](const Quarantine& quarantine) {
+        return containsAll(quarantine.parts, { &told.part, 1 });
+    });
+    evidence_.explain(told.part);
+    add({ { told.part }, told.length, told.until, std::nullopt });
     return true;
 }
 
 auto PromptQuarantine::quarantined() const -> std::vector<QuarantinedPart>
 {
     auto parts = std::vector<QuarantinedPart> {};
-    for (const auto& [part, suspect] : suspects_) {
-        if (suspect.isQuarantined())
-            parts.push_back({ part, suspect.until, suspect.length, false });
+    for (const auto& quarantine : quarantines_) {
+        if (quarantine.parts.size() == 1)
+            parts.push_back({ quarantine.parts.front(), quarantine.until, quarantine.length, false });
     }
     return parts;
 }
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -8,12 +8,15 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include "camphorshunt/placement.h"
 #include "camphorshunt/prompt.h"
 #include "camphorshunt/time.h"
 #include "camphorshunt/upstreamentry.h"
 
+#include "crashevidence.h"
+
 namespace camphorshunt {
 
 /** A prompt part that is kept away from engines, as known by one router and told to the others. */
@@ -30,10 +33,12 @@
 /** Why a part entered or left quarantine, for the log. */
 struct QuarantineChange {
     QuarantinedPart part;
-    /** Broken requests with the part, on different engines and with no answered one between them. */
+    /** Engines that ended with requests that have the part. */
     std::uint32_t crashes = 0;
     /** The engine that ended last under the part. */
     UpstreamId engine;
+    /** Only requests that have these parts too are kept away. Not told to other routers. */
+    std::vector<std::uint64_t> with;
 };
 
 /**
@@ -41,11 +46,10 @@
  * the engines; now and then one is tried, as a new release may bear the part. The last part of a prompt
  * belongs to the request alone and is not considered.
  *
- * A request counts against its parts if its answer breaks off before it has lasted for a while. It counts
- * once for each engine process, and only if it was placed after the part's previous crash was known, as one
- * failure breaks off many requests. It does not count any more if the engine process turns out to live. A
- * lasting answer clears all parts of its prompt. Of several parts of a prompt that qualify, the last one,
- * which fewest requests share, is kept away. Not thread-safe.
+ * A request counts against its parts if its answer breaks off before it has lasted for a while, unless the
+ * engine process turns out to live. A lasting answer clears all parts of its prompt. While the evidence does
+ * not tell several parts apart, only requests that have all of them are kept away; answers and crashes of
+ * other requests then narrow them down. Not thread-safe.
  */
 class PromptQuarantine {
 public:
@@ -55,8 +59,8 @@
     static constexpr auto lastingAnswer = Duration(std::chrono::milliseconds(500));
     /** Time in which a live engine that only broke off an answer begins or ends another one. */
     static constexpr auto lifeSignTime = Duration(std::chrono::milliseconds(500));
-    /** Limit of parts that are observed at a time. */
-    static constexpr auto maxParts = std::size_t { 1024 };
+    /** Limit of parts that are observed at a time, and of quarantines. */
+    static constexpr auto maxParts = CrashEvidence::maxParts;
 
     /** When the first request with any of these parts may be placed; none if one may be placed now. */
     auto blockedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>;
@@ -72,78 +76,85 @@
     auto forget(const PlacementKey& key) -> void;
 
     /** Applies what another router has found out; returns whether it was new. */
-    auto apply(Time now, const QuarantinedPart& told) -> bool;
-    /** All parts in quarantine. */
+    auto apply(const QuarantinedPart& told) -> bool;
+    /** All parts that are in quarantine by themselves. */
     auto quarantined() const -> std::vector<QuarantinedPart>;
+
     /** What this object has found out since the last call. */
     auto takeChanges() -> std::vector<QuarantineChange> { return std::exchange(changes_, {}); }
     /** Whether `blockedUntil` may have become later for some request since the last call. */
     auto takeNewBlock() -> bool { return std::exchange(hasNewBlock_, false); }
 
-    auto observedParts() const -> std::size_t { return suspects_.size(); }
-    auto observedEngines() const -> std::size_t { return crashedEngines_.size(); }
+    auto observedParts() const -> std::size_t { return evidence_.observedParts(); }
+    auto observedEngines() const -> std::size_t { return evidence_.observedEngines(); }
 
 private:
+    using Parts = std::vector<std::uint64_t>;
+
     struct Request {
-        std::vector<std::uint64_t> parts;
+        Parts parts;
         Time placedAt;
         std::optional<Time> startedAt;
     };
-    struct Crash {
-        UpstreamProcess engine;
-        Time at;
-    };
-    struct Suspect {
-        std::vector<Crash> crashes;
-        Time lastCrash;
-        /** Until then requests with the part are refused, as a verdict is due. */
-        std::optional<Time> verdictDue;
-        /** Zero unless the part is in quarantine. */
+    struct Quarantine {
+        /** Sorted; requests that have all of them are kept away. */
+        Parts parts;
         Duration length {};
         Time until;
         /** The request that is tried after a quarantine. */
         std::optional<PlacementKey> trial;
-
-        auto isQuarantined() const -> bool { return length > Duration {}; }
-        auto awaitsVerdict(Time now) const -> bool
-        {
-            return isQuarantined() ? trial.has_value() : verdictDue && *verdictDue <= now;
-        }
-        /** Whether the crashes suffice for a quarantine, or for a longer one. */
-        auto isConvicted() const -> bool { return crashes.size() >= (isQuarantined() ? 1 : crashLimit); }
+        /** Zero if another router has told of the part. */
+        std::size_t crashes = 0;
+        UpstreamId lastEngine {};
+    };
+    /** Keeps requests away while it is not known yet whether an engine has ended. */
+    struct Suspicion {
+        Parts parts;
+        Time until;
     };
-    /** A part that is to be quarantined unless an engine shows that it lives. */
     struct Verdict {
         Time due;
-        std::uint64_t part = 0;
-        /** Of the prompt under which the last engine crashed. */
-        std::vector<std::uint64_t> parts;
+        UpstreamProcess engine;
+        /** Of the quarantine whose trial broke off; otherwise empty. */
+        Parts tried;
     };
 
     /** Clears the parts of requests whose answers have lasted. */
     auto clearLasting(Time now) -> void;
     auto clear(Time now, const Request& request) -> void;
-    /** The engine has answered a request that was placed at this time. */
     auto recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> void;
-    auto recordCrash(Time now, const PlacementKey& key, const Request& request, const UpstreamProcess& engine)
+    auto recordCrash(Time now, const PlacementKey& key, Request request, const UpstreamProcess& engine)
         -> void;
-    auto findQuarantined(std::span<const std::uint64_t> parts) const -> std::optional<std::uint64_t>;
-    auto quarantine(Time now, std::uint64_t part) -> void;
-    /** Adds the part to those that are observed; another one may have to go. */
-    auto observe(Time now, std::uint64_t part) -> Suspect&;
-    auto evict() -> void;
-    /** Remembers an engine of which a crash counts. */
-    auto recordCrashed(Time now, const UpstreamProcess& engine) -> void;
-    auto endTrials(const PlacementKey& key, const Request& request) -> void;
+    /** Suspects parts for the end of the engine soon, and quarantines them unless the engine shows life. */
+    auto judgeLater(Time now, const UpstreamProcess& engine) -> void;
+    auto suspectDue(Time now) -> void;
+    auto find(std::span<const std::uint64_t> parts) -> std::vector<Quarantine>::iterator;
+    auto quarantine(Time now, Parts parts, UpstreamId engine) -> void;
+    auto prolong(Time now, Quarantine& quarantine, UpstreamId engine) -> void;
+    /** Drops what a quarantine of these parts makes needless. */
+    auto dropExplained(Time now, std::span<const std::uint64_t> parts) -> void;
+    auto add(Quarantine quarantine) -> void;
+    /** Whether any of the parts is in a quarantine or suspicion, or was lately. */
+    auto mayConcern(std::span<const std::uint64_t> parts) const -> bool;
+    auto noteConcerned(std::span<const std::uint64_t> parts) -> void;
+    auto reportChange(const Quarantine& quarantine) -> void;
+    auto reportRelease(Time now, std::span<const std::uint64_t> parts) -> void;
+    auto endTrials(const PlacementKey& key) -> void;
 
     absl::flat_hash_map<PlacementKey, Request> requests_;
-    absl::flat_hash_map<std::uint64_t, Suspect> suspects_;
+    CrashEvidence evidence_;
+    std::vector<Quarantine> quarantines_;
+    std::vector<Suspicion> suspicions_;
+    /** Has all parts of quarantines and suspicions, and may have some of former ones. */
+    absl::flat_hash_set<std::uint64_t> concernedParts_;
     /** In order of time. */
     std::deque<std::pair<Time, PlacementKey>> started_;
     /** In order of time. */
     std::deque<Verdict> verdicts_;
-    /** Engines of which crashes count, and when the last one was. */
-    absl::flat_hash_map<UpstreamId, Time> crashedEngines_;
+    /** Engines for whose end parts are to be suspected; in order of time. */
+    std::deque<std::pair<Time, UpstreamProcess>> toBeSuspected_;
+    /** Engines with a verdict that is due, other than of a trial. */
+    absl::flat_hash_set<UpstreamId> toBeJudged_;
     std::vector<QuarantineChange> changes_;
     bool hasNewBlock_ = false;
 };
--- a/tests/unit/crashingprompttest.cpp
+++ b/tests/unit/crashingprompttest.cpp
@@ -180,3 +180,53 @@
     CHECK(engines.crashes >= 12);
     CHECK(engines.soundRefused() == 0);
 }
+
+TEST_CASE("A crashing part is found although groups of its requests share another part with sound ones")
+{
+    const auto groupSize = GENERATE(1, 2, 3, 5);
+    const auto isFirst = GENERATE(true, false);
+    constexpr auto group = 2500ms;
+    auto engines = CrashingEngines(18);
+    for (auto time = 0ms; time < 18s; time += stepTime) {
+        const auto document = std::uint64_t(500 + time / group);
+        if (time % soundInterval == 0ms)
+            engines.submitSound();
+        // A sound request of each group comes long enough before the group to be answered.
+        if (time % group == 0ms)
+            engines.sound.insert(engines.submit(engines.requestWith({ firstPart, document + 1 })));
+        if (time >= group && time % group < groupSize * 400ms && time % 400ms == 0ms) {
+            if (isFirst)
+                engines.submitCrashing({ crashingPart, document });
+            else
+                engines.submitCrashing({ document, crashingPart });
+        }
+        engines.step();
+    }
+    CAPTURE(groupSize, isFirst, engines.crashes, engines.sentCrashing);
+    CHECK(engines.crashes >= PromptQuarantine::crashLimit);
+    CHECK(engines.sentTooLate() <= 3);
+    CHECK(engines.soundRefused() == 0);
+}
+
+TEST_CASE("Sound requests are served while crashing ones have the same, never answered document")
+{
+    const auto isFirst = GENERATE(true, false);
+    auto engines = CrashingEngines(18);
+    for (auto time = 0ms; time < 14s; time += stepTime) {
+        if (time % soundInterval == 0ms)
+            engines.submitSound();
+        if (time >= 3s && time % 300ms == 0ms) {
+            const auto document = std::uint64_t(time < 6s ? 600 : 601);
+            if (isFirst)
+                engines.submitCrashing({ crashingPart, document });
+            else
+                engines.submitCrashing({ document, crashingPart });
+        }
+        if (time >= 5s && time % 300ms == 0ms)
+            engines.sound.insert(engines.submit(engines.requestWith({ firstPart, 600 })));
+        engines.step();
+    }
+    CAPTURE(isFirst, engines.crashes, engines.sentCrashing);
+    CHECK(engines.sentTooLate() <= 3);
+    CHECK(engines.soundRefused() == 0);
+}
--- a/tests/unit/promptquarantinetest.cpp
+++ b/tests/unit/promptquarantinetest.cpp
@@ -68,12 +68,13 @@
 
 } // namespace
 
-TEST_CASE("Of the parts of a prompt under which engines crash only the most specific one is quarantined")
+TEST_CASE("Requests with some of the parts that crashes do not tell apart are not kept away")
 {
     auto fixture = Fixture {};
     fixture.quarantineCrashing();
     CHECK(fixture.isBlocked(fixture.prompt));
     CHECK_FALSE(fixture.isBlocked(fixture.sound));
+    CHECK_FALSE(fixture.isBlocked({ { crashing, 100 }, { 10, 100 } }));
     // The last part belongs to the request.
     CHECK_FALSE(fixture.isBlocked({ { shared, 100 }, { crashing, 100 } }));
 }
@@ -182,11 +183,11 @@
 {
     auto fixture = Fixture {};
     const auto told = QuarantinedPart { crashing, fixture.now + 10s, 15s, false };
-    CHECK(fixture.quarantine.apply(fixture.now, told));
-    CHECK_FALSE(fixture.quarantine.apply(fixture.now, told));
+    CHECK(fixture.quarantine.apply(told));
+    CHECK_FALSE(fixture.quarantine.apply(told));
     CHECK(fixture.endOfQuarantine() == told.until);
-    CHECK(fixture.quarantine.apply(fixture.now, { crashing, fixture.now + 60s, 60s, false }));
-    CHECK(fixture.quarantine.apply(fixture.now, { crashing, fixture.now, {}, true }));
+    CHECK(fixture.quarantine.apply({ crashing, fixture.now + 60s, 60s, false }));
+    CHECK(fixture.quarantine.apply({ crashing, fixture.now, {}, true }));
     CHECK_FALSE(fixture.isBlocked(fixture.prompt));
     CHECK(fixture.quarantine.takeChanges().empty());
 }
@@ -222,3 +223,44 @@
     fixture.settle();
     CHECK(fixture.isBlocked(fixture.prompt));
 }
+
+TEST_CASE("Sound requests are not kept away by crashes under a part that they share")
+{
+    const auto isFirst = GENERATE(false, true);
+    auto fixture = Fixture {};
+    const auto prompt = isFirst ? Fixture::Parts { { crashing, 100 }, { 3, 100 }, { 9, 100 } }
+                                : Fixture::Parts { { 3, 100 }, { crashing, 100 }, { 9, 100 } };
+    fixture.end(fixture.place(fixture.sound), PlacementEnd::Finished, 30);
+    for (auto engine = std::uint64_t { 1 }; engine <= 3; ++engine)
+        fixture.crash(prompt, engine);
+    fixture.now += 20ms;
+    fixture.quarantine.settle(fixture.now);
+    CHECK(fixture.isBlocked(prompt));
+    CHECK_FALSE(fixture.isBlocked(fixture.sound));
+    fixture.settle();
+    CHECK(fixture.isBlocked(prompt));
+    CHECK_FALSE(fixture.isBlocked(fixture.sound));
+}
+
+TEST_CASE("Of parts that were quarantined together the sound one is free once a request with it is answered")
+{
+    auto fixture = Fixture {};
+    fixture.quarantineCrashing();
+    CHECK(fixture.quarantine.quarantined().empty());
+    fixture.end(fixture.place(fixture.sound), PlacementEnd::Finished, 30);
+    CHECK(fixture.isBlocked({ { crashing, 100 }, { 10, 100 } }));
+    REQUIRE(fixture.quarantine.quarantined().size() == 1);
+    CHECK(fixture.quarantine.quarantined().front().part == crashing);
+}
+
+TEST_CASE("Of parts that were quarantined together the crashing one is blamed after its next crash")
+{
+    auto fixture = Fixture {};
+    fixture.quarantineCrashing();
+    fixture.crash({ { crashing, 100 }, { 70, 100 }, { 9, 100 } }, 4);
+    fixture.settle();
+    CHECK(fixture.isBlocked({ { 71, 100 }, { crashing, 100 }, { 9, 100 } }));
+    CHECK_FALSE(fixture.isBlocked(fixture.sound));
+    CHECK_FALSE(fixture.isBlocked({ { 70, 100 }, { 9, 100 } }));
+    CHECK(fixture.quarantine.quarantined().size() == 1);
+}
