--- a/src/camphorshuntload/simulatedstore.cpp
+++ b/src/camphorshuntload/simulatedstore.cpp
@@ -1,5 +1,6 @@
 #include "simulatedstore.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/json/array.hpp>
@@ -68,7 +69,13 @@
 
 auto SimulatedStore::handle(const ReadDirectory& read, const Answer& answer) -> void
 {
+    if (read.from && *read.from > directory_.size()) {
+        answerLater(
+            answer, DirectoryRead { failure(Error::Code::NotFound, "store", "status 410"), events_.now() });
+        return;
+    }
     auto page = DirectoryPage { !read.from, read.from.value_or(0), directory_.size(), {} };
+    page.era = era_;
     if (!read.from)
         page.records = directory_;
     else if (*read.from < directory_.size())
@@ -82,9 +89,15 @@
     directory_.push_back(std::move(record));
 }
 
+auto SimulatedStore::returnFromCopy(std::size_t lostRecords) -> void
+{
+    ++era_;
+    directory_.resize(directory_.size() - std::min(lostRecords, directory_.size()));
+}
+
 auto SimulatedStore::newest() const -> ConfigurationRead
 {
-    return { ConfigurationRead::Content { configuration(version_), version_ }, events_.now() };
+    return { ConfigurationRead::Content { configuration(version_), version_, era_ }, events_.now() };
 }
 
 auto SimulatedStore::handle(const ReadConfiguration& read, const Answer& answer) -> void
@@ -100,7 +113,7 @@
         if (!poll.empty())
             answerLater(poll.mapped().answer,
                 ConfigurationRead {
-                    ConfigurationRead::Content { std::nullopt, poll.mapped().from }, events_.now() });
+                    ConfigurationRead::Content { std::nullopt, poll.mapped().from, era_ }, events_.now() });
     });
 }
 
--- a/src/camphorshuntload/simulatedstore.h
+++ b/src/camphorshuntload/simulatedstore.h
@@ -28,6 +28,8 @@
     auto call(router::SchedulerToStore call, Answer answer) -> void;
     /** Adds a newer record of an engine to the directory. */
     auto record(router::DirectoryRecord record) -> void;
+    /** The store comes back from a copy that lacks the newest records of the directory. */
+    auto returnFromCopy(std::size_t lostRecords) -> void;
     /** Publishes the next version of the configuration. */
     auto publish() -> void;
 
@@ -53,6 +55,7 @@
     Time start_;
     Duration delay_;
     std::vector<router::DirectoryRecord> directory_;
+    std::uint64_t era_ = 1;
     std::uint64_t version_ = 0;
     std::map<std::string, router::RouterAddress> routers_;
     std::map<std::pair<ServiceId, std::uint64_t>, router::PeerQuarantine> quarantines_;
--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -844,7 +844,8 @@
     VT_FROM = 6,
     VT_END = 8,
     VT_RECORDS = 10,
-    VT_AGE_MS = 12
+    VT_AGE_MS = 12,
+    VT_ERA = 14
   };
   bool whole() const {
     return GetField<uint8_t>(VT_WHOLE, 0) != 0;
@@ -861,6 +862,9 @@
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
@@ -870,6 +874,7 @@
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -893,6 +898,9 @@
   void add_age_ms(uint32_t age_ms) {
     fbb_.AddElement<uint32_t>(DirectoryPage::VT_AGE_MS, age_ms, 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(DirectoryPage::VT_ERA, era, 0);
+  }
   explicit DirectoryPageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -910,8 +918,10 @@
     uint64_t from = 0,
     uint64_t end = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Record>>> records = 0,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t era = 0) {
   DirectoryPageBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_end(end);
   builder_.add_from(from);
   builder_.add_age_ms(age_ms);
@@ -926,7 +936,8 @@
     uint64_t from = 0,
     uint64_t end = 0,
     const std::vector<flatbuffers::Offset<camphorshunt::fleet::Record>> *records = nullptr,
-    uint32_t age_ms = 0) {
+    uint32_t age_ms = 0,
+    uint64_t era = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Record>>(*records) : 0;
   return camphorshunt::fleet::CreateDirectoryPage(
       _fbb,
@@ -934,7 +945,8 @@
       from,
       end,
       records__,
-      age_ms);
+      age_ms,
+      era);
 }
 
 struct Availability FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1066,7 +1078,8 @@
     VT_AVAILABILITY = 28,
     VT_CLOCK = 30,
     VT_QUARANTINES = 32,
-    VT_QUARANTINED = 34
+    VT_QUARANTINED = 34,
+    VT_DIRECTORY_ERA = 36
   };
   const camphorshunt::fleet::Hello *hello() const {
     return GetPointer<const camphorshunt::fleet::Hello *>(VT_HELLO);
@@ -1116,6 +1129,9 @@
   const flatbuffers::Vector<uint64_t> *quarantined() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_QUARANTINED);
   }
+  uint64_t directory_era() const {
+    return GetField<uint64_t>(VT_DIRECTORY_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -1149,6 +1165,7 @@
            verifier.VerifyVector(quarantines()) &&
            VerifyOffset(verifier, VT_QUARANTINED) &&
            verifier.VerifyVector(quarantined()) &&
+           VerifyField<uint64_t>(verifier, VT_DIRECTORY_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -1205,6 +1222,9 @@
   void add_quarantined(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantined) {
     fbb_.AddOffset(Frame::VT_QUARANTINED, quarantined);
   }
+  void add_directory_era(uint64_t directory_era) {
+    fbb_.AddElement<uint64_t>(Frame::VT_DIRECTORY_ERA, directory_era, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1233,8 +1253,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Availability>>> availability = 0,
     const camphorshunt::fleet::Clock *clock = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<const camphorshunt::fleet::Quarantine *>> quarantines = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantined = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantined = 0,
+    uint64_t directory_era = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_directory_era(directory_era);
   builder_.add_quarantined(quarantined);
   builder_.add_quarantines(quarantines);
   builder_.add_clock(clock);
@@ -1271,7 +1293,8 @@
     const std::vector<flatbuffers::Offset<camphorshunt::fleet::Availability>> *availability = nullptr,
     const camphorshunt::fleet::Clock *clock = nullptr,
     const std::vector<camphorshunt::fleet::Quarantine> *quarantines = nullptr,
-    const std::vector<uint64_t> *quarantined = nullptr) {
+    const std::vector<uint64_t> *quarantined = nullptr,
+    uint64_t directory_era = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Place>>(*places) : 0;
   auto verdicts__ = verdicts ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Verdict>(*verdicts) : 0;
@@ -1298,7 +1321,8 @@
       availability__,
       clock,
       quarantines__,
-      quarantined__);
+      quarantined__,
+      directory_era);
 }
 
 inline const camphorshunt::fleet::Frame *GetFrame(const void *buf) {
--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -47,7 +47,8 @@
                   [this](Time now) {
                       sendHeartbeats(now);
                       routersChanged(now);
-                  } },
+                  },
+              .onStoreReturned = [this](Time now) { storeReturned(now); } },
           log, metrics)
     , placement_(plan_.self(), settings.placing)
 {
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -130,6 +130,8 @@
     auto handle(Time now, const QuarantinesRead& read) -> void;
 
     auto fleetChanged(Time now) -> void;
+    /** Writes again what this router has written to the store, as its older copy may lack it. */
+    auto storeReturned(Time now) -> void;
     auto relayChanged(Time now) -> void;
     auto logPlacerChanges(std::span<const PlacementCoordinator::PlacerChange> changes) -> void;
     auto flushFrames(Time now) -> void;
--- a/src/camphorshuntrouter/fleetquarantine.cpp
+++ b/src/camphorshuntrouter/fleetquarantine.cpp
@@ -93,6 +93,13 @@
     }
 }
 
+auto FleetControl::storeReturned(Time now) -> void
+{
+    sync_.rejoinFleet(now, fleetSize_);
+    for (const auto& quarantine : placement_.quarantines(now))
+        handlers_.callStore(StoreQuarantine { quarantine });
+}
+
 auto FleetControl::repeatQuarantines(Time now) -> void
 {
     if (now < nextQuarantineRepeat_)
--- a/src/camphorshuntrouter/fleetroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -24,7 +24,8 @@
 auto FleetControl::heartbeat() const -> PeerHeartbeat
 {
     const auto& fleet = sync_.fleet();
-    return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_ };
+    return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_,
+        fleet.directoryEra() };
 }
 
 auto FleetControl::sendHeartbeat(Time now, RouterId router, Duration interval, std::size_t routers) -> void
--- a/src/camphorshuntrouter/fleetstate.cpp
+++ b/src/camphorshuntrouter/fleetstate.cpp
@@ -56,13 +56,32 @@
     return directory_.replaceAll(now, entries);
 }
 
+auto FleetState::beginEra(Time now, const DirectoryPage& page) -> void
+{
+    if (directoryEra_ == 0)
+        return;
+    directory_.recordReturn(now);
+    log_.write(LogLevel::Warning, "store-returned",
+        { { "era", std::to_string(page.era) }, { "era-before", std::to_string(directoryEra_) },
+            { "directory-end", std::to_string(page.end) },
+            { "directory-end-before", std::to_string(directoryEnd_.value_or(0)) },
+            { "entries", std::to_string(page.records.size()) },
+            { "entries-before", std::to_string(rawEntries_.size()) } });
+}
+
 auto FleetState::applyDirectoryPage(Time now, const DirectoryPage& page) -> PageResult
 {
     const auto known = directoryEnd_.value_or(0);
-    if (!page.isSnapshot && (!directoryEnd_ || page.from > known))
+    const auto era = page.era == 0 ? directoryEra_ : page.era;
+    if (directoryEnd_ && era < directoryEra_)
+        return PageResult::Outdated;
+    const auto isOfLaterEra = directoryEnd_ && era > directoryEra_;
+    if (!page.isSnapshot && (!directoryEnd_ || isOfLaterEra || page.from > known))
         return PageResult::Gap;
     directory_.recordRead(now);
-    if (directoryEnd_ && page.end < known)
+    if (isOfLaterEra)
+        beginEra(now, page);
+    else if (directoryEnd_ && page.end < known)
         return PageResult::Unchanged;
     auto changed = false;
     if (page.isSnapshot) {
@@ -85,6 +104,7 @@
         }
     }
     directoryEnd_ = page.end;
+    directoryEra_ = era;
     return changed ? PageResult::Changed : PageResult::Unchanged;
 }
 
@@ -93,6 +113,7 @@
 auto FleetState::directorySnapshot() const -> DirectoryPage
 {
     auto page = DirectoryPage { true, 0, directoryEnd_.value_or(0), {} };
+    page.era = directoryEra_;
     for (const auto& [name, value] : rawEntries_)
         page.records.push_back({ name, value, 0 });
     return page;
--- a/src/camphorshuntrouter/fleetstate.h
+++ b/src/camphorshuntrouter/fleetstate.h
@@ -33,9 +33,16 @@
      */
     auto applyConfiguration(std::string json, std::string_view source) -> bool;
 
-    enum class PageResult : std::uint8_t { Changed, Unchanged, Gap };
+    enum class PageResult : std::uint8_t {
+        Changed,
+        Unchanged,
+        /** Not applied: records before the page are missing, or its offsets belong to a later era. */
+        Gap,
+        /** Not applied: the store has come back from a copy since it was read. */
+        Outdated,
+    };
 
-    /** Returns `Gap`, without a change, if records before the page are missing. */
+    /** A page of an unknown era is taken as one of the era known here. */
     auto applyDirectoryPage(Time now, const DirectoryPage& page) -> PageResult;
     /**
      * Removes upstreams that lapsed while the store was unreachable and have not returned in time. Returns
@@ -49,18 +56,23 @@
     auto configuration() const -> const std::string& { return configuration_; }
     /** Log offset up to which the directory is applied; empty before the first snapshot. */
     auto directoryEnd() const -> const std::optional<std::uint64_t>& { return directoryEnd_; }
+    /** Era of the store to which `directoryEnd` belongs; zero if unknown. */
+    auto directoryEra() const -> std::uint64_t { return directoryEra_; }
     auto directorySnapshot() const -> DirectoryPage;
     auto upstreams() const -> std::shared_ptr<const UpstreamList>;
 
 private:
     auto decode(const std::string& name, const std::optional<std::string>& value)
         -> UpstreamDirectory::NamedEntry;
+    /** The store has come back from an older copy, of which the page is the first that is applied. */
+    auto beginEra(Time now, const DirectoryPage& page) -> void;
     auto applySnapshot(Time now, const DirectoryPage& page) -> bool;
 
     RouterLog& log_;
     std::string configuration_;
     std::shared_ptr<const RouteTable> table_;
     std::optional<std::uint64_t> directoryEnd_;
+    std::uint64_t directoryEra_ = 0;
     std::map<std::string, std::string> rawEntries_;
     UpstreamDirectory directory_;
 };
--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -112,7 +112,9 @@
 {
     auto query = PeerFrame {};
     query.wantsConfiguration = heartbeat.configurationVersion > fleet_.version();
-    query.wantsDirectory = heartbeat.directoryEnd > fleet_.directoryEnd().value_or(0)
+    const auto era = heartbeat.directoryEra == 0 ? fleet_.directoryEra() : heartbeat.directoryEra;
+    query.wantsDirectory = std::pair(era, heartbeat.directoryEnd)
+            > std::pair(fleet_.directoryEra(), fleet_.directoryEnd().value_or(0))
         && now - pacer_.lastDirectoryUpdate() > staleDirectory;
     if (!query.wantsConfiguration && !query.wantsDirectory) {
         if (from == feed_)
@@ -137,8 +139,18 @@
     if (!read.page)
         return;
     logUnreadable("upstreams", std::exchange(read.page.value().unreadable, 0));
-    applyDirectoryPage(now, read.page.value(), std::nullopt, pacer_.lastDirectoryUpdate());
-    if (!isReader_)
+    const auto result
+        = applyDirectoryPage(now, read.page.value(), std::nullopt, pacer_.lastDirectoryUpdate());
+    const auto isApplied
+        = result != FleetState::PageResult::Gap && result != FleetState::PageResult::Outdated;
+    if (!isApplied) {
+        log_.write(LogLevel::Info, "directory-page-dropped",
+            { { "era", std::to_string(read.page.value().era) },
+                { "era-known", std::to_string(fleet_.directoryEra()) },
+                { "from", std::to_string(read.page.value().from) } });
+        pacer_.requireSnapshot(now);
+    }
+    if (!isReader_ || !isApplied)
         return;
     auto frame = PeerFrame {};
     frame.directory = std::move(read.page.value());
@@ -198,10 +210,13 @@
     handlers_.onFleetChanged(now);
 }
 
-auto FleetSync::applyDirectoryPage(
-    Time now, const DirectoryPage& page, std::optional<RouterId> from, std::optional<Time> readAt) -> void
+auto FleetSync::applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from,
+    std::optional<Time> readAt) -> FleetState::PageResult
 {
+    const auto eraBefore = fleet_.directoryEra();
     const auto result = fleet_.applyDirectoryPage(now, page);
+    if (result == FleetState::PageResult::Outdated)
+        return result;
     if (result == FleetState::PageResult::Gap) {
         if (from && now >= nextQuery_) {
             nextQuery_ = now + queryInterval;
@@ -209,8 +224,10 @@
             query.wantsDirectory = true;
             handlers_.send(now, *from, query);
         }
-        return;
+        return result;
     }
+    if (eraBefore != 0 && fleet_.directoryEra() != eraBefore)
+        handlers_.onStoreReturned(now);
     if (readAt)
         pacer_.directoryUpdated(*readAt);
     const auto changed = result == FleetState::PageResult::Changed;
@@ -218,6 +235,7 @@
         forwardDirectory(now, page, changed);
     if (changed)
         handlers_.onFleetChanged(now);
+    return result;
 }
 
 auto FleetSync::forwardDirectory(Time now, const DirectoryPage& page, bool changed) -> void
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -35,6 +35,8 @@
         /** The configuration or the directory has changed. */
         std::function<void(Time now)> onFleetChanged;
         std::function<void(Time now)> onStoreReachabilityChanged;
+        /** The store has come back from an older copy. */
+        std::function<void(Time now)> onStoreReturned;
     };
 
     FleetSync(RouterAddress self, Handlers handlers, RouterLog& log, RouterMetrics& metrics);
@@ -55,6 +57,8 @@
     auto handleFrame(Time now, RouterId from, PeerFrame& frame, std::optional<Time> sentAt) -> void;
     auto handle(Time now, DirectoryRead read) -> void;
     auto handle(Time now, ConfigurationRead read) -> void;
+    /** Writes this router's record again, at a time of its own. */
+    auto rejoinFleet(Time now, std::size_t fleetSize) -> void { pacer_.storeReturned(now, fleetSize); }
     auto fleetJoined(Time now, bool succeeded) -> void;
 
     /** When the store has answered with the newest page of the directory that was applied, to any router. */
@@ -71,7 +75,7 @@
     auto applyConfiguration(Time now, std::string json, std::optional<RouterId> from) -> void;
     /** `readAt`: the store has not answered with the page before that; empty if nothing is known of it. */
     auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from,
-        std::optional<Time> readAt) -> void;
+        std::optional<Time> readAt) -> FleetState::PageResult;
     auto compareHeartbeat(Time now, RouterId from, const PeerFrame& frame, std::optional<Time> sentAt)
         -> void;
     auto queryIfBehind(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void;
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -64,7 +64,7 @@
     }
     const auto list = builder.CreateVector(records);
     return fleet::CreateDirectoryPage(
-        builder, page.isSnapshot, page.from, page.end, list, packMilliseconds(page.age));
+        builder, page.isSnapshot, page.from, page.end, list, packMilliseconds(page.age), page.era);
 }
 
 auto packHello(FlatBufferBuilder& builder, const PeerHello& hello) -> Offset<fleet::Hello>
@@ -199,6 +199,7 @@
 {
     auto page = DirectoryPage { packed.whole(), packed.from(), packed.end(), {},
         std::chrono::milliseconds(packed.age_ms()) };
+    page.era = packed.era();
     if (packed.records() == nullptr)
         return page;
     for (const auto* const record : *packed.records()) {
@@ -323,7 +324,7 @@
     builder.Finish(fleet::CreateFrame(builder, hello, members, frame.heartbeat ? &packedHeartbeat : nullptr,
         requestList, decisionList, reportList, directory, frame.wantsDirectory, configuration,
         frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr, availabilityList,
-        frame.clock ? &clock : nullptr, quarantineList, quarantinedList));
+        frame.clock ? &clock : nullptr, quarantineList, quarantinedList, heartbeat.directoryEra));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -349,7 +350,7 @@
     }
     if (const auto* const heartbeat = packed.beat()) {
         frame.heartbeat = { heartbeat->configuration(), heartbeat->directory_end(),
-            heartbeat->store_reachable(), heartbeat->leaving() };
+            heartbeat->store_reachable(), heartbeat->leaving(), packed.directory_era() };
     }
     if (!isAligned(packed.verdicts()) || !isAligned(packed.reports()) || !isAligned(packed.quarantines())
         || !isAligned(packed.quarantined()))
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -66,6 +66,8 @@
     bool storeReachable = false;
     /** The router is shutting down and takes no role. */
     bool leaving = false;
+    /** Era of the store to which `directoryEnd` belongs; zero if unknown. */
+    std::uint64_t directoryEra = 0;
 };
 
 /**
@@ -142,6 +144,8 @@
     std::chrono::milliseconds age {};
     /** Records of the store that could not be decoded; not sent to peers. */
     std::size_t unreadable = 0;
+    /** Era of the store to which the offsets belong; zero if unknown, as from older builds. */
+    std::uint64_t era = 0;
 };
 
 /** The unit of transfer between routers; only the parts that are set are encoded. */
--- a/src/camphorshuntrouter/storegateway.cpp
+++ b/src/camphorshuntrouter/storegateway.cpp
@@ -23,6 +23,7 @@
 {
     auto result = DirectoryPage { !from.has_value(), from.value_or(0), page.end, {} };
     result.unreadable = page.unreadable;
+    result.era = page.era;
     for (auto& record : page.records)
         result.records.push_back({ std::move(record.key), std::move(record.value), record.offset });
     // `page.end` may lie beyond this page: one read does not return all records.
@@ -34,7 +35,7 @@
 auto configurationOf(const platform::KeyedPage& page, std::optional<std::uint64_t> from)
     -> ConfigurationRead::Content
 {
-    auto content = ConfigurationRead::Content { std::nullopt, page.end, page.unreadable };
+    auto content = ConfigurationRead::Content { std::nullopt, page.end, page.era, page.unreadable };
     for (const auto& record : page.records) {
         if (record.key == topic::configurationKey && record.value)
             content.configuration = record.value;
@@ -69,8 +70,14 @@
                 return;
             }
             // The pages are not read atomically: later changes are read again from the end of the first page.
-            if (after.empty())
+            if (after.empty()) {
                 readSoFar.end = page.value().end;
+                readSoFar.era = page.value().era;
+            } else if (page.value().era != readSoFar.era) {
+                handler(
+                    failure(Error::Code::Unavailable, "store", "came back from a copy between two pages"));
+                return;
+            }
             const auto hasRecords = !page.value().records.empty();
             readSoFar.unreadable += page.value().unreadable;
             std::ranges::move(page.value().records, std::back_inserter(readSoFar.records));
--- a/src/camphorshuntrouter/storegateway.h
+++ b/src/camphorshuntrouter/storegateway.h
@@ -55,6 +55,8 @@
         std::optional<std::string> configuration;
         /** Log offset at which the next read starts. */
         std::uint64_t end = 0;
+        /** Of the store; zero if unknown. */
+        std::uint64_t era = 0;
         /** Records that could not be decoded. */
         std::size_t unreadable = 0;
     };
--- a/src/camphorshuntrouter/storepacer.cpp
+++ b/src/camphorshuntrouter/storepacer.cpp
@@ -1,5 +1,10 @@
 #include "storepacer.h"
 
+#include <algorithm>
+#include <utility>
+
+#include <xxhash.h>
+
 namespace camphorshunt::router {
 
 namespace {
@@ -30,6 +35,11 @@
  * which the store has lost records, find each other by it. */
 constexpr auto joinRefreshInterval = Duration(milliseconds(30000));
 
+/** After the store's return all routers write their records again, spread over this time and more in large
+ * fleets. */
+constexpr auto minRejoinSpread = Duration(milliseconds(1000));
+constexpr auto rejoinSpreadPerRouter = Duration(milliseconds(10));
+
 } // namespace
 
 auto StorePacer::directoryDue(Time now, const RouterState& state) const -> bool
@@ -100,12 +110,33 @@
     nextDirectory_ = directoryExpired_ ? now : now + pauseOf(failurePause);
 }
 
+auto StorePacer::requireSnapshot(Time now) -> void
+{
+    directoryExpired_ = true;
+    nextDirectory_ = now;
+}
+
+auto StorePacer::storeReturned(Time now, std::size_t fleetSize) -> void
+{
+    const auto spread = std::max(minRejoinSpread, rejoinSpreadPerRouter * static_cast<int>(fleetSize));
+    const auto hash = XXH64(self_.endpoint.data(), self_.endpoint.size(), 0);
+    joinedAt_ = {};
+    nextJoin_ = now + Duration(static_cast<Duration::rep>(hash % static_cast<std::uint64_t>(spread.count())));
+}
+
 auto StorePacer::configurationRead(
     Time now, const Result<ConfigurationRead::Content>& content, Time answeredAt) -> void
 {
     configurationRequested_ = false;
     if (content) {
         reachable_ = true;
+        const auto era = std::exchange(configurationEra_, content.value().era);
+        if (configurationEnd_ && era != configurationEra_) {
+            // Read from an offset of another era, which says nothing about the newest configuration.
+            configurationEnd_.reset();
+            nextConfiguration_ = now;
+            return;
+        }
         configurationConfirmed(answeredAt);
         configurationEnd_ = content.value().end;
         nextConfiguration_
--- a/src/camphorshuntrouter/storepacer.h
+++ b/src/camphorshuntrouter/storepacer.h
@@ -49,6 +49,11 @@
         lastConfigurationUpdate_ = std::max(lastConfigurationUpdate_, at);
     }
 
+    /** The offsets known of the directory are of no use any more. */
+    auto requireSnapshot(Time now) -> void;
+    /** The store has come back from an older copy, which may lack this router's own record. */
+    auto storeReturned(Time now, std::size_t fleetSize) -> void;
+
     /** Whether the last read was answered. */
     auto isReachable() const -> bool { return reachable_; }
     auto lastConfigurationUpdate() const -> Time { return lastConfigurationUpdate_; }
@@ -74,6 +79,8 @@
     /** The store has expired the records that follow `directoryEnd`; the entire directory must be read. */
     bool directoryExpired_ = false;
     std::optional<std::uint64_t> configurationEnd_;
+    /** Era of the store to which `configurationEnd_` belongs; zero if unknown. */
+    std::uint64_t configurationEra_ = 0;
     Time startedAt_ {};
     Time nextDirectory_ {};
     Time nextConfiguration_ {};
--- a/src/libcamphorshunt/upstreamdirectory.cpp
+++ b/src/libcamphorshunt/upstreamdirectory.cpp
@@ -17,13 +17,17 @@
 
 auto UpstreamDirectory::recordRead(Time now) -> void
 {
-    if (lastReadAt_ && now - *lastReadAt_ > maxReadInterval) {
-        reachableAgainAt_ = now;
-        wasUnreachable_ = true;
-    }
+    if (lastReadAt_ && now - *lastReadAt_ > maxReadInterval)
+        recordReturn(now);
     lastReadAt_ = now;
 }
 
+auto UpstreamDirectory::recordReturn(Time now) -> void
+{
+    reachableAgainAt_ = now;
+    wasUnreachable_ = true;
+}
+
 auto UpstreamDirectory::applyEntry(Time now, const std::string& name, std::optional<UpstreamEntry> entry)
     -> bool
 {
--- a/src/libcamphorshunt/upstreamdirectory.h
+++ b/src/libcamphorshunt/upstreamdirectory.h
@@ -30,6 +30,9 @@
     auto replaceAll(Time now, std::span<const NamedEntry> entries) -> bool;
     /** Records that the directory was read, up to its end. */
     auto recordRead(Time now) -> void;
+    /** Records that the directory was replaced by an older copy, which lacks entries of upstreams that live.
+     */
+    auto recordReturn(Time now) -> void;
     /** Removes lapsed entries that were not listed again in time. True if `entries` changed. */
     auto removeLapsed(Time now) -> bool;
 
--- a/src/standins/platformstore.cpp
+++ b/src/standins/platformstore.cpp
@@ -1,5 +1,7 @@
 #include "platformstore.h"
 
+#include <algorithm>
+
 #include <absl/strings/escaping.h>
 #include <boost/endian/conversion.hpp>
 #include <boost/json/value_from.hpp>
@@ -64,6 +66,10 @@
         auto& topic = topics_[queryText(request, "topic")];
         topic.first = topic.end();
         topic.records.clear();
+        topic.newestForgotten = topic.newest;
+        respondJson(*exchange, statusOk, json::object {});
+    } else if (path == "/admin/return") {
+        returnFromCopy(queryText(request, "topic"), numberIn(queryText(request, "lost"), 0));
         respondJson(*exchange, statusOk, json::object {});
     } else if (path == "/admin/calls") {
         respondJson(*exchange, statusOk, json::value_from(calls_));
@@ -78,15 +84,39 @@
     }
 }
 
-auto PlatformStore::put(const std::string& name, const std::string& key, const std::string& value) -> void
+auto PlatformStore::applyRecord(Topic& topic, const std::string& record, std::uint64_t offset) -> void
 {
-    auto& topic = topics_[name];
-    const auto offset = topic.end();
-    topic.records.push_back(std::string(1, static_cast<char>(key.size())) + key + value);
+    const auto keyBytes = static_cast<unsigned char>(record.front());
+    const auto key = record.substr(1, keyBytes);
+    const auto value = record.substr(std::size_t { 1 } + keyBytes);
     if (value.empty())
         topic.newest.erase(key);
     else
         topic.newest[key] = { value, offset };
+}
+
+auto PlatformStore::returnFromCopy(const std::string& name, std::uint64_t lost) -> void
+{
+    ++era_;
+    auto& topic = topics_[name];
+    const auto kept = topic.records.size() - std::min<std::uint64_t>(lost, topic.records.size());
+    topic.records.resize(kept);
+    topic.newest = topic.newestForgotten;
+    for (auto index = std::size_t { 0 }; index < kept; ++index)
+        applyRecord(topic, topic.records[index], topic.first + index);
+    for (const auto& waiting : waiting_) {
+        waiting->answered = true;
+        waiting->exchange->abort();
+    }
+    waiting_.clear();
+}
+
+auto PlatformStore::put(const std::string& name, const std::string& key, const std::string& value) -> void
+{
+    auto& topic = topics_[name];
+    const auto offset = topic.end();
+    topic.records.push_back(std::string(1, static_cast<char>(key.size())) + key + value);
+    applyRecord(topic, topic.records.back(), offset);
     for (const auto& waiting : waiting_) {
         if (waiting->topic == name && !waiting->answered)
             respondRead(*waiting);
@@ -113,8 +143,8 @@
     if (fault.mode == FaultMode::LostAck)
         exchange->abort();
     else
-        respondJson(
-            *exchange, statusOk, json::object { { "offset", offset }, { "end", topics_[topic].end() } });
+        respondJson(*exchange, statusOk,
+            json::object { { "offset", offset }, { "end", topics_[topic].end() } }, eraHeader());
 }
 
 auto PlatformStore::respondRead(Waiting& waiting) -> void
@@ -124,7 +154,7 @@
     auto body = bigEndian64(topic.end()) + bigEndian64(topic.first);
     for (auto offset = waiting.from; offset < topic.end(); ++offset)
         body += withLength(topic.records[offset - topic.first]);
-    waiting.exchange->respond(statusOk, {}, body);
+    waiting.exchange->respond(statusOk, eraHeader(), body);
 }
 
 auto PlatformStore::read(const Request& request, const Exchange& exchange) -> void
@@ -134,8 +164,8 @@
     waiting->from = numberIn(queryText(request, "from"), 0);
     waiting->exchange = exchange;
     const auto& topic = topics_[waiting->topic];
-    if (waiting->from < topic.first) {
-        respondJson(*exchange, statusGone, json::object { { "first", topic.first } });
+    if (waiting->from < topic.first || waiting->from > topic.end()) {
+        respondJson(*exchange, statusGone, json::object { { "first", topic.first } }, eraHeader());
         return;
     }
     const auto wait = numberIn(queryText(request, "wait_ms"), 0);
@@ -166,7 +196,8 @@
     }
     respondJson(*exchange, statusOk,
         json::object { { "items", std::move(items) }, { "has_more", next != topic.newest.end() },
-            { "end", topic.end() } });
+            { "end", topic.end() } },
+        eraHeader());
 }
 
 } // namespace camphorshunt::standins
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -163,6 +163,12 @@
     REQUIRE(post(store_, target, value).status == 200);
 }
 
+auto RouterFleet::returnStore(std::string_view topic, std::size_t lostRecords) -> void
+{
+    const auto target = "/admin/return?topic=" + std::string(topic) + "&lost=" + std::to_string(lostRecords);
+    REQUIRE(post(store_, target, "").status == 200);
+}
+
 auto RouterFleet::putUpstream(std::size_t index, std::string_view state, std::uint64_t born) -> void
 {
     const auto& upstream = upstreams_.at(index);
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -70,6 +70,8 @@
 
     /** Writes a record of a keyed topic, as operators and upstreams do; an empty value removes the key. */
     auto put(std::string_view topic, std::string_view key, const std::string& value) -> void;
+    /** The store comes back from a copy that lacks the last records of the topic. */
+    auto returnStore(std::string_view topic, std::size_t lostRecords) -> void;
     auto putConfiguration(const std::string& json) -> void { put("keyed.op", "config", json); }
     auto putUpstream(std::size_t index, std::string_view state = "ready", std::uint64_t born = 1) -> void;
     /** Ends an upstream's process and starts one with this name at the same address. */
--- a/tests/unit/latefeedtest.cpp
+++ b/tests/unit/latefeedtest.cpp
@@ -176,3 +176,22 @@
     fleet.events.runUntil(fleet.events.now() + 10s);
     CHECK(fleet.lateRouterReads == calls);
 }
+
+TEST_CASE("A removal is known in time after the store has come back from an older copy")
+{
+    // The removal gets an offset that is below the known one, or that becomes it.
+    const auto writtenAgain = GENERATE(3, 19);
+    auto fleet = FeedAndLateRouter();
+    for (auto index = std::size_t { 0 }; index < 40; ++index)
+        fleet.store.record(SimulatedStore::directoryRecord(index % engineCount, "ready"));
+    fleet.events.runUntil(fleet.events.now() + 4s);
+    REQUIRE(fleet.fleet.upstreams);
+    fleet.store.returnFromCopy(20);
+    for (auto index = std::size_t { 0 }; index < std::size_t(writtenAgain); ++index)
+        fleet.store.record(SimulatedStore::directoryRecord(index % engineCount, "ready"));
+    fleet.events.runUntil(fleet.events.now() + 3300ms);
+    CHECK(fleet.fleet.upstreams->size() == engineCount);
+    fleet.store.record({ "engine-3", std::nullopt, 0 });
+    CHECK(fleet.timeUntil([](const auto& known) { return known.upstreams->size() < engineCount; })
+        < timeInForce);
+}
--- a/tests/unit/oldbuildtest.cpp
+++ b/tests/unit/oldbuildtest.cpp
@@ -213,7 +213,8 @@
             .forward = [](Time, const PeerFrame&) {},
             .callStore = [](const SchedulerToStore&) {},
             .onFleetChanged = [](Time) {},
-            .onStoreReachabilityChanged = [](Time) {} },
+            .onStoreReachabilityChanged = [](Time) {},
+            .onStoreReturned = [](Time) {} },
         log, metrics);
     const auto reader = idOf<RouterId>("127.0.0.1:2");
     sync.setFeed(reader, false);
