--- a/src/camphorshuntd/bufferedcall.cpp
+++ b/src/camphorshuntd/bufferedcall.cpp
@@ -3,15 +3,17 @@
 namespace camphorshunt {
 
 auto callBuffered(net::HttpClient& client, const Endpoint& endpoint, net::HttpRequest request,
-    const BufferedCallTimeouts& timeouts, std::function<void(BufferedAnswer)> onAnswer)
+    const BufferedCallLimits& limits, std::function<void(BufferedAnswer)> onAnswer)
     -> std::shared_ptr<net::HttpCall>
 {
     auto spec = net::HttpCallSpec {};
     spec.endpoint = endpoint;
     spec.request = std::move(request);
-    spec.connectTimeout = timeouts.connect;
-    spec.firstByteTimeout = timeouts.firstByte;
-    spec.gapTimeout = timeouts.gap;
+    spec.connectTimeout = limits.connect;
+    spec.firstByteTimeout = limits.firstByte;
+    spec.gapTimeout = limits.gap;
+    spec.totalTimeout = limits.total;
+    spec.maxBodyBytes = limits.bodyBytes;
 
     auto answer = std::make_shared<BufferedAnswer>();
     auto handlers = net::HttpCallHandlers {};
--- a/src/camphorshuntd/bufferedcall.h
+++ b/src/camphorshuntd/bufferedcall.h
@@ -18,16 +18,20 @@
     auto ok() const -> bool { return end == net::HttpCallEnd::Complete && status == 200; }
 };
 
-/** Timeouts of a buffered call. */
-struct BufferedCallTimeouts {
+/** Limits of a buffered call. */
+struct BufferedCallLimits {
     std::chrono::milliseconds connect { 1000 };
     std::chrono::milliseconds firstByte { 1000 };
     std::chrono::milliseconds gap { 1000 };
+    /** From the start of the call to its end, however steadily bytes arrive; zero for no limit. */
+    std::chrono::milliseconds total { 5000 };
+    /** A longer answer ends the call as broken. */
+    std::size_t bodyBytes = std::size_t { 1024 } * 1024;
 };
 
 /** Starts a call and passes its answer to `onAnswer` in one piece when the call ends. */
 auto callBuffered(net::HttpClient& client, const Endpoint& endpoint, net::HttpRequest request,
-    const BufferedCallTimeouts& timeouts, std::function<void(BufferedAnswer)> onAnswer)
+    const BufferedCallLimits& limits, std::function<void(BufferedAnswer)> onAnswer)
     -> std::shared_ptr<net::HttpCall>;
 
 } // namespace camphorshunt
--- a/src/camphorshuntd/platform.cpp
+++ b/src/camphorshuntd/platform.cpp
@@ -15,8 +15,10 @@
 /** How long the log may delay its answer to a read that finds no record (long polling). */
 constexpr auto readWait = std::chrono::milliseconds(1000);
 constexpr auto maxReadRecords = 500;
-constexpr auto appendTimeouts = BufferedCallTimeouts { .firstByte = std::chrono::milliseconds(2000) };
-constexpr auto readTimeouts = BufferedCallTimeouts { .firstByte = 2 * readWait };
+constexpr auto appendLimits = BufferedCallLimits { .firstByte = std::chrono::milliseconds(2000) };
+constexpr auto readLimits = BufferedCallLimits { .firstByte = 2 * readWait,
+    .total = std::chrono::milliseconds(60000),
+    .bodyBytes = std::size_t { 64 } * 1024 * 1024 };
 constexpr auto minBackoff = std::chrono::milliseconds(50);
 constexpr auto maxBackoffDoublings = 5U;
 
@@ -60,7 +62,7 @@
     ++appends_;
     auto request = net::HttpRequest { "POST", "/streams/" + order.stream, {}, order.body };
     request.headers.push_back({ "Content-Type", "application/json" });
-    callBuffered(*client_, settings_.log, std::move(request), appendTimeouts,
+    callBuffered(*client_, settings_.log, std::move(request), appendLimits,
         [this, append = order.append](const BufferedAnswer& answer) {
             const auto offset = answer.ok() ? parseAppendAnswer(answer.body) : std::nullopt;
             const auto outcome = offset ? AppendOutcome::Landed : appendOutcome(answer);
@@ -84,7 +86,7 @@
     auto& tail = tails_.at(stream);
     const auto target = "/streams/" + stream + "?from=" + std::to_string(tail.from.value)
         + "&max=" + std::to_string(maxReadRecords) + "&waitMs=" + std::to_string(readWait.count());
-    tail.call = callBuffered(*client_, settings_.log, { "GET", target, {}, {} }, readTimeouts,
+    tail.call = callBuffered(*client_, settings_.log, { "GET", target, {}, {} }, readLimits,
         [this, stream, generation = tail.generation](
             const BufferedAnswer& answer) { readEnded(stream, generation, answer.ok(), answer.body); });
 }
--- a/src/libnet/httpclientcall.cpp
+++ b/src/libnet/httpclientcall.cpp
@@ -153,7 +153,10 @@
         return;
     }
     if (parser_->get().result_int() < firstFinalStatus) {
-        readHead();
+        if (++interimAnswers_ > maxInterimAnswers)
+            end(HttpCallEnd::Broken);
+        else
+            readHead();
         return;
     }
     stopTimer();
--- a/src/libnet/httpclientcall.h
+++ b/src/libnet/httpclientcall.h
@@ -31,6 +31,10 @@
     auto drop() -> void;
 
 private:
+    /** A chunk's extension or a trailer is unparsed until all of it has arrived. */
+    static constexpr auto maxUnparsedBytes = std::size_t { 64 } * 1024;
+    static constexpr auto maxInterimAnswers = 32U;
+
     using Message = boost::beast::http::request<boost::beast::http::string_body>;
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
     using Socket = boost::asio::ip::tcp::socket;
@@ -56,9 +60,10 @@
     Socket socket_;
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer totalTimer_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_ { maxUnparsedBytes };
     Message message_;
     std::optional<Parser> parser_;
+    unsigned interimAnswers_ = 0;
     bool written_ = false;
     bool reusable_ = true;
     bool paused_ = false;
--- a/tests/unit/endlessanswertest.cpp
+++ b/tests/unit/endlessanswertest.cpp
@@ -5,10 +5,12 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "answerintake.h"
+#include "bufferedcall.h"
 
 using namespace camphorshunt;
 using namespace camphorshunt::router;
@@ -52,6 +54,34 @@
     bool closed = false;
 };
 
+/** An upstream that sends a byte of its answer every now and then. */
+struct TricklingUpstream {
+    explicit TricklingUpstream(boost::asio::io_context& context)
+        : acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+        , socket(context)
+        , timer(context)
+    {
+        acceptor.async_accept(socket, [this](const boost::system::error_code&) {
+            send("HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n");
+        });
+    }
+
+    auto send(std::string_view bytes) -> void
+    {
+        boost::asio::async_write(
+            socket, boost::asio::buffer(bytes), [this](const boost::system::error_code& error, std::size_t) {
+                if (error)
+                    return;
+                timer.expires_after(20ms);
+                timer.async_wait([this](const boost::system::error_code&) { send("x"); });
+            });
+    }
+
+    Tcp::acceptor acceptor;
+    Tcp::socket socket;
+    boost::asio::steady_timer timer;
+};
+
 /** Takes the answer to the request `a1` on a route with resumable streams. */
 struct Listener : AnswerListener {
     auto connectionFailed() -> void override { ended = AnswerEnd::Broken; }
@@ -145,3 +175,50 @@
     CHECK(!listener.connection->isOpen());
     CHECK(upstream.sent < maxBytes);
 }
+
+TEST_CASE("The daemon's client keeps no bytes that an upstream sends without end")
+{
+    const auto chunkedHead = std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const auto bytes = GENERATE_COPY(values<Bytes>({
+        { "bytes that are no response", "", repeat("x", 1000) },
+        { "a header line", "HTTP/1.1 200 OK\r\nX-Long: ", repeat("x", 1000) },
+        { "header lines", "HTTP/1.1 200 OK\r\n", repeat("X-Many: x\r\n", 100) },
+        { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "a chunk size", chunkedHead, repeat("0", 1000) },
+        { "a chunk extension", chunkedHead + "5;", repeat("x", 1000) },
+        { "a trailer", chunkedHead + "0\r\nX-Long: ", repeat("x", 1000) },
+        { "trailers", chunkedHead + "0\r\n", repeat("X-Many: x\r\n", 100) },
+        { "a body in chunks", chunkedHead, "3e8\r\n" + repeat("x", 1000) + "\r\n" },
+        { "a body up to the end of the connection", "HTTP/1.1 200 OK\r\n\r\n", repeat("x", 1000) },
+        { "a body with a length", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+            repeat("x", 1000) },
+    }));
+    INFO(bytes.name);
+    auto context = boost::asio::io_context {};
+    auto upstream = EndlessUpstream(context, bytes.head, bytes.piece);
+    const auto client = net::HttpClient::create(context, 1, 1000ms);
+    auto ended = std::optional<BufferedAnswer> {};
+    callBuffered(*client, { "127.0.0.1", upstream.acceptor.local_endpoint().port() },
+        { "GET", "/load", {}, {} }, {}, [&ended](BufferedAnswer answer) { ended = std::move(answer); });
+    context.run_for(10s);
+    REQUIRE(ended);
+    CHECK_FALSE(ended->ok());
+    CHECK(upstream.closed);
+    CHECK(upstream.sent < maxBytes);
+}
+
+TEST_CASE("A buffered answer that trickles without end is given up")
+{
+    auto context = boost::asio::io_context {};
+    auto upstream = TricklingUpstream(context);
+    const auto client = net::HttpClient::create(context, 1, 1000ms);
+    auto ended = std::optional<BufferedAnswer> {};
+    callBuffered(*client, { "127.0.0.1", upstream.acceptor.local_endpoint().port() },
+        { "GET", "/load", {}, {} }, { .total = 400ms },
+        [&ended](BufferedAnswer answer) { ended = std::move(answer); });
+    const auto deadline = std::chrono::steady_clock::now() + 5s;
+    while (!ended && std::chrono::steady_clock::now() < deadline)
+        context.run_one_for(10ms);
+    REQUIRE(ended);
+    CHECK(ended->end == net::HttpCallEnd::Silent);
+}
