--- a/src/libcamphorshunt/crashevidence.cpp
+++ b/src/libcamphorshunt/crashevidence.cpp
@@ -11,6 +11,8 @@
 
 /** Reports on an engine from before its end may arrive for so long after it. */
 constexpr auto maxReportLag = Duration(150ms);
+/** Engines that one failure ends are known to have ended within this time. */
+constexpr auto sameFailure = Duration(150ms);
 /** Ends of engines that lie further apart are not counted together. */
 constexpr auto crashMemory = Duration(3600s);
 /** Broken requests that are kept of an engine, and shared parts of a prompt. */
@@ -162,7 +164,7 @@
     auto last = Time {};
     for (const auto& presence : presences) {
         // What was placed before the previous end was known may have broken off by the same failure.
-        if (failures > 0 && presence.placedAt <= last)
+        if (failures > 0 && presence.placedAt <= last && !isCommonAround(presence.end, presences))
             continue;
         ++failures;
         last = ends_[presence.end].at;
@@ -170,6 +172,23 @@
     return failures;
 }
 
+auto CrashEvidence::isCommonAround(std::size_t end, std::span<const Presence> presences) const -> bool
+{
+    const auto isNear = [this, at = ends_[end].at](std::size_t other) {
+        return other < ends_.size() && ends_[other].at - at <= sameFailure
+            && at - ends_[other].at <= sameFailure;
+    };
+    auto first = end;
+    while (first > 0 && isNear(first - 1))
+        --first;
+    auto last = end;
+    while (isNear(last + 1))
+        ++last;
+    const auto having = std::ranges::count_if(presences,
+        [first, last](const Presence& presence) { return presence.end >= first && presence.end <= last; });
+    return static_cast<std::size_t>(having) == last - first + 1;
+}
+
 auto CrashEvidence::suspectsOf(const UpstreamProcess& engine, std::size_t limit) const
     -> std::vector<std::vector<std::uint64_t>>
 {
--- a/src/libcamphorshunt/crashevidence.h
+++ b/src/libcamphorshunt/crashevidence.h
@@ -74,6 +74,11 @@
     auto presencesOf(const EngineEnd& end, std::size_t limit) const -> Presences;
     /** Number of ends that have no common cause other than the part. */
     auto failuresOf(std::span<const Presence> presences) const -> std::size_t;
+    /**
+     * Whether all engines that ended about when this one did had the part. A failure of something else, as of
+     * a failure domain, ends engines without the part as well.
+     */
+    auto isCommonAround(std::size_t end, std::span<const Presence> presences) const -> bool;
     auto find(const UpstreamProcess& engine) const -> std::deque<EngineEnd>::const_iterator;
     auto forget(std::deque<EngineEnd>::const_iterator end) -> void;
     auto release(std::uint64_t part) -> void;
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -100,6 +100,9 @@
         recordCrash(now, key, std::move(request), engine);
         return;
     }
+    // An engine without the parts that others had shows that these do not explain why all of them ended.
+    if (end == PlacementEnd::Broken)
+        evidence_.recordBreak(now, engine, {});
     if (end == PlacementEnd::Finished)
         clear(now, request);
     endTrials(key);
