--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -30,6 +30,9 @@
 
 struct Quarantine;
 
+struct Crash;
+struct CrashBuilder;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -374,6 +377,143 @@
 };
 FLATBUFFERS_STRUCT_END(Quarantine, 32);
 
+struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_UPSTREAM = 6,
+    VT_STARTED_MS = 8,
+    VT_ENDPOINT = 10,
+    VT_PARTS = 12,
+    VT_PLACED_MS = 14,
+    VT_BROKEN_MS = 16,
+    VT_LIVES = 18
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
+  }
+  int64_t started_ms() const {
+    return GetField<int64_t>(VT_STARTED_MS, 0);
+  }
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  uint32_t placed_ms() const {
+    return GetField<uint32_t>(VT_PLACED_MS, 0);
+  }
+  uint32_t broken_ms() const {
+    return GetField<uint32_t>(VT_BROKEN_MS, 0);
+  }
+  bool lives() const {
+    return GetField<uint8_t>(VT_LIVES, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_MS, 8) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyField<uint32_t>(verifier, VT_PLACED_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BROKEN_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_LIVES, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashBuilder {
+  typedef Crash Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(Crash::VT_SERVICE, service, 0);
+  }
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(Crash::VT_UPSTREAM, upstream, 0);
+  }
+  void add_started_ms(int64_t started_ms) {
+    fbb_.AddElement<int64_t>(Crash::VT_STARTED_MS, started_ms, 0);
+  }
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(Crash::VT_ENDPOINT, endpoint);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(Crash::VT_PARTS, parts);
+  }
+  void add_placed_ms(uint32_t placed_ms) {
+    fbb_.AddElement<uint32_t>(Crash::VT_PLACED_MS, placed_ms, 0);
+  }
+  void add_broken_ms(uint32_t broken_ms) {
+    fbb_.AddElement<uint32_t>(Crash::VT_BROKEN_MS, broken_ms, 0);
+  }
+  void add_lives(bool lives) {
+    fbb_.AddElement<uint8_t>(Crash::VT_LIVES, static_cast<uint8_t>(lives), 0);
+  }
+  explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Crash> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Crash>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Crash> CreateCrash(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t upstream = 0,
+    int64_t started_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint32_t placed_ms = 0,
+    uint32_t broken_ms = 0,
+    bool lives = false) {
+  CrashBuilder builder_(_fbb);
+  builder_.add_started_ms(started_ms);
+  builder_.add_upstream(upstream);
+  builder_.add_service(service);
+  builder_.add_broken_ms(broken_ms);
+  builder_.add_placed_ms(placed_ms);
+  builder_.add_parts(parts);
+  builder_.add_endpoint(endpoint);
+  builder_.add_lives(lives);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Crash> CreateCrashDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    uint64_t upstream = 0,
+    int64_t started_ms = 0,
+    const char *endpoint = nullptr,
+    const std::vector<uint64_t> *parts = nullptr,
+    uint32_t placed_ms = 0,
+    uint32_t broken_ms = 0,
+    bool lives = false) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return camphorshunt::fleet::CreateCrash(
+      _fbb,
+      service,
+      upstream,
+      started_ms,
+      endpoint__,
+      parts__,
+      placed_ms,
+      broken_ms,
+      lives);
+}
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1079,7 +1219,8 @@
     VT_CLOCK = 30,
     VT_QUARANTINES = 32,
     VT_QUARANTINED = 34,
-    VT_DIRECTORY_ERA = 36
+    VT_DIRECTORY_ERA = 36,
+    VT_CRASHES = 38
   };
   const camphorshunt::fleet::Hello *hello() const {
     return GetPointer<const camphorshunt::fleet::Hello *>(VT_HELLO);
@@ -1132,6 +1273,9 @@
   uint64_t directory_era() const {
     return GetField<uint64_t>(VT_DIRECTORY_ERA, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *>(VT_CRASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -1166,6 +1310,9 @@
            VerifyOffset(verifier, VT_QUARANTINED) &&
            verifier.VerifyVector(quarantined()) &&
            VerifyField<uint64_t>(verifier, VT_DIRECTORY_ERA, 8) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
            verifier.EndTable();
   }
 };
@@ -1225,6 +1372,9 @@
   void add_directory_era(uint64_t directory_era) {
     fbb_.AddElement<uint64_t>(Frame::VT_DIRECTORY_ERA, directory_era, 0);
   }
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>>> crashes) {
+    fbb_.AddOffset(Frame::VT_CRASHES, crashes);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1254,9 +1404,11 @@
     const camphorshunt::fleet::Clock *clock = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<const camphorshunt::fleet::Quarantine *>> quarantines = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantined = 0,
-    uint64_t directory_era = 0) {
+    uint64_t directory_era = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>>> crashes = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_directory_era(directory_era);
+  builder_.add_crashes(crashes);
   builder_.add_quarantined(quarantined);
   builder_.add_quarantines(quarantines);
   builder_.add_clock(clock);
@@ -1294,7 +1446,8 @@
     const camphorshunt::fleet::Clock *clock = nullptr,
     const std::vector<camphorshunt::fleet::Quarantine> *quarantines = nullptr,
     const std::vector<uint64_t> *quarantined = nullptr,
-    uint64_t directory_era = 0) {
+    uint64_t directory_era = 0,
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *crashes = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Place>>(*places) : 0;
   auto verdicts__ = verdicts ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Verdict>(*verdicts) : 0;
@@ -1304,6 +1457,7 @@
   auto availability__ = availability ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Availability>>(*availability) : 0;
   auto quarantines__ = quarantines ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Quarantine>(*quarantines) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVector<uint64_t>(*quarantined) : 0;
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Crash>>(*crashes) : 0;
   return camphorshunt::fleet::CreateFrame(
       _fbb,
       hello,
@@ -1322,7 +1476,8 @@
       clock,
       quarantines__,
       quarantined__,
-      directory_era);
+      directory_era,
+      crashes__);
 }
 
 inline const camphorshunt::fleet::Frame *GetFrame(const void *buf) {
--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -118,6 +118,8 @@
             frame.members.push_back(address.endpoint);
     }
     frame.heartbeat = heartbeat();
+    if (plan_.hubs().isHub(router))
+        frame.crashes = placement_.crashes(now);
     sendDated(now, router, frame);
     routersChanged(now);
 }
@@ -160,6 +162,8 @@
     state_.directoryReadAt = sync_.directoryReadAt();
     leavingArrived(now, router, frame.availability);
     quarantinesArrived(now, router, frame.quarantines);
+    for (const auto& crash : frame.crashes)
+        placement_.applyCrash(now, crash);
     if (!frame.placementRequests.empty() || !frame.reports.empty() || !frame.placementDecisions.empty()
         || !frame.availability.empty())
         placement_.handleFrame(now, router, frame);
@@ -262,6 +266,7 @@
     auto outputs = placement_.takeOutputs();
     logPlacerChanges(outputs.placerChanges);
     publishQuarantines(now, outputs.quarantines);
+    publishCrashes(now, std::move(outputs.crashes));
     for (const auto& [router, service] : outputs.unknownServices) {
         log_.write(LogLevel::Warning, "peer-unknown-service",
             { { "router", std::to_string(router.value) }, { "service", std::to_string(service.value) } });
@@ -274,6 +279,8 @@
         append(unsent.placementDecisions, frame.placementDecisions);
         append(unsent.reports, frame.reports);
         append(unsent.availability, frame.availability);
+        append(unsent.quarantines, frame.quarantines);
+        append(unsent.crashes, frame.crashes);
     }
     if (outputs.urgent || now >= nextFlush_)
         flushFrames(now);
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -115,6 +115,8 @@
     auto newlyLeaving(Time now, std::span<const PeerAvailability> reports) -> std::vector<PeerAvailability>;
     /** Logs what placers here have found out about prompt parts, tells the other routers and stores it. */
     auto publishQuarantines(Time now, std::span<const PlacementCoordinator::ServiceQuarantine> found) -> void;
+    /** Tells the routers that may place next. */
+    auto publishCrashes(Time now, std::vector<PeerCrash> crashes) -> void;
     /** `from`: the router that has told it, or the store. */
     auto logTold(const PeerQuarantine& told, std::string from) -> void;
     /** A peer has told which prompt parts are in quarantine; told on if that is new. */
--- a/src/camphorshuntrouter/fleetquarantine.cpp
+++ b/src/camphorshuntrouter/fleetquarantine.cpp
@@ -45,6 +45,16 @@
         sendUpdate(now, std::move(frame), true);
 }
 
+auto FleetControl::publishCrashes(Time now, std::vector<PeerCrash> crashes) -> void
+{
+    if (crashes.empty())
+        return;
+    auto frame = PeerFrame {};
+    frame.crashes = std::move(crashes);
+    for (const auto& candidate : peers_.live(plan_.hubs()))
+        sendDated(now, candidate.router, frame);
+}
+
 auto FleetControl::logTold(const PeerQuarantine& told, std::string from) -> void
 {
     log_.write(LogLevel::Info, "prompt-part-told",
--- /dev/null
+++ b/src/camphorshuntrouter/peercrash.cpp
@@ -0,0 +1,34 @@
+#include "peercrash.h"
+
+#include "peerframefields.h"
+
+namespace camphorshunt::router {
+
+auto packCrash(flatbuffers::FlatBufferBuilder& builder, const PeerCrash& crash)
+    -> flatbuffers::Offset<fleet::Crash>
+{
+    const auto& process = crash.process;
+    const auto endpoint = builder.CreateString(process.endpoint.text());
+    const auto parts = builder.CreateVector(crash.parts);
+    return fleet::CreateCrash(builder, crash.service.value, process.upstream.value, process.startedAt.count(),
+        endpoint, parts, packMilliseconds(crash.sincePlaced), packMilliseconds(crash.sinceBreak),
+        crash.lives);
+}
+
+auto unpackCrash(const fleet::Crash& packed) -> Result<PeerCrash>
+{
+    if (packed.endpoint() == nullptr || !isAligned(packed.parts()))
+        return malformed("crash without an endpoint, or with a list that is not aligned");
+    const auto endpoint = Endpoint::parse(packed.endpoint()->string_view(), "endpoint");
+    if (!endpoint)
+        return malformed(endpoint.error().text());
+    auto crash = PeerCrash { { packed.service() },
+        { { packed.upstream() }, std::chrono::milliseconds(packed.started_ms()), endpoint.value() }, {},
+        std::chrono::milliseconds(packed.placed_ms()), std::chrono::milliseconds(packed.broken_ms()),
+        packed.lives() };
+    if (packed.parts() != nullptr)
+        crash.parts.assign(packed.parts()->begin(), packed.parts()->end());
+    return crash;
+}
+
+} // namespace camphorshunt::router
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -1,12 +1,10 @@
 #include "peerframe.h"
 
-#include <algorithm>
-#include <limits>
-#include <type_traits>
-
 #include <absl/container/flat_hash_set.h>
 
 #include "fleet_generated.h"
+#include "peercrash.h"
+#include "peerframefields.h"
 
 namespace camphorshunt::router {
 
@@ -23,18 +21,6 @@
 /** Longest time to a goal or deadline, or since one; a longer one could overflow a time. */
 constexpr auto maxTimeLeft = Duration(std::chrono::hours(24));
 
-auto malformed(std::string message) -> Error
-{
-    return failure(Error::Code::Malformed, "frame", std::move(message));
-}
-
-/** A longer time is packed as the longest one. */
-auto packMilliseconds(std::chrono::milliseconds time) -> std::uint32_t
-{
-    constexpr auto longest = std::chrono::milliseconds(std::numeric_limits<std::uint32_t>::max());
-    return static_cast<std::uint32_t>(std::clamp(time, std::chrono::milliseconds(0), longest).count());
-}
-
 auto packPlacementRequest(FlatBufferBuilder& builder, const PeerPlacementRequest& placement)
     -> Offset<fleet::Place>
 {
@@ -127,15 +113,6 @@
     return microseconds >= -maxTimeLeft.count() && microseconds <= maxTimeLeft.count();
 }
 
-/** The verifier of FlatBuffers 2.0 checks the length of a list, but not the alignment of its items. */
-template <typename Item> auto isAligned(const flatbuffers::Vector<Item>* list) -> bool
-{
-    using Stored = std::remove_const_t<std::remove_pointer_t<Item>>;
-    // An empty list is stored without alignment.
-    return list == nullptr || list->size() == 0
-        || reinterpret_cast<std::uintptr_t>(list->Data()) % alignof(Stored) == 0;
-}
-
 auto unpackPlacementRequest(const fleet::Place& packed) -> Result<PeerPlacementRequest>
 {
     if (!isAligned(packed.parts()) || !isAligned(packed.avoid()))
@@ -314,6 +291,10 @@
     for (const auto& item : frame.availability)
         availability.push_back(packAvailability(builder, item));
     const auto availabilityList = availability.empty() ? 0 : builder.CreateVector(availability);
+    auto crashes = std::vector<Offset<fleet::Crash>> {};
+    for (const auto& crash : frame.crashes)
+        crashes.push_back(packCrash(builder, crash));
+    const auto crashList = crashes.empty() ? 0 : builder.CreateVector(crashes);
     const auto quarantineList = quarantines.empty() ? 0 : builder.CreateVectorOfStructs(quarantines);
     const auto quarantinedList = quarantined.empty() ? 0 : builder.CreateVector(quarantined);
     const auto presence = packPresence(frame.presence.value_or(PeerPresence {}));
@@ -324,7 +305,7 @@
     builder.Finish(fleet::CreateFrame(builder, hello, members, frame.heartbeat ? &packedHeartbeat : nullptr,
         requestList, decisionList, reportList, directory, frame.wantsDirectory, configuration,
         frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr, availabilityList,
-        frame.clock ? &clock : nullptr, quarantineList, quarantinedList, heartbeat.directoryEra));
+        frame.clock ? &clock : nullptr, quarantineList, quarantinedList, heartbeat.directoryEra, crashList));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -367,6 +348,8 @@
         return *error;
     if (const auto error = unpackAll(packed.quarantines(), frame.quarantines, unpackQuarantine))
         return *error;
+    if (const auto error = unpackAll(packed.crashes(), frame.crashes, unpackCrash))
+        return *error;
     markQuarantined(frame.placementDecisions, packed.quarantined());
     const auto* const presence = packed.presence();
     if (presence != nullptr && presence->routers() > maxRouters)
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -127,6 +127,19 @@
     bool released = false;
 };
 
+/** A request that broke off as its engine ended, as the router has seen it that places requests. */
+struct PeerCrash {
+    ServiceId service;
+    UpstreamProcess process;
+    /** Shared parts of the request's prompt. */
+    std::vector<std::uint64_t> parts;
+    /** Times from the placing of the request and from its break to the sending. */
+    std::chrono::milliseconds sincePlaced {};
+    std::chrono::milliseconds sinceBreak {};
+    /** The engine has answered since, so that the break counts against no part. */
+    bool lives = false;
+};
+
 struct DirectoryRecord {
     std::string name;
     /** Empty if the entry is removed. */
@@ -167,6 +180,7 @@
     std::optional<PeerPresence> presence;
     std::vector<PeerAvailability> availability;
     std::vector<PeerQuarantine> quarantines;
+    std::vector<PeerCrash> crashes;
     /** Set in heartbeats and in what is passed on from the store; never by older builds. */
     std::optional<PeerClock> clock;
 };
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -79,6 +79,7 @@
         placer.setTraits(*declared.engine, table.configuration().tokensPerSecond);
         placer.setUpstreams(now, engines);
     }
+    applyEarlyCrashes(now);
 }
 
 auto PlacementCoordinator::setRouters(Time now, Routers routers) -> void
@@ -91,7 +92,11 @@
         if (owner == service.owner)
             continue;
         outputs_.placerChanges.push_back({ id, service.owner, owner });
-        service.owner = owner;
+        const auto wasOwn = std::exchange(service.owner, owner) == self_;
+        if (wasOwn)
+            handOverEvidence(now, id, service);
+        if (owner == self_)
+            service.placer->takeOverQuarantine(now);
         if (owner == self_ && routers.live > 1)
             service.handoverEnd = now + handoverTime;
     }
@@ -326,6 +331,8 @@
     for (auto& [id, service] : services_) {
         for (auto& change : service.placer->takeQuarantineChanges())
             outputs_.quarantines.push_back({ id, change });
+        for (const auto& report : service.placer->takeCrashReports())
+            outputs_.crashes.push_back(toldAt(now, id, report));
         if (now < service.handoverEnd)
             continue;
         for (const auto& decision : service.placer->placeWaiting(now))
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -34,6 +34,7 @@
 
 /** What other routers are told of a prompt part. */
 auto toldAt(Time now, ServiceId service, const QuarantinedPart& part) -> PeerQuarantine;
+auto toldAt(Time now, ServiceId service, const CrashReport& report) -> PeerCrash;
 
 /**
  * Sends each request for an engine to the router that places its service, and places the requests of the
@@ -60,6 +61,8 @@
         std::vector<PlacerChange> placerChanges;
         /** What placers here have found out about prompt parts under which engines crash. */
         std::vector<ServiceQuarantine> quarantines;
+        /** What placers here have seen of requests that broke off, for the routers that may place next. */
+        std::vector<PeerCrash> crashes;
         /** For each frame at most one service that it names and that the configuration does not have. */
         std::vector<std::pair<RouterId, ServiceId>> unknownServices;
         /** A frame contains something that a request waits for. */
@@ -92,6 +95,10 @@
     auto applyQuarantine(Time now, const PeerQuarantine& told) -> bool;
     /** Prompt parts in quarantine of the services that this router places. */
     auto quarantines(Time now) const -> std::vector<PeerQuarantine>;
+    /** Applies what the router that places has seen of a request that broke off. */
+    auto applyCrash(Time now, const PeerCrash& told) -> void;
+    /** Crashes of engines of the services that this router places. */
+    auto crashes(Time now) const -> std::vector<PeerCrash>;
     auto handleFrame(Time now, RouterId peer, const PeerFrame& frame) -> void;
 
     auto placeWaiting(Time now) -> void;
@@ -131,6 +138,11 @@
     };
 
     auto service(ServiceId id) -> Service&;
+    /** Tells the new placer of a service what this one knows of crashes. */
+    auto handOverEvidence(Time now, ServiceId id, const Service& service) -> void;
+    static auto crashesOf(Time now, ServiceId id, const Placer& placer) -> std::vector<PeerCrash>;
+    /** Applies crashes of services that the configuration did not have yet. */
+    auto applyEarlyCrashes(Time now) -> void;
     /** Refuses the requests of a frame for services that do not exist. Returns true if there are any. */
     auto refuseUnknown(RouterId peer, const PeerFrame& frame) -> bool;
     auto sendToPlacer(Time now, OwnRequest& own) -> void;
@@ -149,6 +161,7 @@
     double fraction_ = 1;
     std::map<ServiceId, Service> services_;
     OwnRequests ownRequests_;
+    std::vector<std::pair<ServiceId, CrashReport>> earlyCrashes_;
     Outputs outputs_;
 };
 
--- a/src/camphorshuntrouter/placementquarantine.cpp
+++ b/src/camphorshuntrouter/placementquarantine.cpp
@@ -1,11 +1,19 @@
 #include "placementcoordinator.h"
 
 #include <algorithm>
+#include <iterator>
 
 // Prompt parts under which engines crash, as routers tell each other.
 
 namespace camphorshunt::router {
 
+namespace {
+
+/** Crashes that are kept until the configuration names their service. */
+constexpr auto maxEarlyCrashes = std::size_t { 128 };
+
+} // namespace
+
 auto toldAt(Time now, ServiceId service, const QuarantinedPart& part) -> PeerQuarantine
 {
     const auto left = std::max(part.until - now, Duration {});
@@ -13,6 +21,61 @@
         std::chrono::ceil<std::chrono::milliseconds>(part.length), part.released };
 }
 
+auto toldAt(Time now, ServiceId service, const CrashReport& report) -> PeerCrash
+{
+    const auto since = [now](Time at) { return std::chrono::ceil<std::chrono::milliseconds>(now - at); };
+    return { service, report.engine, report.parts, since(report.placedAt), since(report.brokenAt),
+        report.isDisproved };
+}
+
+auto PlacementCoordinator::applyCrash(Time now, const PeerCrash& told) -> void
+{
+    const auto report
+        = CrashReport { told.process, told.parts, now - told.sincePlaced, now - told.sinceBreak, told.lives };
+    const auto found = services_.find(told.service);
+    if (found != services_.end())
+        found->second.placer->applyCrash(now, report, found->second.owner == self_);
+    else if (earlyCrashes_.size() < maxEarlyCrashes)
+        earlyCrashes_.emplace_back(told.service, report);
+}
+
+auto PlacementCoordinator::applyEarlyCrashes(Time now) -> void
+{
+    std::erase_if(earlyCrashes_, [this, now](const auto& early) {
+        const auto found = services_.find(early.first);
+        if (found == services_.end())
+            return false;
+        found->second.placer->applyCrash(now, early.second, found->second.owner == self_);
+        return true;
+    });
+}
+
+auto PlacementCoordinator::crashesOf(Time now, ServiceId id, const Placer& placer) -> std::vector<PeerCrash>
+{
+    auto crashes = std::vector<PeerCrash> {};
+    for (const auto& report : placer.crashReports())
+        crashes.push_back(toldAt(now, id, report));
+    return crashes;
+}
+
+auto PlacementCoordinator::crashes(Time now) const -> std::vector<PeerCrash>
+{
+    auto crashes = std::vector<PeerCrash> {};
+    for (const auto& [id, service] : services_) {
+        if (service.owner == self_)
+            std::ranges::move(crashesOf(now, id, *service.placer), std::back_inserter(crashes));
+    }
+    return crashes;
+}
+
+auto PlacementCoordinator::handOverEvidence(Time now, ServiceId id, const Service& service) -> void
+{
+    auto& frame = outputs_.frames[service.owner];
+    std::ranges::move(crashesOf(now, id, *service.placer), std::back_inserter(frame.crashes));
+    for (const auto& part : service.placer->quarantinedParts())
+        frame.quarantines.push_back(toldAt(now, id, part));
+}
+
 auto PlacementCoordinator::applyQuarantine(Time now, const PeerQuarantine& told) -> bool
 {
     const auto found = services_.find(told.service);
--- a/src/libcamphorshunt/crashevidence.cpp
+++ b/src/libcamphorshunt/crashevidence.cpp
@@ -47,10 +47,14 @@
     expire(now);
     if (request.parts.size() > maxPromptParts)
         request.parts.resize(maxPromptParts);
-    const auto found = find(engine);
-    if (found == ends_.end())
-        ends_.push_back({ engine, now, {} });
-    auto& end = found == ends_.end() ? ends_.back() : ends_[static_cast<std::size_t>(found - ends_.cbegin())];
+    auto found = find(engine);
+    if (found == ends_.end()) {
+        // Other routers tell late of ends that they have seen.
+        const auto isEarlier = [](Time at, const EngineEnd& other) { return at < other.at; };
+        found = ends_.insert(
+            std::upper_bound(ends_.cbegin(), ends_.cend(), now, isEarlier), { engine, now, {} });
+    }
+    auto& end = ends_[static_cast<std::size_t>(found - ends_.cbegin())];
     if (request.parts.empty() || end.requests.size() >= maxRequests)
         return;
     for (const auto part : request.parts)
@@ -90,6 +94,25 @@
     return true;
 }
 
+auto CrashEvidence::dropEnd(const UpstreamProcess& engine) -> bool
+{
+    const auto found = find(engine);
+    if (found == ends_.end())
+        return false;
+    forget(found);
+    return true;
+}
+
+auto CrashEvidence::reports() const -> std::vector<CrashReport>
+{
+    auto reports = std::vector<CrashReport> {};
+    for (const auto& end : ends_) {
+        for (const auto& request : end.requests)
+            reports.push_back({ end.engine, request.parts, request.placedAt, end.at });
+    }
+    return reports;
+}
+
 auto CrashEvidence::recordAnswered(std::span<const std::uint64_t> parts) -> void
 {
     for (const auto part : parts) {
--- a/src/libcamphorshunt/crashevidence.h
+++ b/src/libcamphorshunt/crashevidence.h
@@ -19,6 +19,17 @@
     Time placedAt;
 };
 
+/** What one router tells the others of an engine that broke off a request. */
+struct CrashReport {
+    UpstreamProcess engine;
+    /** Shared parts of the request's prompt. */
+    std::vector<std::uint64_t> parts;
+    Time placedAt;
+    Time brokenAt;
+    /** The engine has answered since, so that its break counts against no part. */
+    bool isDisproved = false;
+};
+
 /** Whether all parts of `set` are among `parts`. */
 auto containsAll(std::span<const std::uint64_t> parts, std::span<const std::uint64_t> set) -> bool;
 
@@ -34,6 +45,8 @@
 
     /** The engine broke off this request, and does not live unless it shows that it does. */
     auto recordBreak(Time now, const UpstreamProcess& engine, BrokenRequest request) -> void;
+    /** Drops what is known of the engine's end; true if there was something. */
+    auto dropEnd(const UpstreamProcess& engine) -> bool;
     /** The engine has answered a request placed at this time; true if it had been taken for ended. */
     auto recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> bool;
     /** An answer to a request with these parts has lasted: none of them ended an engine before. */
@@ -53,6 +66,9 @@
     /** Number of ended engines that had a request with all parts of the set. */
     auto enginesWith(std::span<const std::uint64_t> set) const -> std::size_t;
 
+    /** All broken requests, of the engine that ended first at first. */
+    auto reports() const -> std::vector<CrashReport>;
+
     auto observedParts() const -> std::size_t { return parts_.size(); }
     auto observedEngines() const -> std::size_t { return ends_.size(); }
 
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -78,6 +78,14 @@
     /** What was found out since the last call about prompt parts under which engines crash. */
     auto takeQuarantineChanges() -> std::vector<QuarantineChange> { return quarantine_.takeChanges(); }
     auto quarantinedParts() const -> std::vector<QuarantinedPart> { return quarantine_.quarantined(); }
+    // See `PromptQuarantine`.
+    auto applyCrash(Time now, const CrashReport& told, bool isPlacer) -> bool
+    {
+        return quarantine_.applyCrash(now, told, isPlacer);
+    }
+    auto takeCrashReports() -> std::vector<CrashReport> { return quarantine_.takeCrashReports(); }
+    auto crashReports() const -> std::vector<CrashReport> { return quarantine_.crashReports(); }
+    auto takeOverQuarantine(Time now) -> void { quarantine_.takeOver(now); }
     /** Removes all waiting and placed requests of a router that was lost. */
     auto removeRouter(Time now, RouterId router) -> void;
 
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -112,6 +112,8 @@
 {
     if (!evidence_.recordLife(now, engine, placedAt))
         return;
+    if (reportedEngines_.erase(engine.upstream) > 0)
+        crashReports_.push_back({ engine, {}, placedAt, now, true });
     std::erase_if(suspicions_,
         [this](const Suspicion& suspicion) { return evidence_.enginesWith(suspicion.parts) < crashLimit; });
 }
@@ -189,6 +191,8 @@
     // Requests that were placed before a quarantine say nothing new about their other parts.
     if (isExplained)
         request.parts.clear();
+    if (!request.parts.empty() && unreported_.size() < maxParts)
+        unreported_.push_back({ engine, request.parts, request.placedAt, now });
     evidence_.recordBreak(now, engine, { std::move(request.parts), request.placedAt });
     if (isExplained)
         return;
@@ -221,6 +225,7 @@
 auto PromptQuarantine::settle(Time now) -> void
 {
     clearLasting(now);
+    reportCrashes(now);
     suspectDue(now);
     for (; !verdicts_.empty() && verdicts_.front().due <= now; verdicts_.pop_front()) {
         const auto& verdict = verdicts_.front();
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -80,6 +80,19 @@
     /** All parts that are in quarantine by themselves. */
     auto quarantined() const -> std::vector<QuarantinedPart>;
 
+    // Routers that do not place requests keep the evidence of the one that does, and may be the next one.
+    /**
+     * Applies what the router that places has seen; returns whether it was new. `isPlacer`: this router
+     * places the requests by now.
+     */
+    auto applyCrash(Time now, const CrashReport& told, bool isPlacer) -> bool;
+    /** What this object has seen since the last call, for the other routers; bounded. */
+    auto takeCrashReports() -> std::vector<CrashReport> { return std::exchange(crashReports_, {}); }
+    /** Everything that a router needs to know which is to place the requests from now on. */
+    auto crashReports() const -> std::vector<CrashReport>;
+    /** Judges by all evidence, as this router now places the requests. */
+    auto takeOver(Time now) -> void;
+
     /** What this object has found out since the last call. */
     auto takeChanges() -> std::vector<QuarantineChange> { return std::exchange(changes_, {}); }
     /** Whether `blockedUntil` may have become later for some request since the last call. */
@@ -128,6 +141,7 @@
     /** Suspects parts for the end of the engine soon, and quarantines them unless the engine shows life. */
     auto judgeLater(Time now, const UpstreamProcess& engine) -> void;
     auto suspectDue(Time now) -> void;
+    auto reportCrashes(Time now) -> void;
     auto find(std::span<const std::uint64_t> parts) -> std::vector<Quarantine>::iterator;
     auto quarantine(Time now, Parts parts, UpstreamId engine) -> void;
     auto prolong(Time now, Quarantine& quarantine, UpstreamId engine) -> void;
@@ -155,6 +169,12 @@
     std::deque<std::pair<Time, UpstreamProcess>> toBeSuspected_;
     /** Engines with a verdict that is due, other than of a trial. */
     absl::flat_hash_set<UpstreamId> toBeJudged_;
+    /** Not reported yet, in order of time, as their engines may still show that they live. */
+    std::deque<CrashReport> unreported_;
+    std::vector<CrashReport> crashReports_;
+    absl::flat_hash_set<UpstreamId> reportedEngines_;
+    Time reportPeriod_;
+    std::size_t reportsInPeriod_ = 0;
     std::vector<QuarantineChange> changes_;
     bool hasNewBlock_ = false;
 };
