--- a/src/camphorshuntload/simulatedstore.cpp
+++ b/src/camphorshuntload/simulatedstore.cpp
@@ -7,6 +7,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "quarantinerecord.h"
+
 namespace camphorshunt::load {
 
 namespace {
@@ -131,7 +133,7 @@
 auto SimulatedStore::handle(const StoreQuarantine& store, const Answer& answer) -> void
 {
     const auto& quarantine = store.quarantine;
-    quarantines_[{ quarantine.service, quarantine.part }] = quarantine;
+    quarantines_[encodeQuarantineRecord({}, quarantine).key] = quarantine;
     answerLater(answer, QuarantineStored { quarantine, boost::outcome_v2::success() });
 }
 
--- a/src/camphorshuntload/simulatedstore.h
+++ b/src/camphorshuntload/simulatedstore.h
@@ -58,7 +58,7 @@
     std::uint64_t era_ = 1;
     std::uint64_t version_ = 0;
     std::map<std::string, router::RouterAddress> routers_;
-    std::map<std::pair<ServiceId, std::uint64_t>, router::PeerQuarantine> quarantines_;
+    std::map<std::string, router::PeerQuarantine> quarantines_;
     std::map<std::uint64_t, LongPoll> longPolls_;
     std::uint64_t nextPoll_ = 0;
     std::vector<std::uint64_t> callsBySecond_;
--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -30,6 +30,9 @@
 
 struct Quarantine;
 
+struct QuarantinedSet;
+struct QuarantinedSetBuilder;
+
 struct Crash;
 struct CrashBuilder;
 
@@ -377,6 +380,105 @@
 };
 FLATBUFFERS_STRUCT_END(Quarantine, 32);
 
+struct QuarantinedSet FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantinedSetBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_PARTS = 6,
+    VT_LEFT_MS = 8,
+    VT_LENGTH_MS = 10,
+    VT_RELEASED = 12
+  };
+  uint64_t service() const {
+    return GetField<uint64_t>(VT_SERVICE, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  uint32_t left_ms() const {
+    return GetField<uint32_t>(VT_LEFT_MS, 0);
+  }
+  uint32_t length_ms() const {
+    return GetField<uint32_t>(VT_LENGTH_MS, 0);
+  }
+  bool released() const {
+    return GetField<uint8_t>(VT_RELEASED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyField<uint32_t>(verifier, VT_LEFT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LENGTH_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_RELEASED, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuarantinedSetBuilder {
+  typedef QuarantinedSet Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(uint64_t service) {
+    fbb_.AddElement<uint64_t>(QuarantinedSet::VT_SERVICE, service, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(QuarantinedSet::VT_PARTS, parts);
+  }
+  void add_left_ms(uint32_t left_ms) {
+    fbb_.AddElement<uint32_t>(QuarantinedSet::VT_LEFT_MS, left_ms, 0);
+  }
+  void add_length_ms(uint32_t length_ms) {
+    fbb_.AddElement<uint32_t>(QuarantinedSet::VT_LENGTH_MS, length_ms, 0);
+  }
+  void add_released(bool released) {
+    fbb_.AddElement<uint8_t>(QuarantinedSet::VT_RELEASED, static_cast<uint8_t>(released), 0);
+  }
+  explicit QuarantinedSetBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantinedSet> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantinedSet>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantinedSet> CreateQuarantinedSet(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    uint32_t left_ms = 0,
+    uint32_t length_ms = 0,
+    bool released = false) {
+  QuarantinedSetBuilder builder_(_fbb);
+  builder_.add_service(service);
+  builder_.add_length_ms(length_ms);
+  builder_.add_left_ms(left_ms);
+  builder_.add_parts(parts);
+  builder_.add_released(released);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QuarantinedSet> CreateQuarantinedSetDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t service = 0,
+    const std::vector<uint64_t> *parts = nullptr,
+    uint32_t left_ms = 0,
+    uint32_t length_ms = 0,
+    bool released = false) {
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  return camphorshunt::fleet::CreateQuarantinedSet(
+      _fbb,
+      service,
+      parts__,
+      left_ms,
+      length_ms,
+      released);
+}
+
 struct Crash FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1220,7 +1322,8 @@
     VT_QUARANTINES = 32,
     VT_QUARANTINED = 34,
     VT_DIRECTORY_ERA = 36,
-    VT_CRASHES = 38
+    VT_CRASHES = 38,
+    VT_QUARANTINED_SETS = 40
   };
   const camphorshunt::fleet::Hello *hello() const {
     return GetPointer<const camphorshunt::fleet::Hello *>(VT_HELLO);
@@ -1276,6 +1379,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *crashes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *>(VT_CRASHES);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>> *quarantined_sets() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>> *>(VT_QUARANTINED_SETS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -1313,6 +1419,9 @@
            VerifyOffset(verifier, VT_CRASHES) &&
            verifier.VerifyVector(crashes()) &&
            verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_QUARANTINED_SETS) &&
+           verifier.VerifyVector(quarantined_sets()) &&
+           verifier.VerifyVectorOfTables(quarantined_sets()) &&
            verifier.EndTable();
   }
 };
@@ -1375,6 +1484,9 @@
   void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>>> crashes) {
     fbb_.AddOffset(Frame::VT_CRASHES, crashes);
   }
+  void add_quarantined_sets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>>> quarantined_sets) {
+    fbb_.AddOffset(Frame::VT_QUARANTINED_SETS, quarantined_sets);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1405,9 +1517,11 @@
     flatbuffers::Offset<flatbuffers::Vector<const camphorshunt::fleet::Quarantine *>> quarantines = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantined = 0,
     uint64_t directory_era = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>>> crashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>>> quarantined_sets = 0) {
   FrameBuilder builder_(_fbb);
   builder_.add_directory_era(directory_era);
+  builder_.add_quarantined_sets(quarantined_sets);
   builder_.add_crashes(crashes);
   builder_.add_quarantined(quarantined);
   builder_.add_quarantines(quarantines);
@@ -1447,7 +1561,8 @@
     const std::vector<camphorshunt::fleet::Quarantine> *quarantines = nullptr,
     const std::vector<uint64_t> *quarantined = nullptr,
     uint64_t directory_era = 0,
-    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *crashes = nullptr) {
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *crashes = nullptr,
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>> *quarantined_sets = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Place>>(*places) : 0;
   auto verdicts__ = verdicts ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Verdict>(*verdicts) : 0;
@@ -1458,6 +1573,7 @@
   auto quarantines__ = quarantines ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Quarantine>(*quarantines) : 0;
   auto quarantined__ = quarantined ? _fbb.CreateVector<uint64_t>(*quarantined) : 0;
   auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Crash>>(*crashes) : 0;
+  auto quarantined_sets__ = quarantined_sets ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>>(*quarantined_sets) : 0;
   return camphorshunt::fleet::CreateFrame(
       _fbb,
       hello,
@@ -1477,7 +1593,8 @@
       quarantines__,
       quarantined__,
       directory_era,
-      crashes__);
+      crashes__,
+      quarantined_sets__);
 }
 
 inline const camphorshunt::fleet::Frame *GetFrame(const void *buf) {
--- a/src/camphorshuntrouter/fleetquarantine.cpp
+++ b/src/camphorshuntrouter/fleetquarantine.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "clock.h"
-#include "requestrecord.h"
+#include "quarantinerecord.h"
 
 // How the routers learn under which prompt parts engines crash.
 
@@ -28,21 +28,15 @@
     for (const auto& [id, change] : found) {
         const auto* const service = table ? table->service(id) : nullptr;
         const auto told = toldAt(now, id, change.part);
-        auto names = partName(told.part);
-        for (const auto part : change.with)
-            names += '+' + partName(part);
         log_.write(LogLevel::Warning, told.released ? "prompt-part-released" : "prompt-part-quarantined",
-            { { "service", service == nullptr ? "-" : service->name }, { "part", std::move(names) },
+            { { "service", service == nullptr ? "-" : service->name }, { "part", partNames(told) },
                 { "crashes", std::to_string(change.crashes) },
                 { "last-upstream", std::to_string(change.engine.value) },
                 { "ms", std::to_string(told.left.count()) } });
-        if (!change.with.empty())
-            continue;
         frame.quarantines.push_back(told);
         handlers_.callStore(StoreQuarantine { told });
     }
-    if (!frame.quarantines.empty())
-        sendUpdate(now, std::move(frame), true);
+    sendUpdate(now, std::move(frame), true);
 }
 
 auto FleetControl::publishCrashes(Time now, std::vector<PeerCrash> crashes) -> void
@@ -58,7 +52,7 @@
 auto FleetControl::logTold(const PeerQuarantine& told, std::string from) -> void
 {
     log_.write(LogLevel::Info, "prompt-part-told",
-        { { "part", partName(told.part) }, { "from", std::move(from) },
+        { { "part", partNames(told) }, { "from", std::move(from) },
             { "released", told.released ? "true" : "false" }, { "ms", std::to_string(told.left.count()) } });
 }
 
@@ -80,7 +74,7 @@
     if (stored.done)
         return;
     log_.write(LogLevel::Warning, "quarantine-not-stored",
-        { { "part", partName(stored.quarantine.part) }, { "error", stored.done.error().text() } });
+        { { "part", partNames(stored.quarantine) }, { "error", stored.done.error().text() } });
     if (unstoredQuarantines_.size() < maxUnstored)
         unstoredQuarantines_.push_back(stored.quarantine);
 }
--- a/src/camphorshuntrouter/peercrash.cpp
+++ b/src/camphorshuntrouter/peerevidence.cpp
@@ -1,9 +1,28 @@
-#include "peercrash.h"
+#include "peerevidence.h"
 
 #include "peerframefields.h"
 
 namespace camphorshunt::router {
 
+auto packQuarantinedSet(flatbuffers::FlatBufferBuilder& builder, const PeerQuarantine& quarantine)
+    -> flatbuffers::Offset<fleet::QuarantinedSet>
+{
+    auto parts = quarantine.with;
+    parts.insert(parts.begin(), quarantine.part);
+    return fleet::CreateQuarantinedSet(builder, quarantine.service.value, builder.CreateVector(parts),
+        packMilliseconds(quarantine.left), packMilliseconds(quarantine.length), quarantine.released);
+}
+
+auto unpackQuarantinedSet(const fleet::QuarantinedSet& packed) -> Result<PeerQuarantine>
+{
+    const auto* const parts = packed.parts();
+    if (parts == nullptr || parts->size() == 0 || !isAligned(parts))
+        return malformed("set in quarantine has no parts, or a list that is not aligned");
+    return PeerQuarantine { { packed.service() }, parts->Get(0), std::chrono::milliseconds(packed.left_ms()),
+        std::chrono::milliseconds(packed.length_ms()), packed.released(),
+        { parts->begin() + 1, parts->end() } };
+}
+
 auto packCrash(flatbuffers::FlatBufferBuilder& builder, const PeerCrash& crash)
     -> flatbuffers::Offset<fleet::Crash>
 {
--- a/src/camphorshuntrouter/peercrash.h
+++ b/src/camphorshuntrouter/peerevidence.h
@@ -7,6 +7,12 @@
 
 namespace camphorshunt::router {
 
+// What routers tell each other of prompt parts under which engines crash.
+
+auto packQuarantinedSet(flatbuffers::FlatBufferBuilder& builder, const PeerQuarantine& quarantine)
+    -> flatbuffers::Offset<fleet::QuarantinedSet>;
+auto unpackQuarantinedSet(const fleet::QuarantinedSet& packed) -> Result<PeerQuarantine>;
+
 auto packCrash(flatbuffers::FlatBufferBuilder& builder, const PeerCrash& crash)
     -> flatbuffers::Offset<fleet::Crash>;
 auto unpackCrash(const fleet::Crash& packed) -> Result<PeerCrash>;
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -3,7 +3,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include "fleet_generated.h"
-#include "peercrash.h"
+#include "peerevidence.h"
 #include "peerframefields.h"
 
 namespace camphorshunt::router {
@@ -267,8 +267,13 @@
             quarantined.push_back(decision.number);
     }
     auto quarantines = std::vector<fleet::Quarantine> {};
-    for (const auto& quarantine : frame.quarantines)
-        quarantines.push_back(packQuarantine(quarantine));
+    auto sets = std::vector<Offset<fleet::QuarantinedSet>> {};
+    for (const auto& quarantine : frame.quarantines) {
+        if (quarantine.with.empty())
+            quarantines.push_back(packQuarantine(quarantine));
+        else
+            sets.push_back(packQuarantinedSet(builder, quarantine));
+    }
     auto reports = std::vector<fleet::Report> {};
     for (const auto& report : frame.reports) {
         reports.emplace_back(report.number, report.service.value, static_cast<std::uint8_t>(report.kind),
@@ -294,6 +299,7 @@
     auto crashes = std::vector<Offset<fleet::Crash>> {};
     for (const auto& crash : frame.crashes)
         crashes.push_back(packCrash(builder, crash));
+    const auto setList = sets.empty() ? 0 : builder.CreateVector(sets);
     const auto crashList = crashes.empty() ? 0 : builder.CreateVector(crashes);
     const auto quarantineList = quarantines.empty() ? 0 : builder.CreateVectorOfStructs(quarantines);
     const auto quarantinedList = quarantined.empty() ? 0 : builder.CreateVector(quarantined);
@@ -305,7 +311,8 @@
     builder.Finish(fleet::CreateFrame(builder, hello, members, frame.heartbeat ? &packedHeartbeat : nullptr,
         requestList, decisionList, reportList, directory, frame.wantsDirectory, configuration,
         frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr, availabilityList,
-        frame.clock ? &clock : nullptr, quarantineList, quarantinedList, heartbeat.directoryEra, crashList));
+        frame.clock ? &clock : nullptr, quarantineList, quarantinedList, heartbeat.directoryEra, crashList,
+        setList));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -348,6 +355,8 @@
         return *error;
     if (const auto error = unpackAll(packed.quarantines(), frame.quarantines, unpackQuarantine))
         return *error;
+    if (const auto error = unpackAll(packed.quarantined_sets(), frame.quarantines, unpackQuarantinedSet))
+        return *error;
     if (const auto error = unpackAll(packed.crashes(), frame.crashes, unpackCrash))
         return *error;
     markQuarantined(frame.placementDecisions, packed.quarantined());
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -125,6 +125,8 @@
     std::chrono::milliseconds length {};
     /** Engines answer requests with the part again. */
     bool released = false;
+    /** Only requests that have these parts too are kept away. */
+    std::vector<std::uint64_t> with {};
 };
 
 /** A request that broke off as its engine ended, as the router has seen it that places requests. */
--- a/src/camphorshuntrouter/placementquarantine.cpp
+++ b/src/camphorshuntrouter/placementquarantine.cpp
@@ -18,7 +18,7 @@
 {
     const auto left = std::max(part.until - now, Duration {});
     return { service, part.part, std::chrono::ceil<std::chrono::milliseconds>(left),
-        std::chrono::ceil<std::chrono::milliseconds>(part.length), part.released };
+        std::chrono::ceil<std::chrono::milliseconds>(part.length), part.released, part.with };
 }
 
 auto toldAt(Time now, ServiceId service, const CrashReport& report) -> PeerCrash
@@ -80,7 +80,8 @@
 {
     const auto found = services_.find(told.service);
     return found != services_.end()
-        && found->second.placer->applyQuarantine({ told.part, now + told.left, told.length, told.released });
+        && found->second.placer->applyQuarantine(
+            { told.part, now + told.left, told.length, told.released, told.with });
 }
 
 auto PlacementCoordinator::quarantines(Time now) const -> std::vector<PeerQuarantine>
--- a/src/camphorshuntrouter/quarantinerecord.h
+++ b/src/camphorshuntrouter/quarantinerecord.h
@@ -16,6 +16,9 @@
     std::string value;
 };
 
+/** The names of its parts, joined by `+`. */
+auto partNames(const PeerQuarantine& quarantine) -> std::string;
+
 /** `now`: in Unix time, by which the end of the quarantine is stored. */
 auto encodeQuarantineRecord(std::chrono::milliseconds now, const PeerQuarantine& quarantine)
     -> QuarantineRecord;
--- a/src/libcamphorshunt/crashevidence.cpp
+++ b/src/libcamphorshunt/crashevidence.cpp
@@ -18,6 +18,8 @@
 /** Broken requests that are kept of an engine, and shared parts of a prompt. */
 constexpr auto maxRequests = std::size_t { 16 };
 constexpr auto maxPromptParts = std::size_t { 128 };
+/** Parts of a set; a record of the store has a key of 255 bytes at most. */
+constexpr auto maxSetParts = std::size_t { 8 };
 
 auto showsLife(Time now, Time endedAt, Time placedAt) -> bool
 {
@@ -76,7 +78,7 @@
         parts_.erase(found);
 }
 
-auto CrashEvidence::forget(std::deque<EngineEnd>::const_iterator end) -> void
+auto CrashEvidence::forget(const std::deque<EngineEnd>::const_iterator& end) -> void
 {
     for (const auto& request : end->requests) {
         for (const auto part : request.parts)
@@ -235,8 +237,9 @@
                 set.push_back(part);
         }
         std::ranges::sort(set);
-        const auto repeated = std::ranges::unique(set);
-        set.erase(repeated.begin(), repeated.end());
+        set.erase(std::unique(set.begin(), set.end()), set.end());
+        if (set.size() > maxSetParts)
+            set.resize(maxSetParts);
         const auto isPartOf = [&set](const auto& other) { return containsAll(other, set); };
         if (set.empty() || std::ranges::any_of(sets, isPartOf))
             continue;
--- a/src/libcamphorshunt/crashevidence.h
+++ b/src/libcamphorshunt/crashevidence.h
@@ -96,7 +96,7 @@
      */
     auto isCommonAround(std::size_t end, std::span<const Presence> presences) const -> bool;
     auto find(const UpstreamProcess& engine) const -> std::deque<EngineEnd>::const_iterator;
-    auto forget(std::deque<EngineEnd>::const_iterator end) -> void;
+    auto forget(const std::deque<EngineEnd>::const_iterator& end) -> void;
     auto release(std::uint64_t part) -> void;
     auto expire(Time now) -> void;
 
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -1,6 +1,7 @@
 #include "promptquarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace camphorshunt {
@@ -255,9 +256,7 @@
 
 auto PromptQuarantine::quarantine(Time now, Parts parts, UpstreamId engine) -> void
 {
-    const auto isCovered
-        = [&parts](const Quarantine& quarantine) { return containsAll(parts, quarantine.parts); };
-    if (std::ranges::any_of(quarantines_, isCovered))
+    if (isCovered(parts))
         return;
     auto added = Quarantine {};
     added.length = firstQuarantine;
@@ -322,19 +321,27 @@
 
 auto PromptQuarantine::reportChange(const Quarantine& quarantine) -> void
 {
-    changes_.push_back({ { quarantine.parts.front(), quarantine.until, quarantine.length, false },
-        static_cast<std::uint32_t>(quarantine.crashes), quarantine.lastEngine,
-        { quarantine.parts.begin() + 1, quarantine.parts.end() } });
+    changes_.push_back(
+        { toldOf(quarantine), static_cast<std::uint32_t>(quarantine.crashes), quarantine.lastEngine });
 }
 
 auto PromptQuarantine::reportRelease(Time now, std::span<const std::uint64_t> parts) -> void
 {
-    changes_.push_back({ { parts.front(), now, {}, true }, 0, {}, { parts.begin() + 1, parts.end() } });
+    changes_.push_back({ { parts.front(), now, {}, true, { parts.begin() + 1, parts.end() } }, 0, {} });
+}
+
+auto PromptQuarantine::toldOf(const Quarantine& quarantine) -> QuarantinedPart
+{
+    const auto& parts = quarantine.parts;
+    return { parts.front(), quarantine.until, quarantine.length, false, { parts.begin() + 1, parts.end() } };
 }
 
 auto PromptQuarantine::apply(const QuarantinedPart& told) -> bool
 {
-    const auto found = find({ &told.part, 1 });
+    auto parts = told.with;
+    parts.push_back(told.part);
+    std::ranges::sort(parts);
+    const auto found = find(parts);
     if (told.released) {
         if (found == quarantines_.end())
             return false;
@@ -343,23 +350,26 @@
     }
     if (found != quarantines_.end() && found->length >= told.length)
         return false;
-    if (found != quarantines_.end())
-        quarantines_.erase(found);
-    std::erase_if(quarantines_, [&told](const Quarantine& quarantine) {
-        return containsAll(quarantine.parts, { &told.part, 1 });
-    });
-    evidence_.explain(told.part);
-    add({ { told.part }, told.length, told.until, std::nullopt });
+    if (found == quarantines_.end() && isCovered(parts))
+        return false;
+    std::erase_if(quarantines_,
+        [&parts](const Quarantine& quarantine) { return containsAll(quarantine.parts, parts); });
+    if (parts.size() == 1)
+        evidence_.explain(told.part);
+    add({ std::move(parts), told.length, told.until, std::nullopt });
     return true;
 }
 
+auto PromptQuarantine::isCovered(std::span<const std::uint64_t> parts) const -> bool
+{
+    return std::ranges::any_of(
+        quarantines_, [parts](const Quarantine& quarantine) { return containsAll(parts, quarantine.parts); });
+}
+
 auto PromptQuarantine::quarantined() const -> std::vector<QuarantinedPart>
 {
     auto parts = std::vector<QuarantinedPart> {};
-    for (const auto& quarantine : quarantines_) {
-        if (quarantine.parts.size() == 1)
-            parts.push_back({ quarantine.parts.front(), quarantine.until, quarantine.length, false });
-    }
+    std::ranges::transform(quarantines_, std::back_inserter(parts), toldOf);
     return parts;
 }
 
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -19,7 +19,7 @@
 
 namespace camphorshunt {
 
-/** A prompt part that is kept away from engines, as known by one router and told to the others. */
+/** A prompt part, or a set, that is kept away from engines, as known by one router and told to the others. */
 struct QuarantinedPart {
     std::uint64_t part = 0;
     /** One request with the part may be tried then. */
@@ -28,6 +28,8 @@
     Duration length {};
     /** Engines of the service answer requests with the part again. */
     bool released = false;
+    /** Only requests that have these parts too are kept away, as crashes don't tell them apart. */
+    std::vector<std::uint64_t> with {};
 };
 
 /** Why a part entered or left quarantine, for the log. */
@@ -37,8 +39,6 @@
     std::uint32_t crashes = 0;
     /** The engine that ended last under the part. */
     UpstreamId engine;
-    /** Only requests that have these parts too are kept away. Not told to other routers. */
-    std::vector<std::uint64_t> with;
 };
 
 /**
@@ -77,7 +77,7 @@
 
     /** Applies what another router has found out; returns whether it was new. */
     auto apply(const QuarantinedPart& told) -> bool;
-    /** All parts that are in quarantine by themselves. */
+    /** All parts and sets of parts that are in quarantine. */
     auto quarantined() const -> std::vector<QuarantinedPart>;
 
     // Routers that do not place requests keep the evidence of the one that does, and may be the next one.
@@ -151,6 +151,9 @@
     /** Whether any of the parts is in a quarantine or suspicion, or was lately. */
     auto mayConcern(std::span<const std::uint64_t> parts) const -> bool;
     auto noteConcerned(std::span<const std::uint64_t> parts) -> void;
+    /** Whether a quarantine keeps all requests away that have these parts. */
+    auto isCovered(std::span<const std::uint64_t> parts) const -> bool;
+    static auto toldOf(const Quarantine& quarantine) -> QuarantinedPart;
     auto reportChange(const Quarantine& quarantine) -> void;
     auto reportRelease(Time now, std::span<const std::uint64_t> parts) -> void;
     auto endTrials(const PlacementKey& key) -> void;
--- a/tests/unit/promptquarantinetest.cpp
+++ b/tests/unit/promptquarantinetest.cpp
@@ -280,11 +280,13 @@
 {
     auto fixture = Fixture {};
     fixture.quarantineCrashing();
-    CHECK(fixture.quarantine.quarantined().empty());
+    REQUIRE(fixture.quarantine.quarantined().size() == 1);
+    CHECK(fixture.quarantine.quarantined().front().with.size() == 1);
     fixture.end(fixture.place(fixture.sound), PlacementEnd::Finished, 30);
     CHECK(fixture.isBlocked({ { crashing, 100 }, { 10, 100 } }));
     REQUIRE(fixture.quarantine.quarantined().size() == 1);
     CHECK(fixture.quarantine.quarantined().front().part == crashing);
+    CHECK(fixture.quarantine.quarantined().front().with.empty());
 }
 
 TEST_CASE("Of parts that were quarantined together the crashing one is blamed after its next crash")
@@ -298,3 +300,15 @@
     CHECK_FALSE(fixture.isBlocked({ { 70, 100 }, { 9, 100 } }));
     CHECK(fixture.quarantine.quarantined().size() == 1);
 }
+
+TEST_CASE("A router that is told of parts in quarantine together keeps only requests with all of them away")
+{
+    auto fixture = Fixture {};
+    CHECK(fixture.quarantine.apply({ crashing, fixture.now + 10s, 15s, false, { shared } }));
+    CHECK(fixture.isBlocked(fixture.prompt));
+    CHECK_FALSE(fixture.isBlocked(fixture.sound));
+    CHECK(fixture.quarantine.apply({ crashing, fixture.now + 10s, 15s, false }));
+    CHECK_FALSE(fixture.quarantine.apply({ crashing, fixture.now + 10s, 15s, false, { shared } }));
+    CHECK(fixture.isBlocked({ { 70, 100 }, { crashing, 100 }, { 9, 100 } }));
+    CHECK(fixture.quarantine.quarantined().size() == 1);
+}
--- a/tests/unit/quarantinerecordtest.cpp
+++ b/tests/unit/quarantinerecordtest.cpp
@@ -27,6 +27,25 @@
     CHECK(decodeQuarantineRecord(now + 2400s, record.key, record.value)->left == 0s);
 }
 
+TEST_CASE("Parts in quarantine together are stored and told together")
+{
+    auto set = quarantine;
+    set.with = { 5, 0xfedcba9876543211 };
+    const auto record = encodeQuarantineRecord(now, set);
+    const auto read = decodeQuarantineRecord(now, record.key, record.value);
+    REQUIRE(read);
+    CHECK(read->part == set.part);
+    CHECK(read->with == set.with);
+    auto frame = PeerFrame {};
+    frame.quarantines = { quarantine, set };
+    const auto told = decodePeerFrame(encodePeerFrame(frame));
+    REQUIRE(told);
+    REQUIRE(told.value().quarantines.size() == 2);
+    CHECK(told.value().quarantines.front().with.empty());
+    CHECK(told.value().quarantines.back().part == set.part);
+    CHECK(told.value().quarantines.back().with == set.with);
+}
+
 TEST_CASE("The record of a released part is removed")
 {
     auto released = quarantine;
