--- a/src/camphorshuntload/simulatedstore.h
+++ b/src/camphorshuntload/simulatedstore.h
@@ -30,6 +30,8 @@
     auto record(router::DirectoryRecord record) -> void;
     /** The store comes back from a copy that lacks the newest records of the directory. */
     auto returnFromCopy(std::size_t lostRecords) -> void;
+    /** As a store that is at fault; eras only rise otherwise. */
+    auto setEra(std::uint64_t era) -> void { era_ = era; }
     /** Publishes the next version of the configuration. */
     auto publish() -> void;
 
--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -148,7 +148,9 @@
             { { "era", std::to_string(read.page.value().era) },
                 { "era-known", std::to_string(fleet_.directoryEra()) },
                 { "from", std::to_string(read.page.value().from) } });
-        pacer_.requireSnapshot(now);
+        // The store's state is older than the known one, and stays so until the next return.
+        if (result == FleetState::PageResult::Gap)
+            pacer_.requireSnapshot(now);
     }
     if (!isReader_ || !isApplied)
         return;
--- a/tests/unit/latefeedtest.cpp
+++ b/tests/unit/latefeedtest.cpp
@@ -195,3 +195,16 @@
     CHECK(fleet.timeUntil([](const auto& known) { return known.upstreams->size() < engineCount; })
         < timeInForce);
 }
+
+TEST_CASE("A store whose era goes back is not called more often for it")
+{
+    auto fleet = FeedAndLateRouter();
+    fleet.store.setEra(9);
+    fleet.events.runUntil(fleet.events.now() + 4s);
+    fleet.store.setEra(8);
+    fleet.store.record({ "engine-3", std::nullopt, 0 });
+    fleet.events.runUntil(fleet.events.now() + 6s);
+    CHECK(fleet.fleet.upstreams->size() == engineCount);
+    const auto& calls = fleet.store.callsBySecond();
+    CHECK(*std::max_element(calls.begin() + 5, calls.end()) <= 12);
+}
