--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -61,6 +61,7 @@
         service.placer = std::make_unique<Placer>(settings_);
         service.placer->setFraction(fraction_);
         service.owner = placerOf(id, candidates_);
+        service.placer->setPlacesService({}, service.owner == self_);
         outputs_.placerChanges.push_back({ id, {}, service.owner });
     }
     return service;
@@ -93,10 +94,9 @@
             continue;
         outputs_.placerChanges.push_back({ id, service.owner, owner });
         const auto wasOwn = std::exchange(service.owner, owner) == self_;
+        service.placer->setPlacesService(now, owner == self_);
         if (wasOwn)
             handOverEvidence(now, id, service);
-        if (owner == self_)
-            service.placer->takeOverQuarantine(now);
         if (owner == self_ && routers.live > 1)
             service.handoverEnd = now + handoverTime;
     }
--- a/src/camphorshuntrouter/placementquarantine.cpp
+++ b/src/camphorshuntrouter/placementquarantine.cpp
@@ -34,7 +34,7 @@
         = CrashReport { told.process, told.parts, now - told.sincePlaced, now - told.sinceBreak, told.lives };
     const auto found = services_.find(told.service);
     if (found != services_.end())
-        found->second.placer->applyCrash(now, report, found->second.owner == self_);
+        found->second.placer->applyCrash(now, report);
     else if (earlyCrashes_.size() < maxEarlyCrashes)
         earlyCrashes_.emplace_back(told.service, report);
 }
@@ -45,7 +45,7 @@
         const auto found = services_.find(early.first);
         if (found == services_.end())
             return false;
-        found->second.placer->applyCrash(now, early.second, found->second.owner == self_);
+        found->second.placer->applyCrash(now, early.second);
         return true;
     });
 }
--- a/src/libcamphorshunt/crashevidence.cpp
+++ b/src/libcamphorshunt/crashevidence.cpp
@@ -92,16 +92,24 @@
     const auto found = find(engine);
     if (found == ends_.end() || !showsLife(now, found->at, placedAt))
         return false;
-    forget(found);
+    recordAlive(found);
     return true;
 }
 
+auto CrashEvidence::recordAlive(const std::deque<EngineEnd>::const_iterator& end) -> void
+{
+    if (brokenOffAlive_.size() >= maxEngines)
+        brokenOffAlive_.pop_front();
+    brokenOffAlive_.push_back(end->at);
+    forget(end);
+}
+
 auto CrashEvidence::dropEnd(const UpstreamProcess& engine) -> bool
 {
     const auto found = find(engine);
     if (found == ends_.end())
         return false;
-    forget(found);
+    recordAlive(found);
     return true;
 }
 
@@ -183,13 +191,16 @@
     return presences;
 }
 
-auto CrashEvidence::failuresOf(std::span<const Presence> presences) const -> std::size_t
+auto CrashEvidence::failuresOf(std::span<const Presence> presences, Simultaneous simultaneous) const
+    -> std::size_t
 {
     auto failures = std::size_t { 0 };
     auto last = Time {};
     for (const auto& presence : presences) {
         // What was placed before the previous end was known may have broken off by the same failure.
-        if (failures > 0 && presence.placedAt <= last && !isCommonAround(presence.end, presences))
+        const auto isIndependent = failures == 0 || presence.placedAt > last
+            || (simultaneous == Simultaneous::EachCounts && isCommonAround(presence.end, presences));
+        if (!isIndependent)
             continue;
         ++failures;
         last = ends_[presence.end].at;
@@ -199,9 +210,13 @@
 
 auto CrashEvidence::isCommonAround(std::size_t end, std::span<const Presence> presences) const -> bool
 {
-    const auto isNear = [this, at = ends_[end].at](std::size_t other) {
-        return other < ends_.size() && ends_[other].at - at <= sameFailure
-            && at - ends_[other].at <= sameFailure;
+    const auto at = ends_[end].at;
+    const auto isAtThatTime
+        = [at](Time other) { return other - at <= sameFailure && at - other <= sameFailure; };
+    if (std::ranges::any_of(brokenOffAlive_, isAtThatTime))
+        return false;
+    const auto isNear = [this, &isAtThatTime](std::size_t other) {
+        return other < ends_.size() && isAtThatTime(ends_[other].at);
     };
     auto first = end;
     while (first > 0 && isNear(first - 1))
@@ -214,14 +229,15 @@
     return static_cast<std::size_t>(having) == last - first + 1;
 }
 
-auto CrashEvidence::suspectsOf(const UpstreamProcess& engine, std::size_t limit) const
-    -> std::vector<std::vector<std::uint64_t>>
+auto CrashEvidence::suspectsOf(const UpstreamProcess& engine, std::size_t limit,
+    Simultaneous simultaneous) const -> std::vector<std::vector<std::uint64_t>>
 {
     const auto found = find(engine);
     if (found == ends_.end())
         return {};
     const auto presences = presencesOf(*found, limit);
-    const auto isEnough = [this, limit](const auto& entry) { return failuresOf(entry.second) >= limit; };
+    const auto isEnough = [this, limit, simultaneous](
+                              const auto& entry) { return failuresOf(entry.second, simultaneous) >= limit; };
     if (std::ranges::none_of(presences, isEnough))
         return {};
     auto most = std::size_t { 0 };
--- a/src/libcamphorshunt/crashevidence.h
+++ b/src/libcamphorshunt/crashevidence.h
@@ -43,6 +43,9 @@
     static constexpr auto maxEngines = std::size_t { 256 };
     static constexpr auto maxParts = std::size_t { 1024 };
 
+    /** How engines count that ended at the same time and all had a part. */
+    enum class Simultaneous : std::uint8_t { EachCounts, OneCounts };
+
     /** The engine broke off this request, and does not live unless it shows that it does. */
     auto recordBreak(Time now, const UpstreamProcess& engine, BrokenRequest request) -> void;
     /** Drops what is known of the engine's end; true if there was something. */
@@ -60,7 +63,7 @@
      * Parts that the evidence does not tell apart are in one set, and no set is a part of another. Empty if
      * no part was on enough engines.
      */
-    auto suspectsOf(const UpstreamProcess& engine, std::size_t limit) const
+    auto suspectsOf(const UpstreamProcess& engine, std::size_t limit, Simultaneous simultaneous) const
         -> std::vector<std::vector<std::uint64_t>>;
 
     /** Number of ended engines that had a request with all parts of the set. */
@@ -89,19 +92,22 @@
     /** Of the parts that were on this engine and may have been on `limit` engines. */
     auto presencesOf(const EngineEnd& end, std::size_t limit) const -> Presences;
     /** Number of ends that have no common cause other than the part. */
-    auto failuresOf(std::span<const Presence> presences) const -> std::size_t;
+    auto failuresOf(std::span<const Presence> presences, Simultaneous simultaneous) const -> std::size_t;
     /**
-     * Whether all engines that ended about when this one did had the part. A failure of something else, as of
-     * a failure domain, ends engines without the part as well.
+     * Whether all engines that broke off requests about when this one did ended and had the part. A failure
+     * of something else, as of a failure domain or a router's connections, affects other engines as well.
      */
     auto isCommonAround(std::size_t end, std::span<const Presence> presences) const -> bool;
     auto find(const UpstreamProcess& engine) const -> std::deque<EngineEnd>::const_iterator;
     auto forget(const std::deque<EngineEnd>::const_iterator& end) -> void;
+    auto recordAlive(const std::deque<EngineEnd>::const_iterator& end) -> void;
     auto release(std::uint64_t part) -> void;
     auto expire(Time now) -> void;
 
     /** In order of time. */
     std::deque<EngineEnd> ends_;
+    /** When engines that live broke off requests. */
+    std::deque<Time> brokenOffAlive_;
     /** Number of broken requests with the part. */
     absl::flat_hash_map<std::uint64_t, std::size_t> parts_;
 };
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -79,13 +79,10 @@
     auto takeQuarantineChanges() -> std::vector<QuarantineChange> { return quarantine_.takeChanges(); }
     auto quarantinedParts() const -> std::vector<QuarantinedPart> { return quarantine_.quarantined(); }
     // See `PromptQuarantine`.
-    auto applyCrash(Time now, const CrashReport& told, bool isPlacer) -> bool
-    {
-        return quarantine_.applyCrash(now, told, isPlacer);
-    }
+    auto applyCrash(Time now, const CrashReport& told) -> bool { return quarantine_.applyCrash(now, told); }
     auto takeCrashReports() -> std::vector<CrashReport> { return quarantine_.takeCrashReports(); }
     auto crashReports() const -> std::vector<CrashReport> { return quarantine_.crashReports(); }
-    auto takeOverQuarantine(Time now) -> void { quarantine_.takeOver(now); }
+    auto setPlacesService(Time now, bool places) -> void { quarantine_.setPlaces(now, places); }
     /** Removes all waiting and placed requests of a router that was lost. */
     auto removeRouter(Time now, RouterId router) -> void;
 
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Simultaneous = CrashEvidence::Simultaneous;
 
 constexpr auto firstQuarantine = Duration(15s);
 constexpr auto maxQuarantine = Duration(600s);
@@ -211,7 +212,11 @@
 auto PromptQuarantine::suspectDue(Time now) -> void
 {
     for (; !toBeSuspected_.empty() && toBeSuspected_.front().first <= now; toBeSuspected_.pop_front()) {
-        for (auto& parts : evidence_.suspectsOf(toBeSuspected_.front().second, crashLimit)) {
+        if (!places_)
+            continue;
+        const auto& engine = toBeSuspected_.front().second;
+        // If many engines may have ended at once, only requests that are still sent show which ones live.
+        for (auto& parts : evidence_.suspectsOf(engine, crashLimit, Simultaneous::OneCounts)) {
             const auto isKnown
                 = std::ranges::find(suspicions_, parts, &Suspicion::parts) != suspicions_.end();
             if (isKnown || suspicions_.size() >= maxSuspicions)
@@ -233,14 +238,16 @@
         const auto& engine = verdict.engine;
         if (verdict.tried.empty()) {
             toBeJudged_.erase(engine.upstream);
-            for (auto& parts : evidence_.suspectsOf(engine, crashLimit))
+            if (!places_)
+                continue;
+            for (auto& parts : evidence_.suspectsOf(engine, crashLimit, Simultaneous::EachCounts))
                 quarantine(now, std::move(parts), engine.upstream);
             continue;
         }
         const auto found = find(verdict.tried);
         if (found == quarantines_.end() || !found->trial)
             continue;
-        if (evidence_.hasEnded(engine))
+        if (places_ && evidence_.hasEnded(engine))
             prolong(now, *found, engine.upstream);
         else
             found->trial.reset();
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -72,6 +72,11 @@
         -> void;
     /** Quarantines parts whose last crash was long enough ago for its engine to show that it lives. */
     auto settle(Time now) -> void;
+    /**
+     * Whether this router places the requests of the service. One that does not sees few signs of life and
+     * judges nothing; it tells what it has seen. One that begins to waits for signs of life first.
+     */
+    auto setPlaces(Time now, bool places) -> void;
     /** The request is not observed any more. */
     auto forget(const PlacementKey& key) -> void;
 
@@ -80,18 +85,13 @@
     /** All parts and sets of parts that are in quarantine. */
     auto quarantined() const -> std::vector<QuarantinedPart>;
 
-    // Routers that do not place requests keep the evidence of the one that does, and may be the next one.
-    /**
-     * Applies what the router that places has seen; returns whether it was new. `isPlacer`: this router
-     * places the requests by now.
-     */
-    auto applyCrash(Time now, const CrashReport& told, bool isPlacer) -> bool;
+    // Routers tell each other of crashes, so that the next one that places requests knows of them.
+    /** Applies what another router has seen; returns whether it was new. */
+    auto applyCrash(Time now, const CrashReport& told) -> bool;
     /** What this object has seen since the last call, for the other routers; bounded. */
     auto takeCrashReports() -> std::vector<CrashReport> { return std::exchange(crashReports_, {}); }
     /** Everything that a router needs to know which is to place the requests from now on. */
     auto crashReports() const -> std::vector<CrashReport>;
-    /** Judges by all evidence, as this router now places the requests. */
-    auto takeOver(Time now) -> void;
 
     /** What this object has found out since the last call. */
     auto takeChanges() -> std::vector<QuarantineChange> { return std::exchange(changes_, {}); }
@@ -180,6 +180,7 @@
     std::size_t reportsInPeriod_ = 0;
     std::vector<QuarantineChange> changes_;
     bool hasNewBlock_ = false;
+    bool places_ = true;
 };
 
 } // namespace camphorshunt
--- a/src/libcamphorshunt/quarantinereports.cpp
+++ b/src/libcamphorshunt/quarantinereports.cpp
@@ -39,7 +39,7 @@
     }
 }
 
-auto PromptQuarantine::applyCrash(Time now, const CrashReport& told, bool isPlacer) -> bool
+auto PromptQuarantine::applyCrash(Time now, const CrashReport& told) -> bool
 {
     if (told.isDisproved)
         return evidence_.dropEnd(told.engine);
@@ -53,8 +53,11 @@
     if (std::ranges::any_of(quarantines_, isExplained))
         return false;
     evidence_.recordBreak(std::min(now, told.brokenAt), told.engine, { told.parts, told.placedAt });
-    if (isPlacer)
+    // The others learn from the router that places whether the engine lives.
+    if (places_) {
+        reportedEngines_.insert(told.engine.upstream);
         judgeLater(now, told.engine);
+    }
     return true;
 }
 
@@ -66,12 +69,21 @@
     return reports;
 }
 
-auto PromptQuarantine::takeOver(Time now) -> void
+auto PromptQuarantine::setPlaces(Time now, bool places) -> void
 {
-    for (const auto& report : evidence_.reports()) {
-        if (verdicts_.empty() || verdicts_.back().engine != report.engine)
-            judgeLater(now, report.engine);
-    }
+    if (places == places_)
+        return;
+    places_ = places;
+    verdicts_.clear();
+    toBeJudged_.clear();
+    toBeSuspected_.clear();
+    suspicions_.clear();
+    for (auto& quarantine : quarantines_)
+        quarantine.trial.reset();
+    if (!places)
+        return;
+    for (const auto& report : evidence_.reports())
+        judgeLater(now, report.engine);
 }
 
 } // namespace camphorshunt
--- a/tests/unit/promptquarantinetest.cpp
+++ b/tests/unit/promptquarantinetest.cpp
@@ -312,3 +312,51 @@
     CHECK(fixture.isBlocked({ { 70, 100 }, { crashing, 100 }, { 9, 100 } }));
     CHECK(fixture.quarantine.quarantined().size() == 1);
 }
+
+TEST_CASE("Requests that many engines break off at once are no crashes if one of the engines lives")
+{
+    auto fixture = Fixture {};
+    auto keys = std::vector<PlacementKey> {};
+    for (auto count = 0; count < 12; ++count)
+        keys.push_back(fixture.place(fixture.prompt));
+    for (const auto& key : keys)
+        fixture.end(key, PlacementEnd::Broken, 100 + key.number);
+    fixture.now += 20ms;
+    fixture.quarantine.settle(fixture.now);
+    // Otherwise no request could show that the engines live.
+    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+    const auto alive = fixture.place({ { 30, 100 }, { 31, 100 } });
+    fixture.quarantine.recordStarted(fixture.now, alive, Fixture::process(100 + keys.back().number));
+    fixture.settle();
+    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+}
+
+TEST_CASE("A router that does not place requests any more judges no part, but tells what it has seen")
+{
+    auto fixture = Fixture {};
+    for (auto engine = std::uint64_t { 1 }; engine <= 3; ++engine)
+        fixture.crash(fixture.prompt, engine);
+    fixture.quarantine.setPlaces(fixture.now, false);
+    fixture.settle();
+    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+    CHECK(fixture.quarantine.takeChanges().empty());
+    CHECK(fixture.quarantine.takeCrashReports().size() == 3);
+}
+
+TEST_CASE("A router that places requests again waits for signs of life before it judges older crashes")
+{
+    const auto lives = GENERATE(false, true);
+    auto fixture = Fixture {};
+    for (auto engine = std::uint64_t { 1 }; engine <= 3; ++engine)
+        fixture.crash(fixture.prompt, engine);
+    fixture.quarantine.setPlaces(fixture.now, false);
+    fixture.now += PromptQuarantine::lifeSignTime;
+    fixture.quarantine.setPlaces(fixture.now, true);
+    fixture.quarantine.settle(fixture.now);
+    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+    const auto alive = fixture.place({ { 30, 100 }, { 31, 100 } });
+    if (lives)
+        fixture.quarantine.recordStarted(fixture.now, alive, Fixture::process(1));
+    fixture.settle();
+    CHECK(fixture.isBlocked(fixture.prompt) == !lives);
+}
