--- a/src/camphorshuntload/simulatedrouter.cpp
+++ b/src/camphorshuntload/simulatedrouter.cpp
@@ -67,6 +67,7 @@
                     ++work_.grants;
                 world_.onDecision(host_, decided->decision);
             },
+        .queryEngine = [](const PlacementCoordinator::EngineQuery&) {},
     };
     control_ = std::make_unique<FleetControl>(
         FleetControl::Settings { self_, {} }, std::move(handlers), world_.log, world_.metrics, *state_);
--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -489,7 +489,8 @@
     VT_PARTS = 12,
     VT_PLACED_MS = 14,
     VT_BROKEN_MS = 16,
-    VT_LIVES = 18
+    VT_LIVES = 18,
+    VT_ENDED = 20
   };
   uint64_t service() const {
     return GetField<uint64_t>(VT_SERVICE, 0);
@@ -515,6 +516,9 @@
   bool lives() const {
     return GetField<uint8_t>(VT_LIVES, 0) != 0;
   }
+  bool ended() const {
+    return GetField<uint8_t>(VT_ENDED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SERVICE, 8) &&
@@ -527,6 +531,7 @@
            VerifyField<uint32_t>(verifier, VT_PLACED_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_BROKEN_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_LIVES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ENDED, 1) &&
            verifier.EndTable();
   }
 };
@@ -559,6 +564,9 @@
   void add_lives(bool lives) {
     fbb_.AddElement<uint8_t>(Crash::VT_LIVES, static_cast<uint8_t>(lives), 0);
   }
+  void add_ended(bool ended) {
+    fbb_.AddElement<uint8_t>(Crash::VT_ENDED, static_cast<uint8_t>(ended), 0);
+  }
   explicit CrashBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -579,7 +587,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
     uint32_t placed_ms = 0,
     uint32_t broken_ms = 0,
-    bool lives = false) {
+    bool lives = false,
+    bool ended = false) {
   CrashBuilder builder_(_fbb);
   builder_.add_started_ms(started_ms);
   builder_.add_upstream(upstream);
@@ -588,6 +597,7 @@
   builder_.add_placed_ms(placed_ms);
   builder_.add_parts(parts);
   builder_.add_endpoint(endpoint);
+  builder_.add_ended(ended);
   builder_.add_lives(lives);
   return builder_.Finish();
 }
@@ -601,7 +611,8 @@
     const std::vector<uint64_t> *parts = nullptr,
     uint32_t placed_ms = 0,
     uint32_t broken_ms = 0,
-    bool lives = false) {
+    bool lives = false,
+    bool ended = false) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   return camphorshunt::fleet::CreateCrash(
@@ -613,7 +624,8 @@
       parts__,
       placed_ms,
       broken_ms,
-      lives);
+      lives,
+      ended);
 }
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/camphorshuntrouter/fleetcontrol.cpp
+++ b/src/camphorshuntrouter/fleetcontrol.cpp
@@ -267,6 +267,8 @@
     logPlacerChanges(outputs.placerChanges);
     publishQuarantines(now, outputs.quarantines);
     publishCrashes(now, std::move(outputs.crashes));
+    for (const auto& query : outputs.engineQueries)
+        handlers_.queryEngine(query);
     for (const auto& [router, service] : outputs.unknownServices) {
         log_.write(LogLevel::Warning, "peer-unknown-service",
             { { "router", std::to_string(router.value) }, { "service", std::to_string(service.value) } });
--- a/src/camphorshuntrouter/fleetcontrol.h
+++ b/src/camphorshuntrouter/fleetcontrol.h
@@ -41,6 +41,8 @@
         std::function<void(RouterId, const PeerFrame&)> send;
         std::function<void(SchedulerToStore)> callStore;
         std::function<void(SchedulerToRelay)> tellRelay;
+        /** Asks an engine whether it still runs; `engineQueried` gets the answer. */
+        std::function<void(const PlacementCoordinator::EngineQuery&)> queryEngine;
     };
 
     FleetControl(const Settings& settings, Handlers handlers, RouterLog& log, RouterMetrics& metrics,
@@ -61,6 +63,8 @@
     auto frameArrived(Time now, RouterId router, PeerFrame frame) -> void;
     auto handleMessage(Time now, RelayToScheduler message) -> void;
     auto handleMessage(Time now, StoreToScheduler message) -> void;
+    auto engineQueried(
+        Time now, const PlacementCoordinator::EngineQuery& query, const EngineQueryResult& result) -> void;
     /** Announces that this router is leaving, so that the others assume its roles. */
     auto startDrain(Time now) -> void;
 
--- a/src/camphorshuntrouter/fleetquarantine.cpp
+++ b/src/camphorshuntrouter/fleetquarantine.cpp
@@ -49,6 +49,19 @@
         sendDated(now, candidate.router, frame);
 }
 
+auto FleetControl::engineQueried(
+    Time now, const PlacementCoordinator::EngineQuery& query, const EngineQueryResult& result) -> void
+{
+    const auto state = placement_.recordEngineQuery(now, query, result);
+    metrics_.engineQueried(state);
+    log_.write(LogLevel::Info, "engine-queried",
+        { { "upstream", std::to_string(query.engine.upstream.value) },
+            { "address", query.engine.endpoint.text() }, { "state", std::string(engineStateName(state)) },
+            { "started-ms", std::to_string(query.engine.startedAt.count()) },
+            { "reported-start-ms",
+                result.startedAt ? std::to_string(result.startedAt->count()) : std::string("-") } });
+}
+
 auto FleetControl::logTold(const PeerQuarantine& told, std::string from) -> void
 {
     log_.write(LogLevel::Info, "prompt-part-told",
--- a/src/camphorshuntrouter/peerevidence.cpp
+++ b/src/camphorshuntrouter/peerevidence.cpp
@@ -30,8 +30,8 @@
     const auto endpoint = builder.CreateString(process.endpoint.text());
     const auto parts = builder.CreateVector(crash.parts);
     return fleet::CreateCrash(builder, crash.service.value, process.upstream.value, process.startedAt.count(),
-        endpoint, parts, packMilliseconds(crash.sincePlaced), packMilliseconds(crash.sinceBreak),
-        crash.lives);
+        endpoint, parts, packMilliseconds(crash.sincePlaced), packMilliseconds(crash.sinceBreak), crash.lives,
+        crash.ended);
 }
 
 auto unpackCrash(const fleet::Crash& packed) -> Result<PeerCrash>
@@ -44,7 +44,7 @@
     auto crash = PeerCrash { { packed.service() },
         { { packed.upstream() }, std::chrono::milliseconds(packed.started_ms()), endpoint.value() }, {},
         std::chrono::milliseconds(packed.placed_ms()), std::chrono::milliseconds(packed.broken_ms()),
-        packed.lives() };
+        packed.lives(), packed.ended() };
     if (packed.parts() != nullptr)
         crash.parts.assign(packed.parts()->begin(), packed.parts()->end());
     return crash;
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -140,6 +140,8 @@
     std::chrono::milliseconds sinceBreak {};
     /** The engine has answered since, so that the break counts against no part. */
     bool lives = false;
+    /** The engine is known to have ended. */
+    bool ended = false;
 };
 
 struct DirectoryRecord {
--- a/src/camphorshuntrouter/placementcoordinator.cpp
+++ b/src/camphorshuntrouter/placementcoordinator.cpp
@@ -333,6 +333,8 @@
             outputs_.quarantines.push_back({ id, change });
         for (const auto& report : service.placer->takeCrashReports())
             outputs_.crashes.push_back(toldAt(now, id, report));
+        for (const auto& engine : service.placer->takeEngineQueries())
+            outputs_.engineQueries.push_back({ id, engine });
         if (now < service.handoverEnd)
             continue;
         for (const auto& decision : service.placer->placeWaiting(now))
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -54,6 +54,11 @@
         ServiceId service;
         QuarantineChange change;
     };
+    /** An engine is to be asked whether it still runs. */
+    struct EngineQuery {
+        ServiceId service;
+        UpstreamProcess engine;
+    };
     struct Outputs {
         /** Decisions on requests of this router, for its relay. */
         std::vector<PeerPlacementDecision> placementDecisions;
@@ -63,6 +68,7 @@
         std::vector<ServiceQuarantine> quarantines;
         /** What placers here have seen of requests that broke off, for the routers that may place next. */
         std::vector<PeerCrash> crashes;
+        std::vector<EngineQuery> engineQueries;
         /** For each frame at most one service that it names and that the configuration does not have. */
         std::vector<std::pair<RouterId, ServiceId>> unknownServices;
         /** A frame contains something that a request waits for. */
@@ -97,6 +103,9 @@
     auto quarantines(Time now) const -> std::vector<PeerQuarantine>;
     /** Applies what the router that places has seen of a request that broke off. */
     auto applyCrash(Time now, const PeerCrash& told) -> void;
+    /** Applies what came of a query; returns what follows for the engine. */
+    auto recordEngineQuery(Time now, const EngineQuery& query, const EngineQueryResult& result)
+        -> EngineState;
     /** Crashes of engines of the services that this router places. */
     auto crashes(Time now) const -> std::vector<PeerCrash>;
     auto handleFrame(Time now, RouterId peer, const PeerFrame& frame) -> void;
--- a/src/camphorshuntrouter/placementquarantine.cpp
+++ b/src/camphorshuntrouter/placementquarantine.cpp
@@ -25,13 +25,13 @@
 {
     const auto since = [now](Time at) { return std::chrono::ceil<std::chrono::milliseconds>(now - at); };
     return { service, report.engine, report.parts, since(report.placedAt), since(report.brokenAt),
-        report.isDisproved };
+        report.isDisproved, report.isProven };
 }
 
 auto PlacementCoordinator::applyCrash(Time now, const PeerCrash& told) -> void
 {
-    const auto report
-        = CrashReport { told.process, told.parts, now - told.sincePlaced, now - told.sinceBreak, told.lives };
+    const auto report = CrashReport { told.process, told.parts, now - told.sincePlaced, now - told.sinceBreak,
+        told.lives, told.ended };
     const auto found = services_.find(told.service);
     if (found != services_.end())
         found->second.placer->applyCrash(now, report);
@@ -39,6 +39,14 @@
         earlyCrashes_.emplace_back(told.service, report);
 }
 
+auto PlacementCoordinator::recordEngineQuery(
+    Time now, const EngineQuery& query, const EngineQueryResult& result) -> EngineState
+{
+    const auto found = services_.find(query.service);
+    return found == services_.end() ? EngineState::Unknown
+                                    : found->second.placer->recordEngineQuery(now, query.engine, result);
+}
+
 auto PlacementCoordinator::applyEarlyCrashes(Time now) -> void
 {
     std::erase_if(earlyCrashes_, [this, now](const auto& early) {
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -55,6 +55,8 @@
     , storeCalls_(counters(registry, "router_store_calls_total", "Calls to the platform's store, by result"))
     , announcements_(counters(registry, "router_upstream_announcements_total",
           "Upstreams that began to leave or to rest, as their answers said, by kind"))
+    , engineQueries_(counters(registry, "router_engine_queries_total",
+          "Engines asked whether they still run after they broke off requests, by state"))
     , sendsWithheld_(counter(registry, "router_sends_withheld_total",
           "Requests not sent to a chosen upstream, as it leaves or rests"))
     , leaving_(gauge(registry, "router_upstreams_leaving", "Upstreams that get no requests as they leave"))
@@ -105,6 +107,11 @@
     attempts_->Add(label("end", placementEndName(end))).Increment();
 }
 
+auto RouterMetrics::engineQueried(EngineState state) -> void
+{
+    engineQueries_->Add(label("state", engineStateName(state))).Increment();
+}
+
 auto RouterMetrics::storeCall(bool succeeded) -> void
 {
     storeCalls_->Add(label("result", succeeded ? "ok" : "failed")).Increment();
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -8,6 +8,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "camphorshunt/enginestate.h"
 #include "camphorshunt/fleetreport.h"
 #include "camphorshunt/placement.h"
 #include "camphorshunt/time.h"
@@ -24,6 +25,8 @@
     auto refused(RefusalReason reason) -> void;
     auto attemptEnded(PlacementEnd end) -> void;
     auto storeCall(bool succeeded) -> void;
+    /** An engine was asked whether it still runs. */
+    auto engineQueried(EngineState state) -> void;
     /** An upstream's answer was the first to say so. */
     auto upstreamLeaves() -> void;
     auto upstreamRests() -> void;
@@ -51,6 +54,7 @@
     prometheus::Family<prometheus::Counter>* attempts_;
     prometheus::Family<prometheus::Counter>* storeCalls_;
     prometheus::Family<prometheus::Counter>* announcements_;
+    prometheus::Family<prometheus::Counter>* engineQueries_;
     prometheus::Counter* sendsWithheld_;
     prometheus::Gauge* leaving_;
     prometheus::Gauge* resting_;
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -34,8 +34,10 @@
                    settings.placing },
           { .send = [this](RouterId router, const PeerFrame& frame) { mesh_->send(router, frame); },
               .callStore = [this](SchedulerToStore call) { rings_.toStore.push(std::move(call)); },
-              .tellRelay = [this](SchedulerToRelay message) { rings_.toRelay.push(std::move(message)); } },
+              .tellRelay = [this](SchedulerToRelay message) { rings_.toRelay.push(std::move(message)); },
+              .queryEngine = [this](const PlacementCoordinator::EngineQuery& query) { queryEngine(query); } },
           log, metrics, state)
+    , queries_(context)
 {
 }
 
@@ -171,6 +173,14 @@
     placeAndSend();
 }
 
+auto Scheduler::queryEngine(const PlacementCoordinator::EngineQuery& query) -> void
+{
+    queries_.send(query.engine.endpoint, [this, query](const EngineQueryResult& result) {
+        control_.engineQueried(steadyNow(), query, result);
+        placeAndSend();
+    });
+}
+
 /** Places waiting requests, and sends the decisions to the relay and to peers. */
 auto Scheduler::placeAndSend() -> void
 {
--- a/src/camphorshuntrouter/scheduler.h
+++ b/src/camphorshuntrouter/scheduler.h
@@ -15,6 +15,7 @@
 #include "camphorshunt/ring.h"
 
 #include "fleetcontrol.h"
+#include "liveness/enginequery.h"
 #include "peermesh.h"
 #include "relaymessages.h"
 #include "routerlog.h"
@@ -70,6 +71,7 @@
     auto reportLoad(Time now) -> void;
     auto reportFleet(Time now) -> void;
     auto placeAndSend() -> void;
+    auto queryEngine(const PlacementCoordinator::EngineQuery& query) -> void;
 
     boost::asio::io_context& context_;
     Settings settings_;
@@ -79,6 +81,7 @@
     SharedState& state_;
     boost::asio::steady_timer timer_;
     FleetControl control_;
+    EngineQuerySender queries_;
     std::unique_ptr<PeerMesh> mesh_;
     ThreadLoad load_;
     /** Work since the last report of the load. */
--- a/src/libcamphorshunt/crashevidence.cpp
+++ b/src/libcamphorshunt/crashevidence.cpp
@@ -41,7 +41,37 @@
 
 auto CrashEvidence::hasEnded(const UpstreamProcess& engine) const -> bool
 {
-    return find(engine) != ends_.end();
+    const auto found = find(engine);
+    return found != ends_.end() && found->isProven;
+}
+
+auto CrashEvidence::brokeOffAt(const UpstreamProcess& engine) const -> std::optional<Time>
+{
+    const auto found = find(engine);
+    return found == ends_.end() ? std::nullopt : std::optional(found->at);
+}
+
+auto CrashEvidence::recordEnd(const UpstreamProcess& engine) -> bool
+{
+    const auto found = std::ranges::find(ends_, engine, &EngineEnd::engine);
+    return found != ends_.end() && !std::exchange(found->isProven, true);
+}
+
+auto CrashEvidence::recordDirectory(std::span<const UpstreamEntry> entries) -> std::vector<UpstreamProcess>
+{
+    auto ended = std::vector<UpstreamProcess> {};
+    if (ends_.empty())
+        return ended;
+    auto listed = absl::flat_hash_map<UpstreamId, UpstreamProcess> {};
+    for (const auto& entry : entries)
+        listed.emplace(entry.id(), entry.process());
+    for (auto& end : ends_) {
+        const auto found = listed.find(end.engine.upstream);
+        const auto isGone = found == listed.end() || found->second.isLaterThan(end.engine);
+        if (isGone && !std::exchange(end.isProven, true))
+            ended.push_back(end.engine);
+    }
+    return ended;
 }
 
 auto CrashEvidence::recordBreak(Time now, const UpstreamProcess& engine, BrokenRequest request) -> void
@@ -118,7 +148,7 @@
     auto reports = std::vector<CrashReport> {};
     for (const auto& end : ends_) {
         for (const auto& request : end.requests)
-            reports.push_back({ end.engine, request.parts, request.placedAt, end.at });
+            reports.push_back({ end.engine, request.parts, request.placedAt, end.at, false, end.isProven });
     }
     return reports;
 }
@@ -163,7 +193,41 @@
     return static_cast<std::size_t>(count);
 }
 
-auto CrashEvidence::presencesOf(const EngineEnd& end, std::size_t limit) const -> Presences
+auto CrashEvidence::unprovenWith(std::span<const std::uint64_t> set) const -> std::vector<UpstreamProcess>
+{
+    const auto hasSet = [set](const EngineEnd& end) {
+        return std::ranges::any_of(
+            end.requests, [set](const BrokenRequest& request) { return containsAll(request.parts, set); });
+    };
+    auto engines = std::vector<UpstreamProcess> {};
+    auto lastWithSet = std::optional<Time> {};
+    // In order of time, so that an engine is near the last one with the set, or the next one.
+    for (auto end = ends_.begin(); end != ends_.end(); ++end) {
+        if (hasSet(*end))
+            lastWithSet = end->at;
+        auto isNear = lastWithSet && end->at - *lastWithSet <= sameFailure;
+        for (auto next = end; !isNear && next != ends_.end() && next->at - end->at <= sameFailure; ++next)
+            isNear = hasSet(*next);
+        if (isNear && !end->isProven)
+            engines.push_back(end->engine);
+    }
+    return engines;
+}
+
+auto CrashEvidence::endedWith(std::span<const std::uint64_t> set) const
+    -> std::vector<std::pair<UpstreamProcess, Time>>
+{
+    auto engines = std::vector<std::pair<UpstreamProcess, Time>> {};
+    for (const auto& end : ends_) {
+        const auto hasSet = std::ranges::any_of(
+            end.requests, [set](const BrokenRequest& request) { return containsAll(request.parts, set); });
+        if (end.isProven && hasSet)
+            engines.emplace_back(end.engine, end.at);
+    }
+    return engines;
+}
+
+auto CrashEvidence::presencesOf(const EngineEnd& end, std::size_t limit, Proof proof) const -> Presences
 {
     auto presences = Presences {};
     for (const auto& request : end.requests) {
@@ -175,6 +239,8 @@
     if (presences.empty())
         return presences;
     for (auto index = std::size_t { 0 }; index < ends_.size(); ++index) {
+        if (proof == Proof::Required && !ends_[index].isProven)
+            continue;
         for (const auto& request : ends_[index].requests) {
             for (const auto part : request.parts) {
                 const auto found = presences.find(part);
@@ -191,15 +257,14 @@
     return presences;
 }
 
-auto CrashEvidence::failuresOf(std::span<const Presence> presences, Simultaneous simultaneous) const
-    -> std::size_t
+auto CrashEvidence::failuresOf(std::span<const Presence> presences) const -> std::size_t
 {
     auto failures = std::size_t { 0 };
     auto last = Time {};
     for (const auto& presence : presences) {
         // What was placed before the previous end was known may have broken off by the same failure.
-        const auto isIndependent = failures == 0 || presence.placedAt > last
-            || (simultaneous == Simultaneous::EachCounts && isCommonAround(presence.end, presences));
+        const auto isIndependent
+            = failures == 0 || presence.placedAt > last || isCommonAround(presence.end, presences);
         if (!isIndependent)
             continue;
         ++failures;
@@ -229,15 +294,14 @@
     return static_cast<std::size_t>(having) == last - first + 1;
 }
 
-auto CrashEvidence::suspectsOf(const UpstreamProcess& engine, std::size_t limit,
-    Simultaneous simultaneous) const -> std::vector<std::vector<std::uint64_t>>
+auto CrashEvidence::suspectsOf(const UpstreamProcess& engine, std::size_t limit, Proof proof) const
+    -> std::vector<std::vector<std::uint64_t>>
 {
     const auto found = find(engine);
-    if (found == ends_.end())
+    if (found == ends_.end() || (proof == Proof::Required && !found->isProven))
         return {};
-    const auto presences = presencesOf(*found, limit);
-    const auto isEnough = [this, limit, simultaneous](
-                              const auto& entry) { return failuresOf(entry.second, simultaneous) >= limit; };
+    const auto presences = presencesOf(*found, limit, proof);
+    const auto isEnough = [this, limit](const auto& entry) { return failuresOf(entry.second) >= limit; };
     if (std::ranges::none_of(presences, isEnough))
         return {};
     auto most = std::size_t { 0 };
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -74,6 +74,7 @@
         return true;
     });
 
+    quarantine_.recordDirectory(now, entries);
     leaving_.setUpstreams(now, entries);
     for (auto& [router, rests] : rests_)
         rests.setUpstreams(now, entries);
@@ -255,7 +256,7 @@
          ++index) {
         if ((now > waiting[index].latestStart) != (timeliness == Timeliness::Late))
             continue;
-        if (!mayPlaceFor(now, waiting[index].request.key.router) || quarantineEnd(now, waiting[index]))
+        if (!mayPlaceFor(now, waiting[index].request.key.router) || isHeld(now, waiting[index]))
             continue;
         --scansLeft;
         --organisationScansLeft;
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -83,6 +83,12 @@
     auto takeCrashReports() -> std::vector<CrashReport> { return quarantine_.takeCrashReports(); }
     auto crashReports() const -> std::vector<CrashReport> { return quarantine_.crashReports(); }
     auto setPlacesService(Time now, bool places) -> void { quarantine_.setPlaces(now, places); }
+    auto takeEngineQueries() -> std::vector<UpstreamProcess> { return quarantine_.takeQueries(); }
+    auto recordEngineQuery(Time now, const UpstreamProcess& engine, const EngineQueryResult& result)
+        -> EngineState
+    {
+        return quarantine_.recordQuery(now, engine, result);
+    }
     /** Removes all waiting and placed requests of a router that was lost. */
     auto removeRouter(Time now, RouterId router) -> void;
 
@@ -175,7 +181,12 @@
     /** When the request may be placed at the earliest, if a part of its prompt is in quarantine. */
     auto quarantineEnd(Time now, const WaitingRequest& waiting) const -> std::optional<Time>
     {
-        return quarantine_.blockedUntil(now, waiting.request.prompt.parts);
+        return quarantine_.refusedUntil(now, waiting.request.prompt.parts);
+    }
+    /** A part of its prompt is in quarantine or suspected. */
+    auto isHeld(Time now, const WaitingRequest& waiting) const -> bool
+    {
+        return quarantine_.blockedUntil(now, waiting.request.prompt.parts).has_value();
     }
     auto firstTokenTimeOf(const PlacementRequest& request) const -> Duration;
     /** Estimated time until a request would be placed; zero if none wait or nothing was placed recently. */
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 using namespace std::chrono_literals;
-using Simultaneous = CrashEvidence::Simultaneous;
 
 constexpr auto firstQuarantine = Duration(15s);
 constexpr auto maxQuarantine = Duration(600s);
@@ -17,10 +16,6 @@
 constexpr auto quarantineGrowth = 4;
 /** Wait of other requests while one is tried. */
 constexpr auto trialTime = Duration(1s);
-/** Time for all routers to report the requests that broke off as an engine ended. */
-constexpr auto reportSpread = Duration(20ms);
-/** Sets of parts that are suspected at a time. */
-constexpr auto maxSuspicions = std::size_t { 64 };
 auto isSignOfLife(PlacementEnd end) -> bool
 {
     return end == PlacementEnd::Finished || end == PlacementEnd::Full || end == PlacementEnd::Failed;
@@ -37,25 +32,39 @@
 
 } // namespace
 
-auto PromptQuarantine::blockedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>
+auto PromptQuarantine::quarantinedUntil(Time now, std::span<const std::uint64_t> ids) const
+    -> std::optional<Time>
 {
     auto until = std::optional<Time> {};
-    if (concernedParts_.empty())
-        return until;
-    const auto ids = idsOf(sharedParts(parts));
-    if (!mayConcern(ids))
-        return until;
-    const auto block = [&until, now](Time free) {
+    for (const auto& quarantine : quarantines_) {
+        if (!containsAll(ids, quarantine.parts))
+            continue;
+        const auto free = quarantine.trial ? std::max(now, quarantine.until) + trialTime : quarantine.until;
         if (free > now)
             until = std::max(until.value_or(free), free);
-    };
-    for (const auto& quarantine : quarantines_) {
-        if (containsAll(ids, quarantine.parts))
-            block(quarantine.trial ? std::max(now, quarantine.until) + trialTime : quarantine.until);
     }
+    return until;
+}
+
+auto PromptQuarantine::refusedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>
+{
+    if (concernedParts_.empty())
+        return std::nullopt;
+    const auto ids = idsOf(sharedParts(parts));
+    return mayConcern(ids) ? quarantinedUntil(now, ids) : std::nullopt;
+}
+
+auto PromptQuarantine::blockedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>
+{
+    if (concernedParts_.empty())
+        return std::nullopt;
+    const auto ids = idsOf(sharedParts(parts));
+    if (!mayConcern(ids))
+        return std::nullopt;
+    auto until = quarantinedUntil(now, ids);
     for (const auto& suspicion : suspicions_) {
-        if (containsAll(ids, suspicion.parts))
-            block(suspicion.until);
+        if (suspicion.until > now && containsAll(ids, suspicion.parts))
+            until = std::max(until.value_or(suspicion.until), suspicion.until);
     }
     return until;
 }
@@ -112,12 +121,13 @@
 
 auto PromptQuarantine::recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> void
 {
+    takeBack(now, engine);
     if (!evidence_.recordLife(now, engine, placedAt))
         return;
+    queries_.forget(engine);
     if (reportedEngines_.erase(engine.upstream) > 0)
         crashReports_.push_back({ engine, {}, placedAt, now, true });
-    std::erase_if(suspicions_,
-        [this](const Suspicion& suspicion) { return evidence_.enginesWith(suspicion.parts) < crashLimit; });
+    dropUnsupported();
 }
 
 auto PromptQuarantine::forget(const PlacementKey& key) -> void
@@ -152,8 +162,11 @@
     const auto isCleared = [&request](std::uint64_t part) {
         return std::ranges::find(request.parts, part) != request.parts.end();
     };
-    std::erase_if(suspicions_,
-        [&isCleared](const Suspicion& suspicion) { return std::ranges::any_of(suspicion.parts, isCleared); });
+    // The rest of a set stays suspected: requests that wait for it would otherwise all be placed at once.
+    std::erase_if(suspicions_, [&isCleared](Suspicion& suspicion) {
+        std::erase_if(suspicion.parts, isCleared);
+        return suspicion.parts.empty();
+    });
     auto narrowed = std::vector<Quarantine> {};
     std::erase_if(quarantines_, [&](const Quarantine& quarantine) {
         if (std::ranges::none_of(quarantine.parts, isCleared))
@@ -181,14 +194,17 @@
 auto PromptQuarantine::recordCrash(
     Time now, const PlacementKey& key, Request request, const UpstreamProcess& engine) -> void
 {
-    const auto due = now + lifeSignTime;
+    const auto due = now + verdictDelay;
     auto isExplained = false;
+    auto isTrial = false;
     for (const auto& quarantine : quarantines_) {
         if (!containsAll(request.parts, quarantine.parts))
             continue;
         isExplained = true;
-        if (quarantine.trial == key)
+        if (quarantine.trial == key) {
             verdicts_.push_back({ due, engine, quarantine.parts });
+            isTrial = true;
+        }
     }
     // Requests that were placed before a quarantine say nothing new about their other parts.
     if (isExplained)
@@ -196,65 +212,13 @@
     if (!request.parts.empty() && unreported_.size() < maxParts)
         unreported_.push_back({ engine, request.parts, request.placedAt, now });
     evidence_.recordBreak(now, engine, { std::move(request.parts), request.placedAt });
+    if (isTrial)
+        queries_.request(now, engine);
     if (isExplained)
         return;
     judgeLater(now, engine);
 }
 
-auto PromptQuarantine::judgeLater(Time now, const UpstreamProcess& engine) -> void
-{
-    if (!toBeJudged_.insert(engine.upstream).second)
-        return;
-    toBeSuspected_.emplace_back(now + reportSpread, engine);
-    verdicts_.push_back({ now + lifeSignTime, engine, {} });
-}
-
-auto PromptQuarantine::suspectDue(Time now) -> void
-{
-    for (; !toBeSuspected_.empty() && toBeSuspected_.front().first <= now; toBeSuspected_.pop_front()) {
-        if (!places_)
-            continue;
-        const auto& engine = toBeSuspected_.front().second;
-        // If many engines may have ended at once, only requests that are still sent show which ones live.
-        for (auto& parts : evidence_.suspectsOf(engine, crashLimit, Simultaneous::OneCounts)) {
-            const auto isKnown
-                = std::ranges::find(suspicions_, parts, &Suspicion::parts) != suspicions_.end();
-            if (isKnown || suspicions_.size() >= maxSuspicions)
-                continue;
-            noteConcerned(parts);
-            suspicions_.push_back({ std::move(parts), now + lifeSignTime });
-            hasNewBlock_ = true;
-        }
-    }
-}
-
-auto PromptQuarantine::settle(Time now) -> void
-{
-    clearLasting(now);
-    reportCrashes(now);
-    suspectDue(now);
-    for (; !verdicts_.empty() && verdicts_.front().due <= now; verdicts_.pop_front()) {
-        const auto& verdict = verdicts_.front();
-        const auto& engine = verdict.engine;
-        if (verdict.tried.empty()) {
-            toBeJudged_.erase(engine.upstream);
-            if (!places_)
-                continue;
-            for (auto& parts : evidence_.suspectsOf(engine, crashLimit, Simultaneous::EachCounts))
-                quarantine(now, std::move(parts), engine.upstream);
-            continue;
-        }
-        const auto found = find(verdict.tried);
-        if (found == quarantines_.end() || !found->trial)
-            continue;
-        if (places_ && evidence_.hasEnded(engine))
-            prolong(now, *found, engine.upstream);
-        else
-            found->trial.reset();
-    }
-    std::erase_if(suspicions_, [now](const Suspicion& suspicion) { return suspicion.until <= now; });
-}
-
 auto PromptQuarantine::find(std::span<const std::uint64_t> parts) -> std::vector<Quarantine>::iterator
 {
     return std::ranges::find_if(quarantines_,
@@ -268,7 +232,8 @@
     auto added = Quarantine {};
     added.length = firstQuarantine;
     added.until = now + added.length;
-    added.crashes = evidence_.enginesWith(parts);
+    added.ended = evidence_.endedWith(parts);
+    added.crashes = added.ended.size();
     added.lastEngine = engine;
     dropExplained(now, parts);
     added.parts = std::move(parts);
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -10,12 +10,14 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include "camphorshunt/enginestate.h"
 #include "camphorshunt/placement.h"
 #include "camphorshunt/prompt.h"
 #include "camphorshunt/time.h"
 #include "camphorshunt/upstreamentry.h"
 
 #include "crashevidence.h"
+#include "liveness/enginequeries.h"
 
 namespace camphorshunt {
 
@@ -46,10 +48,11 @@
  * the engines; now and then one is tried, as a new release may bear the part. The last part of a prompt
  * belongs to the request alone and is not considered.
  *
- * A request counts against its parts if its answer breaks off before it has lasted for a while, unless the
- * engine process turns out to live. A lasting answer clears all parts of its prompt. While the evidence does
- * not tell several parts apart, only requests that have all of them are kept away; answers and crashes of
- * other requests then narrow them down. Not thread-safe.
+ * A request counts against its parts if its answer breaks off before it has lasted for a while and its engine
+ * has ended, which a query to the engine or the directory proves: engines also lose answers and live. While
+ * that is not known, requests with a suspected part wait. A lasting answer clears all parts of its prompt.
+ * While the evidence does not tell several parts apart, only requests that have all of them are kept away;
+ * answers and crashes of other requests then narrow them down. Not thread-safe.
  */
 class PromptQuarantine {
 public:
@@ -57,21 +60,36 @@
     static constexpr auto crashLimit = std::size_t { 3 };
     /** An answer that has lasted for so long did not end its engine. */
     static constexpr auto lastingAnswer = Duration(std::chrono::milliseconds(500));
-    /** Time in which a live engine that only broke off an answer begins or ends another one. */
-    static constexpr auto lifeSignTime = Duration(std::chrono::milliseconds(500));
+    /** Time for answers to clear parts before a verdict. */
+    static constexpr auto verdictDelay = Duration(std::chrono::milliseconds(500));
+    /** Time for which requests wait at most until it is known whether engines have ended: until the verdict.
+     */
+    static constexpr auto maxHold = verdictDelay;
+    /** Time for all routers to report the requests that broke off as an engine ended. */
+    static constexpr auto reportSpread = Duration(std::chrono::milliseconds(20));
     /** Limit of parts that are observed at a time, and of quarantines. */
     static constexpr auto maxParts = CrashEvidence::maxParts;
 
     /** When the first request with any of these parts may be placed; none if one may be placed now. */
     auto blockedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>;
+    /** The same, without the parts that are only suspected: such requests wait. */
+    auto refusedUntil(Time now, std::span<const PromptPart> parts) const -> std::optional<Time>;
 
     auto recordPlaced(Time now, const PlacementKey& key, std::span<const PromptPart> parts) -> void;
     /** The first bytes of its answer have arrived. */
     auto recordStarted(Time now, const PlacementKey& key, const UpstreamProcess& engine) -> void;
     auto recordEnded(Time now, const PlacementKey& key, PlacementEnd end, const UpstreamProcess& engine)
         -> void;
-    /** Quarantines parts whose last crash was long enough ago for its engine to show that it lives. */
+    /** Quarantines parts under which engines are known to have ended. */
     auto settle(Time now) -> void;
+
+    /** Engines that are to be asked whether they still run; `recordState` gets the answers. */
+    auto takeQueries() -> std::vector<UpstreamProcess> { return queries_.takeDue(); }
+    /** `result`: of a query to this process. Returns what follows from it, and when the engine broke off. */
+    auto recordQuery(Time now, const UpstreamProcess& engine, const EngineQueryResult& result) -> EngineState;
+    /** All engines that the directory lists. */
+    auto recordDirectory(Time now, std::span<const UpstreamEntry> entries) -> void;
+
     /**
      * Whether this router places the requests of the service. One that does not sees few signs of life and
      * judges nothing; it tells what it has seen. One that begins to waits for signs of life first.
@@ -119,6 +137,8 @@
         /** Zero if another router has told of the part. */
         std::size_t crashes = 0;
         UpstreamId lastEngine {};
+        /** Engines that ended under the parts, and when; empty if another router has told of them. */
+        std::vector<std::pair<UpstreamProcess, Time>> ended {};
     };
     /** Keeps requests away while it is not known yet whether an engine has ended. */
     struct Suspicion {
@@ -138,9 +158,20 @@
     auto recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> void;
     auto recordCrash(Time now, const PlacementKey& key, Request request, const UpstreamProcess& engine)
         -> void;
-    /** Suspects parts for the end of the engine soon, and quarantines them unless the engine shows life. */
+    /** Suspects parts for the end of the engine soon, and judges them once it is known to have ended. */
     auto judgeLater(Time now, const UpstreamProcess& engine) -> void;
     auto suspectDue(Time now) -> void;
+    auto suspect(Time now, std::vector<std::uint64_t> parts) -> void;
+    auto judge(Time now, const UpstreamProcess& engine) -> void;
+    auto judgeTrial(Time now, const Verdict& verdict) -> void;
+    auto dropUndecided(Time now) -> void;
+    /** Drops suspicions that too few engines support. */
+    auto dropUnsupported() -> void;
+    auto recordEnd(Time now, const UpstreamProcess& engine) -> void;
+    /** Releases quarantines that too few ended engines support. */
+    auto takeBack(Time now, const UpstreamProcess& living) -> void;
+    /** When the first request may be placed, by these quarantines. */
+    auto quarantinedUntil(Time now, std::span<const std::uint64_t> ids) const -> std::optional<Time>;
     auto reportCrashes(Time now) -> void;
     auto find(std::span<const std::uint64_t> parts) -> std::vector<Quarantine>::iterator;
     auto quarantine(Time now, Parts parts, UpstreamId engine) -> void;
@@ -160,6 +191,7 @@
 
     absl::flat_hash_map<PlacementKey, Request> requests_;
     CrashEvidence evidence_;
+    EngineQueries queries_;
     std::vector<Quarantine> quarantines_;
     std::vector<Suspicion> suspicions_;
     /** Has all parts of quarantines and suspicions, and may have some of former ones. */
--- a/src/libcamphorshunt/quarantinereports.cpp
+++ b/src/libcamphorshunt/quarantinereports.cpp
@@ -29,8 +29,9 @@
     for (; !unreported_.empty() && now - unreported_.front().brokenAt >= reportDelay;
          unreported_.pop_front()) {
         auto& report = unreported_.front();
-        if (reportsInPeriod_ >= maxReportsPerPeriod || !evidence_.hasEnded(report.engine))
+        if (reportsInPeriod_ >= maxReportsPerPeriod || !evidence_.mayHaveEnded(report.engine))
             continue;
+        report.isProven = evidence_.hasEnded(report.engine);
         ++reportsInPeriod_;
         if (reportedEngines_.size() >= CrashEvidence::maxEngines)
             reportedEngines_.clear();
@@ -53,6 +54,8 @@
     if (std::ranges::any_of(quarantines_, isExplained))
         return false;
     evidence_.recordBreak(std::min(now, told.brokenAt), told.engine, { told.parts, told.placedAt });
+    if (told.isProven)
+        evidence_.recordEnd(told.engine);
     // The others learn from the router that places whether the engine lives.
     if (places_) {
         reportedEngines_.insert(told.engine.upstream);
@@ -78,6 +81,7 @@
     toBeJudged_.clear();
     toBeSuspected_.clear();
     suspicions_.clear();
+    queries_.clear();
     for (auto& quarantine : quarantines_)
         quarantine.trial.reset();
     if (!places)
--- a/tests/unit/crashhandovertest.cpp
+++ b/tests/unit/crashhandovertest.cpp
@@ -111,6 +111,8 @@
                     placed = decision.upstream;
                 for (const auto& [to, frame] : outputs.frames)
                     deliver(to, frame);
+                for (const auto& query : outputs.engineQueries)
+                    coordinator.recordEngineQuery(now, query, queryResult(query.engine));
                 auto frame = PeerFrame {};
                 frame.crashes = std::move(outputs.crashes);
                 for (const auto& other : live) {
@@ -121,6 +123,13 @@
         }
     }
 
+    /** The engine's report, which states the start of the process that runs now. */
+    auto queryResult(const UpstreamProcess& engine) const -> EngineQueryResult
+    {
+        const auto entry = std::ranges::find(upstreams, engine.upstream, &UpstreamEntry::id);
+        return { EngineQueryResult::Outcome::Answered, entry->startedAt };
+    }
+
     auto deliver(RouterId to, const PeerFrame& frame) -> void
     {
         const auto read = decodePeerFrame(encodePeerFrame(frame)).value();
--- a/tests/unit/crashingprompttest.cpp
+++ b/tests/unit/crashingprompttest.cpp
@@ -1,5 +1,7 @@
 #include "placerfixture.h"
 
+#include <algorithm>
+#include <random>
 #include <set>
 
 #include <catch2/catch.hpp>
@@ -52,11 +54,35 @@
         crashing.insert(submit(requestWith(parts)));
     }
 
+    /** What a query finds: an engine that has ended refuses connections until it starts again. */
+    auto answerQueries() -> void
+    {
+        for (const auto& engine : placer.takeEngineQueries()) {
+            ++queries;
+            const auto entry = std::ranges::find(entries, engine.upstream, &UpstreamEntry::id);
+            placer.recordEngineQuery(now, engine,
+                isDown(engine.upstream)
+                    ? EngineQueryResult { EngineQueryResult::Outcome::Refused }
+                    : EngineQueryResult { EngineQueryResult::Outcome::Answered, entry->startedAt });
+        }
+    }
+
+    auto isDown(UpstreamId engine) const -> bool
+    {
+        return std::ranges::any_of(
+            restarts, [engine](const auto& restart) { return restart.second == engine; });
+    }
+
     auto step() -> void
     {
         now += stepTime;
+        answerQueries();
         placeWaiting();
         for (const auto& [key, decision] : placed) {
+            if (isDown(decision.upstream)) {
+                end(key, PlacementEnd::Unreachable);
+                continue;
+            }
             if (!live.insert({ key, decision.upstream }).second)
                 continue;
             if (isCrashing(key)) {
@@ -93,6 +119,15 @@
         }
     }
 
+    /** The engine runs the request on, and its answer is reset. */
+    auto loseAnswer(const PlacementKey& key) -> void
+    {
+        if (live.erase(key) == 0)
+            return;
+        ++lostAnswers;
+        end(key, PlacementEnd::Broken);
+    }
+
     auto crash(UpstreamId engine) -> void
     {
         ++crashes;
@@ -136,6 +171,8 @@
     std::multimap<Time, PlacementKey> due;
     std::multimap<Time, UpstreamId> restarts;
     std::size_t crashes = 0;
+    std::size_t lostAnswers = 0;
+    std::size_t queries = 0;
     std::size_t sentCrashing = 0;
     std::size_t sentBeforeBound = 0;
     std::optional<Time> boundStart;
@@ -230,3 +267,83 @@
     CHECK(engines.sentTooLate() <= 3);
     CHECK(engines.soundRefused() == 0);
 }
+
+namespace {
+
+/** Loses answers of some engines by resets, while these go on with everything else. */
+struct LostAnswers {
+    double share = 0;
+    double engines = 0;
+
+    auto play(CrashingEngines& fleet) -> void
+    {
+        const auto affected = static_cast<std::size_t>(engines * double(fleet.entries.size()));
+        auto keys = std::vector<PlacementKey> {};
+        for (const auto& [key, upstream] : fleet.live) {
+            const auto index
+                = std::ranges::find(fleet.entries, upstream, &UpstreamEntry::id) - fleet.entries.begin();
+            if (static_cast<std::size_t>(index) < affected && judged.insert(key).second
+                && std::uniform_real_distribution<double>(0, 1)(random) < share)
+                keys.push_back(key);
+        }
+        for (const auto& key : keys)
+            fleet.loseAnswer(key);
+    }
+
+    std::set<PlacementKey> judged {};
+    std::mt19937_64 random { 7 };
+};
+
+} // namespace
+
+TEST_CASE("Answers that are lost by resets keep no prompt part away, also while engines crash by themselves")
+{
+    const auto share = GENERATE(0.05, 0.4, 0.9);
+    const auto affected = GENERATE(0.1, 0.6, 1.0);
+    const auto atOnce = GENERATE(1, 30);
+    const auto crashesBeside = GENERATE(false, true);
+    auto engines = CrashingEngines(18);
+    auto lost = LostAnswers { share, affected };
+    auto next = std::size_t { 0 };
+    for (auto time = 0ms; time < 6s; time += stepTime) {
+        if (time % soundInterval == 0ms) {
+            engines.submitSound();
+            // Most prompts have this part.
+            for (auto count = 1; count < atOnce && time % 300ms == 0ms; ++count)
+                engines.sound.insert(engines.submit(engines.requestWith({ firstPart, 200 })));
+        }
+        engines.step();
+        if (time >= 1s)
+            lost.play(engines);
+        if (crashesBeside && time > 0ms && time % 1700ms == 0ms)
+            engines.crash(engines.entries.at(5 * next++ % engines.entries.size()).id());
+    }
+    CAPTURE(share, affected, atOnce, crashesBeside, engines.lostAnswers, engines.queries);
+    auto quarantined = std::size_t { 0 };
+    for (const auto& [key, refusal] : engines.refused)
+        quarantined += refusal.reason == RefusalReason::Quarantined ? 1 : 0;
+    // The sparsest of these losses may miss all of some hundred answers.
+    CHECK((engines.lostAnswers > 0 || share * affected < 0.01));
+    CHECK(quarantined == 0);
+    CHECK(engines.placer.quarantinedParts().empty());
+}
+
+TEST_CASE("A crashing part is found while sound answers are lost by resets")
+{
+    const auto share = GENERATE(0.05, 0.4);
+    auto engines = CrashingEngines(18);
+    auto lost = LostAnswers { share, 0.6 };
+    for (auto time = 0ms; time < 14s; time += stepTime) {
+        if (time % soundInterval == 0ms)
+            engines.submitSound();
+        if (time >= 2s && time % 400ms == 0ms)
+            engines.submitCrashing({ firstPart, crashingPart });
+        engines.step();
+        if (time >= 1s)
+            lost.play(engines);
+    }
+    CAPTURE(share, engines.crashes, engines.sentCrashing, engines.lostAnswers);
+    CHECK(engines.crashes >= PromptQuarantine::crashLimit);
+    CHECK(engines.sentTooLate() <= 3);
+    CHECK(engines.soundRefused() == 0);
+}
--- a/tests/unit/latefeedtest.cpp
+++ b/tests/unit/latefeedtest.cpp
@@ -108,6 +108,7 @@
                     if (changed && index == 1)
                         fleet = *changed;
                 },
+            .queryEngine = [](const PlacementCoordinator::EngineQuery&) {},
         };
         routers_.push_back(std::make_unique<ControlledRouter>(hello, std::move(handlers)));
     }
--- a/tests/unit/promptquarantinetest.cpp
+++ b/tests/unit/promptquarantinetest.cpp
@@ -1,5 +1,6 @@
 #include "promptquarantine.h"
 
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -47,21 +48,46 @@
         settle();
     }
 
+    /** Answers the queries: engines have ended unless they are in `living` or `unreachable`. */
+    auto answerQueries() -> void
+    {
+        for (const auto& engine : quarantine.takeQueries()) {
+            ++queries;
+            auto result = EngineQueryResult { EngineQueryResult::Outcome::Refused };
+            if (living.contains(engine.upstream.value))
+                result = { EngineQueryResult::Outcome::Answered, engine.startedAt };
+            if (unreachable.contains(engine.upstream.value))
+                result = { EngineQueryResult::Outcome::Unanswered };
+            quarantine.recordQuery(now, engine, result);
+        }
+    }
+
     auto settle() -> void
     {
-        now += PromptQuarantine::lifeSignTime;
+        now += PromptQuarantine::reportSpread;
+        quarantine.settle(now);
+        answerQueries();
+        now += PromptQuarantine::verdictDelay;
         quarantine.settle(now);
+        answerQueries();
     }
 
     auto isBlocked(const Parts& parts) const -> bool
     {
         return quarantine.blockedUntil(now, parts).has_value();
     }
+    auto isRefused(const Parts& parts) const -> bool
+    {
+        return quarantine.refusedUntil(now, parts).has_value();
+    }
     auto endOfQuarantine() const -> Time { return quarantine.blockedUntil(now, prompt).value(); }
 
     Time now { 100s };
     std::uint64_t number = 0;
     PromptQuarantine quarantine;
+    std::set<std::uint64_t> living;
+    std::set<std::uint64_t> unreachable;
+    std::size_t queries = 0;
     Parts prompt { { shared, 100 }, { crashing, 100 }, { 9, 100 } };
     Parts sound { { shared, 100 }, { 3, 100 }, { 10, 100 } };
 };
@@ -323,8 +349,10 @@
         fixture.end(key, PlacementEnd::Broken, 100 + key.number);
     fixture.now += 20ms;
     fixture.quarantine.settle(fixture.now);
-    // Otherwise no request could show that the engines live.
-    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+    // Held until the engines have been asked, and not refused.
+    CHECK_FALSE(fixture.isRefused(fixture.prompt));
+    fixture.living.insert(100 + keys.back().number);
+    fixture.answerQueries();
     const auto alive = fixture.place({ { 30, 100 }, { 31, 100 } });
     fixture.quarantine.recordStarted(fixture.now, alive, Fixture::process(100 + keys.back().number));
     fixture.settle();
@@ -343,20 +371,99 @@
     CHECK(fixture.quarantine.takeCrashReports().size() == 3);
 }
 
-TEST_CASE("A router that places requests again waits for signs of life before it judges older crashes")
+TEST_CASE("A router that places requests again asks the engines before it judges older crashes")
 {
     const auto lives = GENERATE(false, true);
     auto fixture = Fixture {};
     for (auto engine = std::uint64_t { 1 }; engine <= 3; ++engine)
         fixture.crash(fixture.prompt, engine);
     fixture.quarantine.setPlaces(fixture.now, false);
-    fixture.now += PromptQuarantine::lifeSignTime;
+    fixture.now += PromptQuarantine::verdictDelay;
     fixture.quarantine.setPlaces(fixture.now, true);
     fixture.quarantine.settle(fixture.now);
     CHECK_FALSE(fixture.isBlocked(fixture.prompt));
-    const auto alive = fixture.place({ { 30, 100 }, { 31, 100 } });
     if (lives)
-        fixture.quarantine.recordStarted(fixture.now, alive, Fixture::process(1));
+        fixture.living.insert(1);
     fixture.settle();
     CHECK(fixture.isBlocked(fixture.prompt) == !lives);
 }
+
+TEST_CASE("Engines that lose answers and live put no part in quarantine, and no request is refused")
+{
+    auto fixture = Fixture {};
+    for (auto engine = std::uint64_t { 1 }; engine <= 12; ++engine) {
+        fixture.living.insert(engine);
+        fixture.crash(fixture.prompt, engine);
+        CHECK_FALSE(fixture.isRefused(fixture.prompt));
+    }
+    fixture.settle();
+    CHECK(fixture.queries > 0);
+    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+    CHECK(fixture.quarantine.takeChanges().empty());
+}
+
+TEST_CASE("No engine is asked unless a verdict depends on the answer")
+{
+    auto fixture = Fixture {};
+    fixture.crash(fixture.prompt, 1);
+    fixture.crash(fixture.prompt, 2);
+    fixture.settle();
+    CHECK(fixture.queries == 0);
+}
+
+TEST_CASE(
+    "Engines that can't be reached put a part in quarantine only if the directory shows that they ended")
+{
+    const auto isReplaced = GENERATE(false, true);
+    auto fixture = Fixture {};
+    auto entries = std::vector<UpstreamEntry> {};
+    for (auto engine = std::uint64_t { 1 }; engine <= 3; ++engine) {
+        auto entry = UpstreamEntry {};
+        entry.name = "engine-" + std::to_string(engine);
+        entry.startedAt = 1ms;
+        entry.endpoint = { "10.0.0.1", 80 };
+        entries.push_back(entry);
+        const auto key = fixture.place(fixture.prompt);
+        fixture.quarantine.recordEnded(fixture.now, key, PlacementEnd::Broken, entry.process());
+        fixture.now += 1ms;
+        fixture.unreachable.insert(entry.id().value);
+    }
+    fixture.settle();
+    CHECK(fixture.queries == 3);
+    CHECK_FALSE(fixture.isRefused(fixture.prompt));
+    if (isReplaced) {
+        for (auto& entry : entries)
+            entry.startedAt = 2ms;
+    }
+    fixture.quarantine.recordDirectory(fixture.now, entries);
+    CHECK(fixture.isRefused(fixture.prompt) == isReplaced);
+    fixture.now += EngineQueries::undecidedTime;
+    fixture.quarantine.settle(fixture.now);
+    CHECK((fixture.quarantine.observedEngines() == 0) == !isReplaced);
+}
+
+TEST_CASE("A verdict is taken back if an engine behind it answers the request after the one it broke off")
+{
+    auto fixture = Fixture {};
+    fixture.quarantineCrashing();
+    REQUIRE(fixture.isRefused(fixture.prompt));
+    const auto key = fixture.place({ { 30, 100 }, { 31, 100 } });
+    fixture.quarantine.recordStarted(fixture.now, key, Fixture::process(2));
+    CHECK_FALSE(fixture.isBlocked(fixture.prompt));
+    CHECK(fixture.quarantine.takeChanges().back().part.released);
+}
+
+TEST_CASE("The next router that places requests learns which engines are known to have ended")
+{
+    auto fixture = Fixture {};
+    fixture.crash(fixture.prompt, 1);
+    fixture.crash(fixture.prompt, 2);
+    fixture.quarantine.recordQuery(fixture.now, Fixture::process(1), { EngineQueryResult::Outcome::Refused });
+    auto next = Fixture {};
+    for (const auto& report : fixture.quarantine.crashReports())
+        next.quarantine.applyCrash(next.now, report);
+    next.crash(next.prompt, 3);
+    next.settle();
+    CHECK(next.isRefused(next.prompt));
+    CHECK(next.queries == 2);
+}
