--- a/include/camphorshunt/fleetreport.h
+++ b/include/camphorshunt/fleetreport.h
@@ -37,6 +37,13 @@
         RouterId router;
     };
 
+    /** A failure domain to whose upstreams the router sends nothing. */
+    struct Evacuation {
+        std::string domain;
+        /** Time since the router learnt of it. */
+        Milliseconds age {};
+    };
+
     /** Address on which the router listens for peers. */
     std::string address;
     std::string failureDomain;
@@ -57,6 +64,7 @@
     /** The router from which this one gets new configurations and pages of the directory. */
     RouterId feed;
     std::vector<Placer> placers;
+    std::vector<Evacuation> evacuations;
     std::vector<Link> links;
     /** Links beyond those listed. */
     std::uint64_t linksLeftOut = 0;
--- a/include/camphorshunt/upstreamentry.h
+++ b/include/camphorshunt/upstreamentry.h
@@ -35,6 +35,8 @@
     std::uint32_t slots = 1;
     /** Finishes its running requests and accepts no new ones. */
     bool draining = false;
+    /** Its failure domain is evacuated: it completes what it has and gets nothing more. */
+    bool evacuated = false;
     /** Wall-clock start time of the process, which distinguishes incarnations with the same name; zero if
      * unknown. */
     std::chrono::milliseconds startedAt {};
--- a/src/camphorshuntctl/fleettable.cpp
+++ b/src/camphorshuntctl/fleettable.cpp
@@ -1,5 +1,6 @@
 #include "fleettable.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -72,6 +73,31 @@
     return table.text();
 }
 
+/** Empty if no failure domain is evacuated. */
+auto evacuationTable(std::span<const RouterView> views) -> std::string
+{
+    struct InForce {
+        std::size_t routers = 0;
+        std::chrono::milliseconds age {};
+    };
+    auto evacuations = std::map<std::string, InForce> {};
+    for (const auto& view : views) {
+        if (!view.report)
+            continue;
+        for (const auto& evacuation : view.report.value().evacuations) {
+            auto& inForce = evacuations[evacuation.domain];
+            ++inForce.routers;
+            inForce.age = std::max(inForce.age, evacuation.age);
+        }
+    }
+    if (evacuations.empty())
+        return {};
+    auto table = TextTable({ "evacuated", "age-ms", "routers" });
+    for (const auto& [domain, inForce] : evacuations)
+        table.add({ domain, std::to_string(inForce.age.count()), std::to_string(inForce.routers) });
+    return '\n' + table.text();
+}
+
 auto linkTable(const FleetReport& report, const RouterNames& names) -> std::string
 {
     auto table
@@ -92,7 +118,7 @@
 auto fleetTable(std::span<const RouterView> views) -> std::string
 {
     const auto names = RouterNames(views);
-    auto text = routerTable(views) + '\n' + roleTable(views, names);
+    auto text = routerTable(views) + '\n' + roleTable(views, names) + evacuationTable(views);
     if (views.size() == 1 && views.front().report)
         text += '\n' + linkTable(views.front().report.value(), names);
     const auto differences = fleetDifferences(views);
--- a/src/camphorshuntrouter/fleet_generated.h
+++ b/src/camphorshuntrouter/fleet_generated.h
@@ -36,6 +36,9 @@
 struct Crash;
 struct CrashBuilder;
 
+struct Evacuation;
+struct EvacuationBuilder;
+
 struct Hello;
 struct HelloBuilder;
 
@@ -616,6 +619,82 @@
       lives);
 }
 
+struct Evacuation FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EvacuationBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ERA = 4,
+    VT_END = 6,
+    VT_DOMAINS = 8
+  };
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  uint64_t end() const {
+    return GetField<uint64_t>(VT_END, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *domains() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_DOMAINS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_END, 8) &&
+           VerifyOffset(verifier, VT_DOMAINS) &&
+           verifier.VerifyVector(domains()) &&
+           verifier.VerifyVectorOfStrings(domains()) &&
+           verifier.EndTable();
+  }
+};
+
+struct EvacuationBuilder {
+  typedef Evacuation Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(Evacuation::VT_ERA, era, 0);
+  }
+  void add_end(uint64_t end) {
+    fbb_.AddElement<uint64_t>(Evacuation::VT_END, end, 0);
+  }
+  void add_domains(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> domains) {
+    fbb_.AddOffset(Evacuation::VT_DOMAINS, domains);
+  }
+  explicit EvacuationBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Evacuation> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Evacuation>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuation(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t era = 0,
+    uint64_t end = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> domains = 0) {
+  EvacuationBuilder builder_(_fbb);
+  builder_.add_end(end);
+  builder_.add_era(era);
+  builder_.add_domains(domains);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Evacuation> CreateEvacuationDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t era = 0,
+    uint64_t end = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *domains = nullptr) {
+  auto domains__ = domains ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*domains) : 0;
+  return camphorshunt::fleet::CreateEvacuation(
+      _fbb,
+      era,
+      end,
+      domains__);
+}
+
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef HelloBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1323,7 +1402,10 @@
     VT_QUARANTINED = 34,
     VT_DIRECTORY_ERA = 36,
     VT_CRASHES = 38,
-    VT_QUARANTINED_SETS = 40
+    VT_QUARANTINED_SETS = 40,
+    VT_EVACUATION = 42,
+    VT_EVACUATION_ERA = 44,
+    VT_EVACUATION_END = 46
   };
   const camphorshunt::fleet::Hello *hello() const {
     return GetPointer<const camphorshunt::fleet::Hello *>(VT_HELLO);
@@ -1382,6 +1464,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>> *quarantined_sets() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>> *>(VT_QUARANTINED_SETS);
   }
+  const camphorshunt::fleet::Evacuation *evacuation() const {
+    return GetPointer<const camphorshunt::fleet::Evacuation *>(VT_EVACUATION);
+  }
+  uint64_t evacuation_era() const {
+    return GetField<uint64_t>(VT_EVACUATION_ERA, 0);
+  }
+  uint64_t evacuation_end() const {
+    return GetField<uint64_t>(VT_EVACUATION_END, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HELLO) &&
@@ -1422,6 +1513,10 @@
            VerifyOffset(verifier, VT_QUARANTINED_SETS) &&
            verifier.VerifyVector(quarantined_sets()) &&
            verifier.VerifyVectorOfTables(quarantined_sets()) &&
+           VerifyOffset(verifier, VT_EVACUATION) &&
+           verifier.VerifyTable(evacuation()) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_END, 8) &&
            verifier.EndTable();
   }
 };
@@ -1487,6 +1582,15 @@
   void add_quarantined_sets(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>>> quarantined_sets) {
     fbb_.AddOffset(Frame::VT_QUARANTINED_SETS, quarantined_sets);
   }
+  void add_evacuation(flatbuffers::Offset<camphorshunt::fleet::Evacuation> evacuation) {
+    fbb_.AddOffset(Frame::VT_EVACUATION, evacuation);
+  }
+  void add_evacuation_era(uint64_t evacuation_era) {
+    fbb_.AddElement<uint64_t>(Frame::VT_EVACUATION_ERA, evacuation_era, 0);
+  }
+  void add_evacuation_end(uint64_t evacuation_end) {
+    fbb_.AddElement<uint64_t>(Frame::VT_EVACUATION_END, evacuation_end, 0);
+  }
   explicit FrameBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1518,9 +1622,15 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> quarantined = 0,
     uint64_t directory_era = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::Crash>>> crashes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>>> quarantined_sets = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>>> quarantined_sets = 0,
+    flatbuffers::Offset<camphorshunt::fleet::Evacuation> evacuation = 0,
+    uint64_t evacuation_era = 0,
+    uint64_t evacuation_end = 0) {
   FrameBuilder builder_(_fbb);
+  builder_.add_evacuation_end(evacuation_end);
+  builder_.add_evacuation_era(evacuation_era);
   builder_.add_directory_era(directory_era);
+  builder_.add_evacuation(evacuation);
   builder_.add_quarantined_sets(quarantined_sets);
   builder_.add_crashes(crashes);
   builder_.add_quarantined(quarantined);
@@ -1562,7 +1672,10 @@
     const std::vector<uint64_t> *quarantined = nullptr,
     uint64_t directory_era = 0,
     const std::vector<flatbuffers::Offset<camphorshunt::fleet::Crash>> *crashes = nullptr,
-    const std::vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>> *quarantined_sets = nullptr) {
+    const std::vector<flatbuffers::Offset<camphorshunt::fleet::QuarantinedSet>> *quarantined_sets = nullptr,
+    flatbuffers::Offset<camphorshunt::fleet::Evacuation> evacuation = 0,
+    uint64_t evacuation_era = 0,
+    uint64_t evacuation_end = 0) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto places__ = places ? _fbb.CreateVector<flatbuffers::Offset<camphorshunt::fleet::Place>>(*places) : 0;
   auto verdicts__ = verdicts ? _fbb.CreateVectorOfStructs<camphorshunt::fleet::Verdict>(*verdicts) : 0;
@@ -1594,7 +1707,10 @@
       quarantined__,
       directory_era,
       crashes__,
-      quarantined_sets__);
+      quarantined_sets__,
+      evacuation,
+      evacuation_era,
+      evacuation_end);
 }
 
 inline const camphorshunt::fleet::Frame *GetFrame(const void *buf) {
--- a/src/camphorshuntrouter/fleetdescription.cpp
+++ b/src/camphorshuntrouter/fleetdescription.cpp
@@ -70,6 +70,8 @@
     report.directoryOffset = fleet.directoryEnd().value_or(0);
     report.directoryAge = ageOf(now, sync.directoryReadAt());
     report.feed = sync.feed();
+    for (const auto& [domain, since] : fleet.evacuations().domains())
+        report.evacuations.push_back({ domain, inMilliseconds(now - since) });
     if (fleet.table()) {
         for (const auto& service : fleet.table()->configuration().services) {
             if (const auto placer = sources.placement.placerOfService(service.id()))
--- a/src/camphorshuntrouter/fleetroles.cpp
+++ b/src/camphorshuntrouter/fleetroles.cpp
@@ -25,7 +25,7 @@
 {
     const auto& fleet = sync_.fleet();
     return { fleet.version(), fleet.directoryEnd().value_or(0), sync_.isStoreReachable(), draining_,
-        fleet.directoryEra() };
+        fleet.directoryEra(), fleet.evacuations().position() };
 }
 
 auto FleetControl::sendHeartbeat(Time now, RouterId router, Duration interval, std::size_t routers) -> void
--- a/src/camphorshuntrouter/fleetstate.cpp
+++ b/src/camphorshuntrouter/fleetstate.cpp
@@ -31,6 +31,32 @@
     return true;
 }
 
+auto FleetState::applyEvacuations(Time now, const EvacuationRead& read) -> bool
+{
+    const auto changes = evacuations_.apply(now, read);
+    logEvacuations(changes, "store");
+    return !changes.empty();
+}
+
+auto FleetState::applyEvacuations(Time now, const EvacuationState& told) -> bool
+{
+    const auto changes = evacuations_.apply(now, told);
+    logEvacuations(changes, "peer");
+    return !changes.empty();
+}
+
+auto FleetState::logEvacuations(std::span<const Evacuations::Change> changes, std::string_view source) -> void
+{
+    for (const auto& change : changes) {
+        const auto upstreams
+            = std::ranges::count(directory_.entries(), change.domain, &UpstreamEntry::failureDomain);
+        log_.write(LogLevel::Warning, change.active ? "evacuation" : "evacuation-ended",
+            { { "domain", change.domain }, { "upstreams", std::to_string(upstreams) },
+                { "era", std::to_string(evacuations_.position().era) },
+                { "end", std::to_string(evacuations_.position().end) }, { "source", std::string(source) } });
+    }
+}
+
 auto FleetState::decode(const std::string& name, const std::optional<std::string>& value)
     -> UpstreamDirectory::NamedEntry
 {
@@ -121,7 +147,10 @@
 
 auto FleetState::upstreams() const -> std::shared_ptr<const UpstreamList>
 {
-    return std::make_shared<const UpstreamList>(directory_.entries());
+    auto entries = directory_.entries();
+    for (auto& entry : entries)
+        entry.evacuated = evacuations_.isEvacuated(entry.failureDomain);
+    return std::make_shared<const UpstreamList>(std::move(entries));
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/fleetstate.h
+++ b/src/camphorshuntrouter/fleetstate.h
@@ -4,11 +4,13 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
 #include "camphorshunt/routetable.h"
 
+#include "evacuation/evacuations.h"
 #include "peerframe.h"
 #include "relaymessages.h"
 #include "routerlog.h"
@@ -42,6 +44,10 @@
         Outdated,
     };
 
+    /** Returns true if other failure domains than before are evacuated. */
+    auto applyEvacuations(Time now, const EvacuationRead& read) -> bool;
+    auto applyEvacuations(Time now, const EvacuationState& told) -> bool;
+
     /** A page of an unknown era is taken as one of the era known here. */
     auto applyDirectoryPage(Time now, const DirectoryPage& page) -> PageResult;
     /**
@@ -60,12 +66,14 @@
     auto directoryEra() const -> std::uint64_t { return directoryEra_; }
     auto directorySnapshot() const -> DirectoryPage;
     auto upstreams() const -> std::shared_ptr<const UpstreamList>;
+    auto evacuations() const -> const Evacuations& { return evacuations_; }
 
 private:
     auto decode(const std::string& name, const std::optional<std::string>& value)
         -> UpstreamDirectory::NamedEntry;
     /** The store has come back from an older copy, of which the page is the first that is applied. */
     auto beginEra(Time now, const DirectoryPage& page) -> void;
+    auto logEvacuations(std::span<const Evacuations::Change> changes, std::string_view source) -> void;
     auto applySnapshot(Time now, const DirectoryPage& page) -> bool;
 
     RouterLog& log_;
@@ -75,6 +83,7 @@
     std::uint64_t directoryEra_ = 0;
     std::map<std::string, std::string> rawEntries_;
     UpstreamDirectory directory_;
+    Evacuations evacuations_;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/fleetsync.cpp
+++ b/src/camphorshuntrouter/fleetsync.cpp
@@ -73,6 +73,8 @@
 {
     if (frame.configuration)
         applyConfiguration(now, std::move(*frame.configuration), from);
+    if (frame.evacuation)
+        applyEvacuations(now, *frame.evacuation);
     if (frame.directory)
         applyDirectoryPage(now, *frame.directory, from,
             sentAt ? std::optional(*sentAt - frame.directory->age) : std::nullopt);
@@ -88,6 +90,8 @@
     auto answer = PeerFrame {};
     if (frame.wantsConfiguration && fleet_.table())
         answer.configuration = fleet_.configuration();
+    if (frame.wantsConfiguration && fleet_.evacuations().position() != LogPosition {})
+        answer.evacuation = fleet_.evacuations().state();
     if (frame.wantsDirectory && fleet_.directoryEnd())
         answer.directory = fleet_.directorySnapshot();
     if (answer.directory)
@@ -111,7 +115,8 @@
 auto FleetSync::queryIfBehind(Time now, RouterId from, const PeerHeartbeat& heartbeat) -> void
 {
     auto query = PeerFrame {};
-    query.wantsConfiguration = heartbeat.configurationVersion > fleet_.version();
+    query.wantsConfiguration = heartbeat.configurationVersion > fleet_.version()
+        || heartbeat.evacuations > fleet_.evacuations().position();
     const auto era = heartbeat.directoryEra == 0 ? fleet_.directoryEra() : heartbeat.directoryEra;
     query.wantsDirectory = std::pair(era, heartbeat.directoryEnd)
             > std::pair(fleet_.directoryEra(), fleet_.directoryEnd().value_or(0))
@@ -170,6 +175,8 @@
         logUnreadable("operators", read.content.value().unreadable);
     if (read.content && read.content.value().configuration)
         applyConfiguration(now, std::move(*read.content.value().configuration), std::nullopt);
+    if (read.content)
+        applyEvacuations(now, read.content.value().evacuations);
 }
 
 auto FleetSync::logUnreadable(std::string_view topic, std::size_t records) -> void
@@ -197,6 +204,22 @@
     handlers_.onStoreReachabilityChanged(now);
 }
 
+template <typename News> auto FleetSync::applyEvacuations(Time now, const News& news) -> void
+{
+    const auto before = fleet_.evacuations().position();
+    const auto changed = fleet_.applyEvacuations(now, news);
+    if (fleet_.evacuations().position() == before)
+        return;
+    auto frame = PeerFrame {};
+    frame.evacuation = fleet_.evacuations().state();
+    if (isReader_)
+        handlers_.publish(now, std::move(frame));
+    else
+        handlers_.forward(now, std::move(frame));
+    if (changed)
+        handlers_.onFleetChanged(now);
+}
+
 auto FleetSync::applyConfiguration(Time now, std::string json, std::optional<RouterId> from) -> void
 {
     if (!fleet_.applyConfiguration(std::move(json), from ? "peer" : "store"))
--- a/src/camphorshuntrouter/fleetsync.h
+++ b/src/camphorshuntrouter/fleetsync.h
@@ -72,6 +72,8 @@
     auto isStoreReachable() const -> bool { return pacer_.isReachable(); }
 
 private:
+    /** Tells other routers of the evacuations in force, after a read or what a peer has told. */
+    template <typename News> auto applyEvacuations(Time now, const News& news) -> void;
     auto applyConfiguration(Time now, std::string json, std::optional<RouterId> from) -> void;
     /** `readAt`: the store has not answered with the page before that; empty if nothing is known of it. */
     auto applyDirectoryPage(Time now, const DirectoryPage& page, std::optional<RouterId> from,
--- a/src/camphorshuntrouter/peerframe.cpp
+++ b/src/camphorshuntrouter/peerframe.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include "evacuation/evacuationframe.h"
 #include "fleet_generated.h"
 #include "peerevidence.h"
 #include "peerframefields.h"
@@ -303,6 +304,7 @@
     const auto crashList = crashes.empty() ? 0 : builder.CreateVector(crashes);
     const auto quarantineList = quarantines.empty() ? 0 : builder.CreateVectorOfStructs(quarantines);
     const auto quarantinedList = quarantined.empty() ? 0 : builder.CreateVector(quarantined);
+    const auto evacuation = frame.evacuation ? packEvacuation(builder, *frame.evacuation) : 0;
     const auto presence = packPresence(frame.presence.value_or(PeerPresence {}));
     const auto clock = packClock(frame.clock.value_or(PeerClock {}));
     const auto heartbeat = frame.heartbeat.value_or(PeerHeartbeat {});
@@ -312,7 +314,7 @@
         requestList, decisionList, reportList, directory, frame.wantsDirectory, configuration,
         frame.wantsConfiguration, addressList, frame.presence ? &presence : nullptr, availabilityList,
         frame.clock ? &clock : nullptr, quarantineList, quarantinedList, heartbeat.directoryEra, crashList,
-        setList));
+        setList, evacuation, heartbeat.evacuations.era, heartbeat.evacuations.end));
     return { builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize() };
 }
 
@@ -338,7 +340,8 @@
     }
     if (const auto* const heartbeat = packed.beat()) {
         frame.heartbeat = { heartbeat->configuration(), heartbeat->directory_end(),
-            heartbeat->store_reachable(), heartbeat->leaving(), packed.directory_era() };
+            heartbeat->store_reachable(), heartbeat->leaving(), packed.directory_era(),
+            { packed.evacuation_era(), packed.evacuation_end() } };
     }
     if (!isAligned(packed.verdicts()) || !isAligned(packed.reports()) || !isAligned(packed.quarantines())
         || !isAligned(packed.quarantined()))
@@ -373,6 +376,12 @@
     }
     if (packed.directory() != nullptr)
         frame.directory = unpackDirectory(*packed.directory());
+    if (packed.evacuation() != nullptr) {
+        auto evacuation = unpackEvacuation(*packed.evacuation());
+        if (!evacuation)
+            return evacuation.error();
+        frame.evacuation = std::move(evacuation.value());
+    }
     frame.wantsDirectory = packed.wants_directory();
     if (packed.configuration() != nullptr)
         frame.configuration = packed.configuration()->str();
--- a/src/camphorshuntrouter/peerframe.h
+++ b/src/camphorshuntrouter/peerframe.h
@@ -10,6 +10,8 @@
 #include "camphorshunt/result.h"
 #include "camphorshunt/upstreamentry.h"
 
+#include "evacuation/evacuations.h"
+
 namespace camphorshunt::router {
 
 /** The first message of each end of a connection. */
@@ -68,6 +70,8 @@
     bool leaving = false;
     /** Era of the store to which `directoryEnd` belongs; zero if unknown. */
     std::uint64_t directoryEra = 0;
+    /** As of which the evacuations are known. */
+    LogPosition evacuations {};
 };
 
 /**
@@ -183,6 +187,7 @@
     std::vector<PeerAvailability> availability;
     std::vector<PeerQuarantine> quarantines;
     std::vector<PeerCrash> crashes;
+    std::optional<EvacuationState> evacuation;
     /** Set in heartbeats and in what is passed on from the store; never by older builds. */
     std::optional<PeerClock> clock;
 };
--- a/src/camphorshuntrouter/relayavailability.cpp
+++ b/src/camphorshuntrouter/relayavailability.cpp
@@ -59,7 +59,8 @@
 {
     const auto now = steadyNow();
     const auto from = availability_.sendableFrom(now, upstream.process());
-    if (from == now)
+    // The placer learns of evacuations from the store, and they end.
+    if (from == now || availability_.isEvacuated(upstream.id()))
         return;
     toScheduler_.push(PeerAvailability { upstream.service, upstream.process(), !from,
         from ? std::chrono::ceil<std::chrono::milliseconds>(*from - now) : std::chrono::milliseconds(0) });
@@ -83,7 +84,7 @@
         log(LogLevel::Info, "upstream-rested",
             { { "upstream", entry == byId_.end() ? std::to_string(id.value) : entry->second->name } });
     }
-    metrics_.setAvailability(availability_.leaving(), availability_.resting(now));
+    metrics_.setAvailability(availability_.leaving(), availability_.resting(now), availability_.evacuated());
 }
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -59,6 +59,8 @@
           "Requests not sent to a chosen upstream, as it leaves or rests"))
     , leaving_(gauge(registry, "router_upstreams_leaving", "Upstreams that get no requests as they leave"))
     , resting_(gauge(registry, "router_upstreams_resting", "Upstreams that get no requests as they rest"))
+    , evacuated_(gauge(registry, "router_upstreams_evacuated",
+          "Upstreams that get no requests as their failure domain is evacuated"))
     , requestTime_(histogram(
           registry, "router_request_seconds", "From a request to the end of its answer", timeBuckets()))
     , firstByteTime_(histogram(registry, "router_first_byte_seconds",
@@ -114,10 +116,11 @@
 
 auto RouterMetrics::upstreamRests() -> void { announcements_->Add(label("kind", "rest")).Increment(); }
 
-auto RouterMetrics::setAvailability(std::size_t leaving, std::size_t resting) -> void
+auto RouterMetrics::setAvailability(std::size_t leaving, std::size_t resting, std::size_t evacuated) -> void
 {
     leaving_->Set(double(leaving));
     resting_->Set(double(resting));
+    evacuated_->Set(double(evacuated));
 }
 
 auto RouterMetrics::setDirectoryAge(Duration age) -> void { directoryAge_->Set(seconds(age)); }
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -35,7 +35,7 @@
     auto setConfiguration(std::uint64_t version) -> void { configuration_->Set(double(version)); }
     auto setWaiting(std::size_t count) -> void { waiting_->Set(double(count)); }
     auto setOwnedServices(std::size_t count) -> void { ownedServices_->Set(double(count)); }
-    auto setAvailability(std::size_t leaving, std::size_t resting) -> void;
+    auto setAvailability(std::size_t leaving, std::size_t resting, std::size_t evacuated) -> void;
     auto setDirectoryAge(Duration age) -> void;
     auto setFleet(const FleetReport& report) -> void;
     /** `late`: time from when a tick of the scheduler was due. */
@@ -54,6 +54,7 @@
     prometheus::Counter* sendsWithheld_;
     prometheus::Gauge* leaving_;
     prometheus::Gauge* resting_;
+    prometheus::Gauge* evacuated_;
     prometheus::Histogram* requestTime_;
     prometheus::Histogram* firstByteTime_;
     prometheus::Gauge* connectionsOpened_;
--- a/src/camphorshuntrouter/storegateway.h
+++ b/src/camphorshuntrouter/storegateway.h
@@ -13,6 +13,7 @@
 #include "camphorshunt/ring.h"
 #include "camphorshunt/time.h"
 
+#include "evacuation/evacuations.h"
 #include "peerframe.h"
 
 #include "platform/storeclient.h"
@@ -59,6 +60,7 @@
         std::uint64_t era = 0;
         /** Records that could not be decoded. */
         std::size_t unreadable = 0;
+        EvacuationRead evacuations {};
     };
     Result<Content> content;
     /** When the answer arrived at this router. */
--- a/src/libcamphorshunt/fleetreport.cpp
+++ b/src/libcamphorshunt/fleetreport.cpp
@@ -97,6 +97,10 @@
     report.feed = { readId(feed, "router") };
     for (auto& placer : roles.objects("placers"))
         report.placers.push_back({ placer.text("service"), { readId(placer, "router") } });
+    for (auto& evacuation : reader.objects("evacuations")) {
+        report.evacuations.push_back(
+            { evacuation.text("domain"), evacuation.milliseconds("ageMs", {}, 0, maxMilliseconds) });
+    }
     for (auto& link : reader.objects("links"))
         report.links.push_back(readLink(link));
     report.linksLeftOut = reader.number("linksLeftOut", 0, 0, anyNumber);
@@ -131,6 +135,9 @@
         object["service"] = placer.service;
         placerList.push_back(std::move(object));
     }
+    auto evacuationList = json::array {};
+    for (const auto& evacuation : evacuations)
+        evacuationList.push_back({ { "domain", evacuation.domain }, { "ageMs", evacuation.age.count() } });
     auto linkList = json::array {};
     for (const auto& link : links)
         linkList.push_back(linkObject(link));
@@ -142,8 +149,8 @@
         { "roles",
             json::object { { "storeReader", roleObject(*this, storeReader) },
                 { "feed", roleObject(*this, feed) }, { "placers", std::move(placerList) } } },
-        { "links", std::move(linkList) }, { "linksLeftOut", linksLeftOut }, { "silentLinks", silentLinks },
-        { "ageMs", age.count() } });
+        { "evacuations", std::move(evacuationList) }, { "links", std::move(linkList) },
+        { "linksLeftOut", linksLeftOut }, { "silentLinks", silentLinks }, { "ageMs", age.count() } });
 }
 
 auto FleetReport::parse(std::string_view text) -> Result<FleetReport>
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -74,7 +74,7 @@
         return true;
     });
 
-    leaving_.setUpstreams(now, entries);
+    const auto othersEvacuated = leaving_.setUpstreams(now, entries);
     for (auto& [router, rests] : rests_)
         rests.setUpstreams(now, entries);
     const auto rate = initialPrefillRate(listed.size());
@@ -83,6 +83,8 @@
         engine.setEntry(now, entry);
         engine.setFraction(fraction_);
     }
+    if (othersEvacuated)
+        refuseAllUnavailable(now);
 }
 
 auto Placer::setFraction(double fraction) -> void
--- a/src/libcamphorshunt/upstreamavailability.cpp
+++ b/src/libcamphorshunt/upstreamavailability.cpp
@@ -35,7 +35,20 @@
     return begins;
 }
 
-auto UpstreamAvailability::setUpstreams(Time now, std::span<const UpstreamEntry> entries) -> void
+auto UpstreamAvailability::setUpstreams(Time now, std::span<const UpstreamEntry> entries) -> bool
+{
+    updateStates(now, entries);
+    auto evacuated = absl::flat_hash_set<UpstreamId> {};
+    for (const auto& entry : entries) {
+        if (entry.evacuated)
+            evacuated.insert(entry.id());
+    }
+    const auto changed = evacuated != evacuated_;
+    evacuated_ = std::move(evacuated);
+    return changed;
+}
+
+auto UpstreamAvailability::updateStates(Time now, std::span<const UpstreamEntry> entries) -> void
 {
     if (states_.empty())
         return;
@@ -77,6 +90,8 @@
 
 auto UpstreamAvailability::sendableFrom(Time now, const UpstreamProcess& process) const -> std::optional<Time>
 {
+    if (evacuated_.contains(process.upstream))
+        return std::nullopt;
     const auto found = states_.find(process.upstream);
     if (found == states_.end() || process.isLaterThan(found->second.process))
         return now;
@@ -89,7 +104,7 @@
 
 auto UpstreamAvailability::maySend(Time now, const UpstreamEntry& entry) const -> bool
 {
-    return states_.empty() || sendableFrom(now, entry.process()) == now;
+    return (states_.empty() && evacuated_.empty()) || sendableFrom(now, entry.process()) == now;
 }
 
 auto UpstreamAvailability::leaving() const -> std::size_t
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -169,12 +169,14 @@
     REQUIRE(post(store_, target, "").status == 200);
 }
 
-auto RouterFleet::putUpstream(std::size_t index, std::string_view state, std::uint64_t born) -> void
+auto RouterFleet::putUpstream(
+    std::size_t index, std::string_view state, std::uint64_t born, std::string_view domain) -> void
 {
     const auto& upstream = upstreams_.at(index);
     const auto entry = json::object { { "service", upstream.service },
-        { "address", upstream.endpoint.text() }, { "zone", "zone-a" }, { "version", "v1" }, { "slots", 8 },
-        { "state", std::string(state) }, { "cold_remaining_ms", 0 }, { "sequence", 1 }, { "born", born } };
+        { "address", upstream.endpoint.text() }, { "zone", std::string(domain) }, { "version", "v1" },
+        { "slots", 8 }, { "state", std::string(state) }, { "cold_remaining_ms", 0 }, { "sequence", 1 },
+        { "born", born } };
     put("keyed.servers", upstream.name, json::serialize(entry));
 }
 
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -73,7 +73,8 @@
     /** The store comes back from a copy that lacks the last records of the topic. */
     auto returnStore(std::string_view topic, std::size_t lostRecords) -> void;
     auto putConfiguration(const std::string& json) -> void { put("keyed.op", "config", json); }
-    auto putUpstream(std::size_t index, std::string_view state = "ready", std::uint64_t born = 1) -> void;
+    auto putUpstream(std::size_t index, std::string_view state = "ready", std::uint64_t born = 1,
+        std::string_view domain = "zone-a") -> void;
     /** Ends an upstream's process and starts one with this name at the same address. */
     auto replaceUpstream(std::size_t index, const std::string& name) -> void;
     /**
--- a/tests/unit/fleetreporttest.cpp
+++ b/tests/unit/fleetreporttest.cpp
@@ -62,6 +62,7 @@
     report.storeReader = report.router();
     report.feed = { ~std::uint64_t {} };
     report.placers = { { "model", report.router() }, { "other", { 5 } } };
+    report.evacuations = { { "zone-b", 700ms } };
     report.links = { { "10.0.0.2:7000", { 5 }, ~std::uint64_t {}, true, true, true, 90ms, 120ms },
         { {}, { 6 }, 0, false, false, false, std::nullopt, 1000ms } };
     report.linksLeftOut = 9;
@@ -126,6 +127,9 @@
     CHECK(read.json() == report.json());
     CHECK(read.configurationVersion == report.configurationVersion);
     CHECK(read.feed == report.feed);
+    REQUIRE(read.evacuations.size() == 1);
+    CHECK(read.evacuations[0].domain == "zone-b");
+    CHECK(read.evacuations[0].age == 700ms);
     CHECK(!read.directoryAge);
     REQUIRE(read.links.size() == 2);
     CHECK(read.links[0].failureDomain == ~std::uint64_t {});
