--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -75,7 +75,7 @@
     });
 
     quarantine_.recordDirectory(now, entries);
-    leaving_.setUpstreams(now, entries);
+    const auto othersEvacuated = leaving_.setUpstreams(now, entries);
     for (auto& [router, rests] : rests_)
         rests.setUpstreams(now, entries);
     const auto rate = initialPrefillRate(listed.size());
@@ -84,6 +84,8 @@
         engine.setEntry(now, entry);
         engine.setFraction(fraction_);
     }
+    if (othersEvacuated)
+        refuseAllUnavailable(now);
 }
 
 auto Placer::setFraction(double fraction) -> void
