--- a/include/camphorshunt/fleetconfiguration.h
+++ b/include/camphorshunt/fleetconfiguration.h
@@ -53,6 +53,15 @@
     }
 };
 
+/** What an engine bears while it is cold. */
+struct WarmupLimits {
+    /** Zero if the service states no rate: then engines are not treated as cold. */
+    double requestsPerSecond = 0;
+    /** An engine bears at most `requestsPerSecond * overshoot + slack` requests in any second. */
+    double overshoot = 1;
+    double slack = 0;
+};
+
 /** Properties of each engine of a model service. */
 struct EngineTraits {
     /** Maximum number of requests in one batch. */
@@ -64,6 +73,8 @@
     /** Tokens of cached prompt that an engine can copy from another per millisecond; zero if it cannot copy.
      */
     double copiedTokensPerMs = 0;
+    /** Requests a second that an engine bears while it is cold; zero if there is no limit. */
+    double coldRequestsPerSecond = 0;
 };
 
 /** A group of interchangeable upstreams. */
--- a/include/camphorshunt/upstreamentry.h
+++ b/include/camphorshunt/upstreamentry.h
@@ -35,6 +35,8 @@
     std::uint32_t slots = 1;
     /** Finishes its running requests and accepts no new ones. */
     bool draining = false;
+    /** How much longer the upstream stays cold, as of its last statement. */
+    std::chrono::milliseconds coldRemaining {};
     /** Wall-clock start time of the process, which distinguishes incarnations with the same name; zero if
      * unknown. */
     std::chrono::milliseconds startedAt {};
--- a/src/camphorshuntrouter/placementcoordinator.h
+++ b/src/camphorshuntrouter/placementcoordinator.h
@@ -113,6 +113,8 @@
     auto takeReports(std::size_t limit) -> std::vector<ServiceReport>;
     /** Number of requests that wait at this router's placers. */
     auto waiting() const -> std::size_t;
+    /** Cold engines of the services that this router places. */
+    auto warmupReport(Time now) const -> Placer::WarmupReport;
     /** Number of services whose requests this router places. */
     auto ownedServices() const -> std::size_t;
     /** The router that places the requests of the service; empty if none have been placed yet. */
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -94,6 +94,8 @@
     schedulerSettings.failureDomain = settings_.failureDomain;
     schedulerSettings.incarnation = seed;
     schedulerSettings.placing.seed = seed + 1;
+    schedulerSettings.placing.coldOvershoot = settings_.coldOvershoot;
+    schedulerSettings.placing.coldSlack = settings_.coldSlack;
     auto scheduler = Scheduler::create(schedulerThread_.context(), schedulerSettings,
         { schedulerToRelay_, schedulerToStore_ }, log_, metrics_, state_);
     if (!scheduler)
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -69,6 +69,9 @@
     , configuration_(gauge(registry, "router_configuration_version", "Version of the configuration in force"))
     , waiting_(gauge(registry, "router_requests_waiting", "Requests that wait at this router's placers"))
     , ownedServices_(gauge(registry, "router_services_placed", "Services whose requests this router places"))
+    , coldEngines_(gauge(registry, "router_cold_engines", "Cold engines of the services placed here"))
+    , coldAdmitted_(gauge(registry, "router_cold_engine_requests",
+          "Requests placed on cold engines in the last second before the report"))
     , directoryAge_(gauge(registry, "router_directory_age_seconds",
           "Time since a read of the upstream directory was applied"))
     , configurationAge_(gauge(registry, "router_configuration_age_seconds",
@@ -114,6 +117,12 @@
 
 auto RouterMetrics::upstreamRests() -> void { announcements_->Add(label("kind", "rest")).Increment(); }
 
+auto RouterMetrics::setWarmup(const Placer::WarmupReport& report) -> void
+{
+    coldEngines_->Set(double(report.engines));
+    coldAdmitted_->Set(double(report.admitted));
+}
+
 auto RouterMetrics::setAvailability(std::size_t leaving, std::size_t resting) -> void
 {
     leaving_->Set(double(leaving));
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -12,6 +12,8 @@
 #include "camphorshunt/placement.h"
 #include "camphorshunt/time.h"
 
+#include "placer.h"
+
 namespace camphorshunt::router {
 
 /** Counters, gauges and histograms of one router. Thread-safe. */
@@ -36,6 +38,7 @@
     auto setWaiting(std::size_t count) -> void { waiting_->Set(double(count)); }
     auto setOwnedServices(std::size_t count) -> void { ownedServices_->Set(double(count)); }
     auto setAvailability(std::size_t leaving, std::size_t resting) -> void;
+    auto setWarmup(const Placer::WarmupReport& report) -> void;
     auto setDirectoryAge(Duration age) -> void;
     auto setFleet(const FleetReport& report) -> void;
     /** `late`: time from when a tick of the scheduler was due. */
@@ -61,6 +64,8 @@
     prometheus::Gauge* configuration_;
     prometheus::Gauge* waiting_;
     prometheus::Gauge* ownedServices_;
+    prometheus::Gauge* coldEngines_;
+    prometheus::Gauge* coldAdmitted_;
     prometheus::Gauge* directoryAge_;
     prometheus::Gauge* configurationAge_;
     prometheus::Gauge* hub_;
--- a/src/camphorshuntrouter/routersettings.cpp
+++ b/src/camphorshuntrouter/routersettings.cpp
@@ -10,15 +10,16 @@
 
 using std::chrono::milliseconds;
 
-auto readRetries(SettingsReader bounds) -> RetryWindow::Settings
+auto readBounds(SettingsReader bounds, RouterSettings& settings) -> void
 {
-    auto retries = RetryWindow::Settings {};
+    auto& retries = settings.retries;
     retries.ratio = bounds.real("retryRatio", retries.ratio, 0, 1);
     retries.burstAllowance = bounds.real("retrySpare", retries.burstAllowance, 0, 1e6);
     const auto seconds = bounds.real("retryWindowSeconds", 10, 1, 3600);
     retries.window = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+    settings.coldOvershoot = bounds.real("coldOvershoot", settings.coldOvershoot, 1, 1000);
+    settings.coldSlack = bounds.real("coldSlack", settings.coldSlack, 0, 1e6);
     bounds.finish();
-    return retries;
 }
 
 auto readSettings(SettingsReader& reader) -> RouterSettings
@@ -40,7 +41,7 @@
     const auto stopSeconds = limits.real("stopSeconds", 8, 0.1, 3600);
     settings.stopTime = milliseconds(static_cast<milliseconds::rep>(std::lround(stopSeconds * 1000)));
     limits.finish();
-    settings.retries = readRetries(reader.object("bounds"));
+    readBounds(reader.object("bounds"), settings);
     reader.finish();
     return settings;
 }
--- a/src/camphorshuntrouter/routersettings.h
+++ b/src/camphorshuntrouter/routersettings.h
@@ -32,6 +32,9 @@
     /** Maximum time from the stop signal to the end of the process. */
     std::chrono::milliseconds stopTime { 8000 };
     RetryWindow::Settings retries;
+    /** A cold engine bears its service's rate times `coldOvershoot`, plus `coldSlack`, in any second. */
+    double coldOvershoot = 1;
+    double coldSlack = 0;
 
     /** Parses JSON with comments; the field of an error is `file` and the path of the setting. */
     static auto parse(std::string_view text, std::string_view file) -> Result<RouterSettings>;
--- a/src/camphorshuntrouter/scheduler.cpp
+++ b/src/camphorshuntrouter/scheduler.cpp
@@ -135,6 +135,7 @@
     if (directoryReadAt != Time {})
         metrics_.setDirectoryAge(now - directoryReadAt);
     metrics_.setOwnedServices(control_.placement().ownedServices());
+    metrics_.setWarmup(control_.placement().warmupReport(now));
     control_.logShares();
     if (control_.placement().waiting() == 0 && report->late < reportedDelay)
         return;
--- a/src/libcamphorshunt/enginemodel.cpp
+++ b/src/libcamphorshunt/enginemodel.cpp
@@ -60,6 +60,8 @@
 auto EngineModel::setEntry(Time now, UpstreamEntry entry) -> void
 {
     const auto restarted = entry.startedAt != entry_.startedAt || entry.endpoint != entry_.endpoint;
+    if (restarted || entry.coldRemaining != entry_.coldRemaining)
+        warmup_.recordStatement(now, entry.coldRemaining);
     entry_ = std::move(entry);
     failureDomain_ = hashName(entry_.failureDomain);
     if (!restarted)
@@ -117,7 +119,8 @@
 
 auto EngineModel::hasRoom(Time now, Duration backlogLimit) const -> bool
 {
-    if (entry_.draining || isSuspended(now) || isOnProbation() || running_.size() >= slots())
+    if (entry_.draining || isSuspended(now) || isOnProbation() || running_.size() >= slots()
+        || !warmup_.mayAdmit(now))
         return false;
     return pendingPrefills_.empty()
         || (fraction_ >= 1.0 && backlog(now) <= backlogLimit + tripsAhead * extraLag());
@@ -140,6 +143,7 @@
 auto EngineModel::beginRequest(Time now, const PlacementKey& key, const Prompt& prompt,
     std::vector<PromptCache::Chain> chains, std::uint32_t copied) -> void
 {
+    warmup_.recordAdmission(now);
     auto running = Running {};
     const auto cached = std::max(cachedTokens(prompt, chains), copied);
     const auto pending = prompt.tokens - std::min(cached, prompt.tokens);
--- a/src/libcamphorshunt/enginemodel.h
+++ b/src/libcamphorshunt/enginemodel.h
@@ -13,6 +13,7 @@
 #include "camphorshunt/upstreamentry.h"
 
 #include "promptcache.h"
+#include "warmup/warmuprate.h"
 
 namespace camphorshunt {
 
@@ -41,6 +42,8 @@
      * independently, it also places no request while a prefill is pending.
      */
     auto setFraction(double fraction) -> void { fraction_ = fraction; }
+    auto warmup() -> WarmupRate& { return warmup_; }
+    auto warmup() const -> const WarmupRate& { return warmup_; }
 
     /** Tokens at the beginning of a prompt that the engine has cached. */
     auto cachedTokens(const Prompt& prompt, std::span<const PromptCache::Chain> chains) const
@@ -128,6 +131,7 @@
     auto suspend(Time now, Duration minLength) -> void;
 
     UpstreamEntry entry_;
+    WarmupRate warmup_;
     /** Hash of the entry's failure domain. */
     std::uint64_t failureDomain_;
     EngineTraits traits_;
--- a/src/libcamphorshunt/placer.cpp
+++ b/src/libcamphorshunt/placer.cpp
@@ -44,8 +44,10 @@
 {
     traits_ = traits;
     serviceTokensPerSecond_ = serviceTokensPerSecond;
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : engines_) {
         engine.setTraits(traits);
+        setWarmupLimits(engine);
+    }
 }
 
 auto Placer::initialPrefillRate(std::size_t engines) const -> double
@@ -79,17 +81,22 @@
         rests.setUpstreams(now, entries);
     const auto rate = initialPrefillRate(listed.size());
     for (const auto& entry : entries) {
-        auto& engine = engines_.try_emplace(entry.id(), entry, traits_, rate, *cacheIndex_).first->second;
+        const auto [found, isNew] = engines_.try_emplace(entry.id(), entry, traits_, rate, *cacheIndex_);
+        auto& engine = found->second;
         engine.setEntry(now, entry);
         engine.setFraction(fraction_);
+        if (isNew)
+            recordNewEngine(now, engine);
     }
 }
 
 auto Placer::setFraction(double fraction) -> void
 {
     fraction_ = fraction;
-    for (auto& [id, engine] : engines_)
+    for (auto& [id, engine] : engines_) {
         engine.setFraction(fraction);
+        setWarmupLimits(engine);
+    }
 }
 
 auto Placer::firstTokenTimeOf(const PlacementRequest& request) const -> Duration
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -46,6 +46,9 @@
          * their duration.
          */
         double copyWeight = 2.0;
+        /** What a cold engine bears beyond its service's rate: see `WarmupLimits`. */
+        double coldOvershoot = 1;
+        double coldSlack = 0;
         std::uint64_t seed = 1;
     };
 
@@ -82,7 +85,7 @@
     auto applyCrash(Time now, const CrashReport& told) -> bool { return quarantine_.applyCrash(now, told); }
     auto takeCrashReports() -> std::vector<CrashReport> { return quarantine_.takeCrashReports(); }
     auto crashReports() const -> std::vector<CrashReport> { return quarantine_.crashReports(); }
-    auto setPlacesService(Time now, bool places) -> void { quarantine_.setPlaces(now, places); }
+    auto setPlacesService(Time now, bool places) -> void;
     /** Removes all waiting and placed requests of a router that was lost. */
     auto removeRouter(Time now, RouterId router) -> void;
 
@@ -99,6 +102,13 @@
     /** Ordered, so that the same events lead to the same decisions. */
     using EngineModels = absl::btree_map<UpstreamId, EngineModel>;
 
+    /** Engines that are cold, and what these got in the last second. */
+    struct WarmupReport {
+        std::size_t engines = 0;
+        std::size_t admitted = 0;
+    };
+    auto warmupReport(Time now) const -> WarmupReport;
+
     auto waiting() const -> std::size_t { return queues_.size(); }
     auto running() const -> std::size_t { return placed_.size(); }
     auto engines() const -> const EngineModels& { return engines_; }
@@ -140,6 +150,8 @@
     /** Selects organisations with markedly less recent service than the best served one, or all. */
     enum class OrganisationFilter : std::uint8_t { Underserved, All };
 
+    auto setWarmupLimits(EngineModel& engine) const -> void;
+    auto recordNewEngine(Time now, EngineModel& engine) const -> void;
     auto checkOverdue(Time now) -> void;
     /** Suspends the engine if a first token is overdue, unless that is the fault of the request's router. */
     auto checkEngine(Time now, EngineModel& engine) -> void;
@@ -192,6 +204,8 @@
     EngineTraits traits_;
     double serviceTokensPerSecond_ = 0;
     double fraction_ = 1.0;
+    /** The placer before this one may have used the rate of cold engines until then. */
+    Time coldHoldUntil_ {};
     /** Outlives the engines, whose caches refer to it. */
     std::unique_ptr<PromptCacheIndex> cacheIndex_ = std::make_unique<PromptCacheIndex>();
     EngineModels engines_;
--- a/tests/unit/placerfixture.h
+++ b/tests/unit/placerfixture.h
@@ -14,7 +14,9 @@
 
 /** A placer with engines of 4 slots each; tests advance its clock `now`. */
 struct PlacerFixture {
-    explicit PlacerFixture(std::size_t engineCount, std::uint64_t memoryTokens = 1000000)
+    explicit PlacerFixture(
+        std::size_t engineCount, std::uint64_t memoryTokens = 1000000, const Placer::Settings& settings = {})
+        : placer(settings)
     {
         for (auto index = std::size_t { 0 }; index < engineCount; ++index) {
             auto entry = UpstreamEntry {};
@@ -83,7 +85,7 @@
     Time now { 100s };
     std::uint64_t number = 0;
     std::vector<UpstreamEntry> entries;
-    Placer placer { Placer::Settings {} };
+    Placer placer;
     std::map<PlacementKey, PlacementAccepted> placed;
     std::map<PlacementKey, PlacementRefused> refused;
     std::map<PlacementKey, OrganisationId> organisations;
--- a/tests/unit/routersettingstest.cpp
+++ b/tests/unit/routersettingstest.cpp
@@ -43,6 +43,15 @@
     CHECK(settings.value().processorShare == 0.25);
     CHECK(settings.value().stopTime == std::chrono::seconds(8));
     CHECK(settings.value().retries.burstAllowance == 52);
+    // Deployments without cold engines state neither.
+    CHECK(settings.value().coldOvershoot == 1);
+    CHECK(settings.value().coldSlack == 0);
+    const auto cold = RouterSettings::parse(
+        replaced("\"retryRatio\": 0.2", "\"retryRatio\": 0.2, \"coldOvershoot\": 1.5, \"coldSlack\": 5"),
+        "f.json");
+    REQUIRE(cold);
+    CHECK(cold.value().coldOvershoot == 1.5);
+    CHECK(cold.value().coldSlack == 5);
 }
 
 TEST_CASE("Invalid settings are rejected with an error that names the file and the field")
