--- a/include/camphorshunt/upstreamentry.h
+++ b/include/camphorshunt/upstreamentry.h
@@ -37,6 +37,8 @@
     bool draining = false;
     /** Its failure domain is evacuated: it completes what it has and gets nothing more. */
     bool evacuated = false;
+    /** How much longer the upstream stays cold, as of its last statement. */
+    std::chrono::milliseconds coldRemaining {};
     /** Wall-clock start time of the process, which distinguishes incarnations with the same name; zero if
      * unknown. */
     std::chrono::milliseconds startedAt {};
