--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -125,6 +125,8 @@
      * upstream that is stuck may trickle others.
      */
     auto hasAdvanced() const -> bool { return advanced_; }
+    /** Bytes that wait until more of the answer has arrived. */
+    auto pendingBytes() const -> std::size_t { return relay_ ? relay_->pendingBytes() : 0; }
     /** A stream has sent more bytes without completing an event than any event has. */
     auto isEndless() const -> bool { return relay_ && relay_->isEndless(); }
     /** See `AnswerRelay::isForeign`. */
--- a/src/camphorshuntrouter/answerrelay.h
+++ b/src/camphorshuntrouter/answerrelay.h
@@ -48,6 +48,8 @@
      */
     auto isComplete(AnswerEnd end) const -> bool;
 
+    /** Bytes that wait until more of the answer has arrived. */
+    auto pendingBytes() const -> std::size_t { return pending_.size(); }
     /** A stream has sent more bytes without completing an event than any event has. */
     auto isEndless() const -> bool { return isStream() && boundary_.partialBytes() > maxEventBytes; }
 
--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -52,6 +52,7 @@
 CallerConnection::CallerConnection(Socket socket, Relay& relay)
     : socket_(std::move(socket))
     , relay_(relay)
+    , number_(relay.nextCallerNumber())
 {
 }
 
@@ -96,6 +97,7 @@
     }
     if (!exchange_ && !closing_)
         parse();
+    account();
     awaitInput();
 }
 
@@ -107,6 +109,7 @@
     parser_->body_limit(limits.bodyBytes);
     parser_->eager(true);
     continueSent_ = false;
+    consumed_ = 0;
     waitingSince_ = steadyNow();
 }
 
@@ -118,6 +121,7 @@
         auto error = boost::beast::error_code {};
         const auto used = parser_->put(boost::asio::buffer(input_), error);
         input_.erase(0, used);
+        consumed_ += used;
         if (error && error != http::error::need_more) {
             const auto refusal = refusalOf(error);
             refuse(refusal.status, refusal.reason);
@@ -129,14 +133,20 @@
                 continueSent_ = true;
                 write("HTTP/1.1 100 Continue\r\n\r\n");
             }
-            if (used == 0 || input_.empty())
+            if (refuseExcess())
                 return;
+            if (used == 0 || input_.empty()) {
+                // Of many bodies that stop arriving, only what belongs to them is kept.
+                input_.shrink_to_fit();
+                return;
+            }
             continue;
         }
         const auto keepAlive = parser_->keep_alive();
         auto request = parser_->release();
         parser_.reset();
         input_.shrink_to_fit();
+        ++requests_;
         exchange_ = Exchange::create(relay_, *this, std::move(request), keepAlive);
         const auto exchange = exchange_;
         exchange->start();
@@ -166,6 +176,7 @@
     }
     if (!writePending_)
         flush();
+    account();
 }
 
 auto CallerConnection::flush() -> void
@@ -205,6 +216,7 @@
 
 auto CallerConnection::outputTaken() -> void
 {
+    account();
     if (!open_ || output_.size() > resumedOutput)
         return;
     if (exchange_) {
@@ -222,6 +234,7 @@
     const auto self = shared_from_this();
     exchange_.reset();
     waitingSince_ = steadyNow();
+    account();
     if (!keep) {
         closeGracefully();
         return;
@@ -254,7 +267,7 @@
 auto CallerConnection::stop() -> void
 {
     if (const auto exchange = exchange_)
-        exchange->onShutdown();
+        exchange->abandon("the router shuts down");
     if (!open_)
         return;
     if (isUnfinished())
@@ -266,8 +279,9 @@
 auto CallerConnection::closeGracefully() -> void
 {
     closing_ = true;
-    input_.clear();
+    input_ = {};
     parser_.reset();
+    account();
     if (output_.empty())
         shutDown();
 }
@@ -292,7 +306,10 @@
 
 auto CallerConnection::staysOpen() const -> bool { return relay_.keepsCallersAlive() || hasInput(); }
 
-auto CallerConnection::isCongested() const -> bool { return output_.size() > maxOutput; }
+auto CallerConnection::isCongested() const -> bool
+{
+    return output_.size() > maxOutput && output_.size() > relay_.callerMemory().readAhead(maxOutput);
+}
 
 auto CallerConnection::isUnfinished() const -> bool
 {
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +40,15 @@
     /** Closes the connection if it was idle, or slow to send a request, for longer than the limits. */
     auto checkTimes(Time now) -> void;
 
+    /** Identifies the connection within this process. */
+    auto number() const -> std::uint64_t { return number_; }
+    /** Refuses or cuts off what is in progress and closes the connection, as memory is short. */
+    auto shed() -> void;
+    /** Nothing is in progress. `isUnused`: no request has been received on the connection. */
+    auto isIdle() const -> bool { return open_ && !closing_ && !hasInput() && !exchange_ && output_.empty(); }
+    auto isUnused() const -> bool { return requests_ == 0; }
+    auto waitingSince() const -> Time { return waitingSince_; }
+
     // For the exchange.
     auto write(std::string bytes) -> void;
     /** The answer is complete; `keep` is false if its head announced that the connection closes. */
@@ -69,6 +80,11 @@
     auto parse() -> void;
     auto beginRequest() -> void;
     auto refuse(unsigned status, std::string_view reason) -> void;
+    /** Whether the unread rest or the framing of the request exceeds its limits; refuses it then. */
+    auto refuseExcess() -> bool;
+    /** Tells the relay how much memory the connection holds. */
+    auto account() -> void;
+    auto heldBytes() const -> std::size_t;
     auto flush() -> void;
     /** Goes on with what waited until the caller took its answers. */
     auto outputTaken() -> void;
@@ -84,11 +100,16 @@
 
     Socket socket_;
     Relay& relay_;
+    std::uint64_t number_;
     std::string input_;
     std::string output_;
     /** Bytes of output since the connection was accepted. */
     std::size_t written_ = 0;
     std::optional<Parser> parser_;
+    /** Bytes of the current request that the parser has consumed. */
+    std::size_t consumed_ = 0;
+    /** Requests received so far. */
+    std::uint64_t requests_ = 0;
     std::shared_ptr<Exchange> exchange_;
     /** When the connection became idle or was shut down, or the first byte of a request was parsed. */
     Time waitingSince_ {};
@@ -99,6 +120,7 @@
     bool writePending_ = false;
     bool closing_ = false;
     bool continueSent_ = false;
+    bool shed_ = false;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -55,8 +55,13 @@
     /** The chosen engine drains or has left the directory: requests another one, until the deadline. */
     auto placeAgain(std::uint64_t number, const UpstreamProcess& left) -> void;
     auto onCallerDisconnected() -> void;
-    /** The process ends: its caller gets an answer unless a part of one has been passed on. */
-    auto onShutdown() -> void;
+    /** For a reason of this router: the caller gets an answer unless a part of one has been passed on. */
+    auto abandon(std::string_view reason) -> void;
+    /** The key holder's id; empty if the route needs no key or the request was refused. */
+    auto organisation() const -> OrganisationId;
+    /** Memory held for the caller, in bytes: the body, its copy for the upstream, what waits of the answer.
+     */
+    auto heldBytes() const -> std::size_t;
     /** The caller, which was congested, takes bytes again. */
     auto onCallerReady() -> void;
     /** Handles expired timeouts. Returns the time of the next check, or none if the request has ended. */
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -33,13 +33,24 @@
         sendOwnAnswer(503, reason, retryAfter.value_or(shortRetry + spread));
 }
 
-auto Exchange::onShutdown() -> void
+auto Exchange::abandon(std::string_view reason) -> void
 {
     if (state_ == State::Done)
         return;
     const auto self = shared_from_this();
     cancelAttempt();
-    giveUp("the router shuts down");
+    giveUp(reason);
+}
+
+auto Exchange::organisation() const -> OrganisationId
+{
+    return organisation_ == nullptr ? OrganisationId {} : idOf<OrganisationId>(organisation_->name);
+}
+
+auto Exchange::heldBytes() const -> std::size_t
+{
+    const auto body = message_.body().size();
+    return body + (connection_ ? connection_->unsentBytes() : 0) + answer_.pendingBytes();
 }
 
 auto Exchange::sendOwnAnswer(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
--- a/src/camphorshuntrouter/relay.cpp
+++ b/src/camphorshuntrouter/relay.cpp
@@ -50,6 +50,7 @@
     , acceptTimer_(context)
     , timer_(context)
     , pool_(context)
+    , memory_(settings.callerMemory)
     , overload_(settings.seed)
     , random_(settings.seed)
 {
@@ -103,13 +104,13 @@
             return;
         }
         ++accepted_;
-        if (callers_.size() >= settings_.maxCallers) {
+        if (!makeRoom()) {
             ++shed_;
             continue;
         }
         ++admitted;
         const auto caller = std::make_shared<CallerConnection>(std::move(socket), *this);
-        callers_.emplace(caller.get(), caller);
+        callers_.emplace(caller->number(), caller);
         caller->start();
     }
     const auto shed = isOverloaded ? shedWaiting() : 0;
@@ -253,6 +254,7 @@
     if (!report)
         return;
     metrics_.setCallers(callers_.size());
+    metrics_.setCallerMemory(memory_.held(), memory_.capacity());
     logTotals();
     const auto accepted = std::exchange(accepted_, 0);
     const auto shed = std::exchange(shed_, 0);
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -15,6 +15,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "camphorshunt/callermemory.h"
 #include "camphorshunt/result.h"
 #include "camphorshunt/retrywindow.h"
 #include "camphorshunt/ring.h"
@@ -47,6 +48,8 @@
         std::string failureDomain;
         RetryWindow::Settings retries;
         std::size_t maxCallers = 2000;
+        /** Bytes that may be held for callers. */
+        std::size_t callerMemory = std::size_t { 64 } * 1024 * 1024;
         std::uint64_t seed = 1;
     };
 
@@ -67,7 +70,12 @@
     // For connections and exchanges.
     auto addExchange(Exchange& exchange) -> std::uint64_t;
     auto removeExchange(std::uint64_t number) -> void { exchanges_.erase(number); }
-    auto removeCaller(CallerConnection& caller) -> void { callers_.erase(&caller); }
+    auto nextCallerNumber() -> std::uint64_t { return nextCaller_++; }
+    auto removeCaller(const CallerConnection& caller) -> void;
+    /** Sets the memory that a connection holds; connections are shed if there is not enough. */
+    auto accountCaller(const CallerConnection& caller, OrganisationId organisation, std::size_t bytes)
+        -> void;
+    auto callerMemory() const -> const CallerMemory& { return memory_; }
     /** Schedules a call of `Exchange::check` for this time. */
     auto scheduleCheck(const std::shared_ptr<Exchange>& exchange, Time time) -> void;
     auto requestPlacement(PeerPlacementRequest place) -> void;
@@ -128,6 +136,8 @@
 
     auto accept() -> void;
     auto acceptWaiting() -> void;
+    /** Closes some idle connections if there are too many; returns whether there is room for another. */
+    auto makeRoom() -> bool;
     auto shedWaiting() -> std::size_t;
     auto acceptAfter(std::chrono::milliseconds pause) -> void;
     auto pauseListening() -> void;
@@ -168,7 +178,9 @@
     std::map<ServiceId, RetryWindow> retryBudgets_;
     absl::flat_hash_map<std::uint64_t, Exchange*> exchanges_;
     std::multimap<Time, std::weak_ptr<Exchange>> checks_;
-    std::unordered_map<CallerConnection*, std::weak_ptr<CallerConnection>> callers_;
+    std::unordered_map<std::uint64_t, std::weak_ptr<CallerConnection>> callers_;
+    std::uint64_t nextCaller_ = 1;
+    CallerMemory memory_;
     std::array<char, std::size_t { 16 } * 1024> readBuffer_ {};
     std::uint64_t nextNumber_ = 1;
     ThreadLoad load_;
--- a/src/camphorshuntrouter/router.cpp
+++ b/src/camphorshuntrouter/router.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <unistd.h>
 
 #include "clock.h"
 
@@ -40,6 +41,16 @@
     return std::filesystem::last_write_time(file, ignored);
 }
 
+/** The VM's memory, in bytes. */
+auto memoryOf(const RouterSettings& settings) -> std::size_t
+{
+    constexpr auto megabyte = 1024.0 * 1024.0;
+    if (settings.memoryMegabytes > 0)
+        return static_cast<std::size_t>(settings.memoryMegabytes * megabyte);
+    return static_cast<std::size_t>(::sysconf(_SC_PHYS_PAGES))
+        * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 auto callersLimit(std::uint64_t descriptors) -> std::size_t
 {
     return descriptors > 2 * otherDescriptors ? descriptors - otherDescriptors : descriptors / 2;
@@ -80,6 +91,7 @@
     relaySettings.failureDomain = settings_.failureDomain;
     relaySettings.retries = settings_.retries;
     relaySettings.maxCallers = callersLimit(settings_.descriptors);
+    relaySettings.callerMemory = callerBudgetOf(memoryOf(settings_));
     relaySettings.seed = seed;
     auto relay
         = Relay::listen(relayThread_.context(), relaySettings, relayToScheduler_, log_, metrics_, state_);
--- a/src/camphorshuntrouter/routermetrics.cpp
+++ b/src/camphorshuntrouter/routermetrics.cpp
@@ -84,6 +84,11 @@
     , relayLateTime_(
           histogram(registry, "router_relay_late_seconds", "Delay of the relay's ticks", stepBuckets()))
     , callers_(gauge(registry, "router_callers", "Callers' connections"))
+    , callerMemory_(gauge(registry, "router_caller_memory_bytes", "Memory held for callers"))
+    , callerMemoryLimit_(
+          gauge(registry, "router_caller_memory_limit_bytes", "Memory that may be held for callers"))
+    , callersClosed_(counters(registry, "router_callers_closed_total",
+          "Callers' connections closed by a limit: memory, framing or idle"))
 {
 }
 
@@ -114,6 +119,17 @@
 
 auto RouterMetrics::upstreamRests() -> void { announcements_->Add(label("kind", "rest")).Increment(); }
 
+auto RouterMetrics::setCallerMemory(std::size_t held, std::size_t capacity) -> void
+{
+    callerMemory_->Set(double(held));
+    callerMemoryLimit_->Set(double(capacity));
+}
+
+auto RouterMetrics::callerClosed(std::string_view limit) -> void
+{
+    callersClosed_->Add(label("limit", limit)).Increment();
+}
+
 auto RouterMetrics::setAvailability(std::size_t leaving, std::size_t resting) -> void
 {
     leaving_->Set(double(leaving));
--- a/src/camphorshuntrouter/routermetrics.h
+++ b/src/camphorshuntrouter/routermetrics.h
@@ -44,6 +44,9 @@
     /** `late`: time from when a tick of the relay was due. */
     auto relayTick(Duration late) -> void;
     auto setCallers(std::size_t count) -> void { callers_->Set(double(count)); }
+    auto setCallerMemory(std::size_t held, std::size_t capacity) -> void;
+    /** A limit closed a caller's connection. */
+    auto callerClosed(std::string_view limit) -> void;
 
 private:
     prometheus::Family<prometheus::Counter>* requests_;
@@ -71,6 +74,9 @@
     prometheus::Histogram* placingPassTime_;
     prometheus::Histogram* relayLateTime_;
     prometheus::Gauge* callers_;
+    prometheus::Gauge* callerMemory_;
+    prometheus::Gauge* callerMemoryLimit_;
+    prometheus::Family<prometheus::Counter>* callersClosed_;
 };
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/routersettings.cpp
+++ b/src/camphorshuntrouter/routersettings.cpp
@@ -21,6 +21,9 @@
     return retries;
 }
 
+/** In megabytes. With less the router's own state leaves nothing for callers. */
+constexpr auto leastMemory = 32.0;
+
 auto readSettings(SettingsReader& reader) -> RouterSettings
 {
     auto settings = RouterSettings {};
@@ -37,6 +40,7 @@
     auto limits = reader.object("limits");
     settings.processorShare = limits.real("processorShare", 1, 0.001, 1024);
     settings.descriptors = limits.number("descriptors", settings.descriptors, 64, 1U << 24U);
+    settings.memoryMegabytes = limits.real("memoryMb", 0, leastMemory, 1e7);
     const auto stopSeconds = limits.real("stopSeconds", 8, 0.1, 3600);
     settings.stopTime = milliseconds(static_cast<milliseconds::rep>(std::lround(stopSeconds * 1000)));
     limits.finish();
--- a/src/camphorshuntrouter/routersettings.h
+++ b/src/camphorshuntrouter/routersettings.h
@@ -29,6 +29,8 @@
     double processorShare = 1;
     /** Maximum number of open file descriptors of the process. */
     std::uint64_t descriptors = 1024;
+    /** Memory of the VM; zero if the settings don't state it. */
+    double memoryMegabytes = 0;
     /** Maximum time from the stop signal to the end of the process. */
     std::chrono::milliseconds stopTime { 8000 };
     RetryWindow::Settings retries;
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -96,6 +96,8 @@
     auto pauseReading() -> void { paused_ = true; }
     auto resumeReading() -> void;
 
+    /** Bytes of the request that have not been handed over yet, also those before them. */
+    auto unsentBytes() const -> std::size_t { return output_.size(); }
     auto isOpen() const -> bool { return open_; }
     /** Idle after a complete answer, and the upstream keeps the connection open. */
     auto isReusable() const -> bool { return open_ && listener_ == nullptr && reusable_; }
--- a/tests/process/childprocess.cpp
+++ b/tests/process/childprocess.cpp
@@ -1,6 +1,9 @@
 #include "childprocess.h"
 
 #include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 
 #include <fcntl.h>
 #include <signal.h>
@@ -128,4 +131,21 @@
     return false;
 }
 
+auto ChildProcess::peakMemory() const -> std::size_t
+{
+    auto file = std::ifstream("/proc/" + std::to_string(pid_) + "/status");
+    constexpr auto prefix = std::string_view("VmHWM:");
+    for (auto line = std::string {}; std::getline(file, line);) {
+        if (line.starts_with(prefix))
+            return std::strtoull(line.c_str() + prefix.size(), nullptr, 10) * 1024;
+    }
+    return 0;
+}
+
+auto ChildProcess::openDescriptors() const -> std::size_t
+{
+    const auto folder = std::filesystem::directory_iterator("/proc/" + std::to_string(pid_) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
+}
+
 } // namespace camphorshunt::test
--- a/tests/process/childprocess.h
+++ b/tests/process/childprocess.h
@@ -30,6 +30,9 @@
     /** Sends SIGKILL and waits for the process to end. */
     auto kill() -> void;
     auto isRunning() -> bool;
+    /** The most memory that the process has had resident, in bytes. */
+    auto peakMemory() const -> std::size_t;
+    auto openDescriptors() const -> std::size_t;
     /** Reads and returns the remaining standard output; blocks until the program closes it. */
     auto readAll() -> std::string;
 
--- a/tests/process/routerfleet.cpp
+++ b/tests/process/routerfleet.cpp
@@ -75,6 +75,7 @@
 RouterFleet::RouterFleet(const Options& options)
     : descriptors_(options.descriptors)
     , retrySpare_(options.retrySpare)
+    , memoryMegabytes_(options.memoryMegabytes)
 {
     static auto counter = std::atomic<int> { 0 };
     folder_ = (std::filesystem::temp_directory_path()
@@ -127,13 +128,15 @@
     auto seeds = json::array {};
     for (const auto& other : routers_)
         seeds.push_back(json::value(other.peers.text()));
+    auto limits = json::object { { "stopSeconds", 6 }, { "descriptors", descriptors_ } };
+    if (memoryMegabytes_ > 0)
+        limits["memoryMb"] = memoryMegabytes_;
     const auto settings = json::object { { "name", "router-" + std::to_string(index) },
         { "failureDomain", "zone-a" },
         { "listen",
             json::object { { "callers", router.callers.text() }, { "readiness", router.readiness.text() },
                 { "peers", router.peers.text() }, { "metrics", router.metrics.text() } } },
-        { "seeds", seeds }, { "store", store_.text() },
-        { "limits", json::object { { "stopSeconds", 6 }, { "descriptors", descriptors_ } } },
+        { "seeds", seeds }, { "store", store_.text() }, { "limits", std::move(limits) },
         { "bounds", json::object { { "retryRatio", 0.2 }, { "retrySpare", retrySpare_ } } } };
     std::ofstream(router.settings) << json::serialize(settings);
     const auto arguments = std::vector<std::string> { "--settings=" + router.settings };
--- a/tests/process/routerfleet.h
+++ b/tests/process/routerfleet.h
@@ -29,6 +29,8 @@
         std::uint64_t descriptors = 1024;
         /** Retries that a fleet may make in ten seconds beside a fifth of its requests. */
         std::uint64_t retrySpare = 50;
+        /** Memory of each router's VM; zero if its settings are not to state it. */
+        std::uint64_t memoryMegabytes = 0;
     };
     struct Upstream {
         std::string name;
@@ -104,6 +106,7 @@
     std::string folder_;
     std::uint64_t descriptors_;
     std::uint64_t retrySpare_;
+    std::uint64_t memoryMegabytes_;
     std::unique_ptr<ChildProcess> storeProcess_;
     Endpoint store_;
     std::vector<Upstream> upstreams_;
