--- a/src/camphorshuntrouter/main.cpp
+++ b/src/camphorshuntrouter/main.cpp
@@ -48,9 +48,11 @@
     if (file.empty())
         return failWith(std::string("--settings: no settings file given; name it with this flag or in ")
             + settingsVariable);
-    const auto settings = camphorshunt::router::RouterSettings::load(file);
+    auto settings = camphorshunt::router::RouterSettings::load(file);
     if (!settings)
         return failWith(settings.error().text());
+    if (const auto read = settings.value().readEnvironment(std::getenv); !read)
+        return failWith(read.error().text());
     if (absl::GetFlag(FLAGS_check)) {
         std::cout << file << ": settings are valid\n";
         return EXIT_SUCCESS;
--- a/src/camphorshuntrouter/routersettings.cpp
+++ b/src/camphorshuntrouter/routersettings.cpp
@@ -1,15 +1,21 @@
 #include "routersettings.h"
 
 #include <cmath>
+#include <cstdlib>
 
 #include "settingsfile.h"
 
+#include "platform/environment.h"
+
 namespace camphorshunt::router {
 
 namespace {
 
 using std::chrono::milliseconds;
 
+constexpr auto maxColdOvershoot = 1000.0;
+constexpr auto maxColdSlack = 1e6;
+
 auto readBounds(SettingsReader bounds, RouterSettings& settings) -> void
 {
     auto& retries = settings.retries;
@@ -17,14 +23,29 @@
     retries.burstAllowance = bounds.real("retrySpare", retries.burstAllowance, 0, 1e6);
     const auto seconds = bounds.real("retryWindowSeconds", 10, 1, 3600);
     retries.window = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
-    settings.coldOvershoot = bounds.real("coldOvershoot", settings.coldOvershoot, 1, 1000);
-    settings.coldSlack = bounds.real("coldSlack", settings.coldSlack, 0, 1e6);
+    settings.coldOvershoot = bounds.real("coldOvershoot", settings.coldOvershoot, 1, maxColdOvershoot);
+    settings.coldSlack = bounds.real("coldSlack", settings.coldSlack, 0, maxColdSlack);
     bounds.finish();
 }
 
 /** In megabytes. With less the router's own state leaves nothing for callers. */
 constexpr auto leastMemory = 32.0;
 
+/** Leaves `value` as it is if the variable is missing or empty. */
+auto readVariable(const RouterSettings::Environment& environment, const char* name, double least, double most,
+    double& value) -> Result<void>
+{
+    const auto* const text = environment(name);
+    if (text == nullptr || *text == '\0')
+        return boost::outcome_v2::success();
+    auto* end = static_cast<char*>(nullptr);
+    const auto number = std::strtod(text, &end);
+    if (*end != '\0' || !(number >= least && number <= most))
+        return failure(Error::Code::Invalid, name, "must be a number in range");
+    value = number;
+    return boost::outcome_v2::success();
+}
+
 auto readSettings(SettingsReader& reader) -> RouterSettings
 {
     auto settings = RouterSettings {};
@@ -57,6 +78,14 @@
     return parseSettings<RouterSettings>(text, file, readSettings);
 }
 
+auto RouterSettings::readEnvironment(const Environment& environment) -> Result<void>
+{
+    const auto overshoot
+        = readVariable(environment, platform::coldOvershootVariable, 1, maxColdOvershoot, coldOvershoot);
+    return overshoot ? readVariable(environment, platform::coldSlackVariable, 0, maxColdSlack, coldSlack)
+                     : overshoot;
+}
+
 auto RouterSettings::load(const std::string& file) -> Result<RouterSettings>
 {
     return loadSettings(file, parse);
--- a/src/camphorshuntrouter/routersettings.h
+++ b/src/camphorshuntrouter/routersettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,11 @@
     /** Parses JSON with comments; the field of an error is `file` and the path of the setting. */
     static auto parse(std::string_view text, std::string_view file) -> Result<RouterSettings>;
     static auto load(const std::string& file) -> Result<RouterSettings>;
+
+    /** Returns the value of an environment variable; null if it is not set. */
+    using Environment = std::function<const char*(const char*)>;
+    /** Sets what the host states in the environment. The field of an error is the variable. */
+    auto readEnvironment(const Environment& environment) -> Result<void>;
 };
 
 } // namespace camphorshunt::router
--- a/tests/unit/routersettingstest.cpp
+++ b/tests/unit/routersettingstest.cpp
@@ -54,6 +54,23 @@
     CHECK(cold.value().coldSlack == 5);
 }
 
+TEST_CASE("The bounds for cold engines are read from the environment, where the host states them")
+{
+    const auto environmentWith = [](const char* overshoot) {
+        return [overshoot](const char* name) -> const char* {
+            return std::string_view(name).ends_with("OVERSHOOT") ? overshoot : "5.0";
+        };
+    };
+    auto settings = RouterSettings {};
+    REQUIRE(settings.readEnvironment(environmentWith("1.5")));
+    CHECK(settings.coldOvershoot == 1.5);
+    CHECK(settings.coldSlack == 5);
+    CHECK(settings.readEnvironment(environmentWith("")));
+    CHECK(settings.coldOvershoot == 1.5);
+    CHECK_FALSE(settings.readEnvironment(environmentWith("much")));
+    CHECK_FALSE(settings.readEnvironment(environmentWith("0.5")));
+}
+
 TEST_CASE("Invalid settings are rejected with an error that names the file and the field")
 {
     CHECK(!errorOf("{").empty());
