--- a/src/libnet/httpserverconnection.cpp
+++ b/src/libnet/httpserverconnection.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr auto readAhead = std::size_t { 4096 };
+/** Bytes that Beast reads at a time, at most. */
+constexpr auto readAtOnce = std::size_t { 64 } * 1024;
 constexpr auto drainTimeout = std::chrono::milliseconds(1000);
 constexpr auto statusBadRequest = std::uint16_t { 400 };
 constexpr auto statusTimeout = std::uint16_t { 408 };
@@ -47,6 +49,8 @@
     , writeTimer_(socket_.get_executor())
     , state_(std::move(state))
 {
+    // Chunk sizes with their extensions, and trailers, stay in the buffer until they are complete.
+    buffer_.max_size(state_->limits.headerBytes + readAtOnce);
     auto ignored = ErrorCode {};
     socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     socket_.set_option(asio::socket_base::keep_alive(true), ignored);
--- a/tests/unit/httpservertest.cpp
+++ b/tests/unit/httpservertest.cpp
@@ -116,6 +116,28 @@
     CHECK(fixture.requests.empty());
 }
 
+TEST_CASE("Trailers, chunk extensions and chunk sizes without end are refused instead of kept")
+{
+    auto limits = HttpServerLimits {};
+    limits.headerBytes = 256;
+    limits.bodyBytes = 1000;
+    limits.requestTimeout = 20s;
+    const auto endless = [](const std::string& piece) {
+        auto text = std::string {};
+        while (text.size() < std::size_t { 300 } * 1024)
+            text += piece;
+        return text;
+    };
+    const auto body = GENERATE_COPY("5\r\nhello\r\n0\r\n" + endless("X-Trailer: value\r\n"),
+        "5\r\nhello\r\n0\r\nX-Trailer: " + endless("value"), "5;name=" + endless("value"), endless("0"));
+    auto fixture = ServerFixture {};
+    fixture.listen(limits);
+    auto peer = RawPeer(fixture.context, fixture.server->endpoint());
+    peer.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + body);
+    CHECK(peer.receives("HTTP/1.1 431"));
+    CHECK(fixture.requests.empty());
+}
+
 TEST_CASE("A connection beyond the limit is refused until another one is closed")
 {
     auto limits = HttpServerLimits {};
