--- a/tests/process/untrustedcallertest.cpp
+++ b/tests/process/untrustedcallertest.cpp
@@ -194,7 +194,7 @@
     const auto isPipelined = GENERATE(false, true);
     auto router = SmallRouter {};
     if (isPipelined)
-        router.fleet.fault(1, R"({"mode":"hang"})");
+        router.fleet.fault(1, R"({"mode":"silent"})");
     for (auto index = std::size_t { 0 }; index < largeCrowd; ++index) {
         auto& caller = router.add(head);
         if (!isPipelined) {
