--- a/include/camphorshunt/callermemory.h
+++ b/include/camphorshunt/callermemory.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -27,19 +28,19 @@
     }
 
     /**
-     * Sets what a connection holds, in bytes; a change is progress. Returns the connections to be closed,
-     * whose accounts are closed already; this one may be among them.
+     * Sets what a connection holds, in bytes. Returns the connections to be closed, whose accounts are closed
+     * already; this one may be among them. `progressAt`: when its caller last sent or took bytes, if not now.
      */
-    auto setHeld(Time now, Connection connection, OrganisationId organisation, std::size_t bytes)
-        -> std::vector<Connection>;
+    auto setHeld(Time now, Connection connection, OrganisationId organisation, std::size_t bytes,
+        std::optional<Time> progressAt = std::nullopt) -> std::vector<Connection>;
     /** Closes the account; does nothing if there is none. */
     auto release(Connection connection) -> void;
 
     auto held() const -> std::size_t { return held_; }
     auto capacity() const -> std::size_t { return capacity_; }
     auto connections() const -> std::size_t { return accounts_.size(); }
-    /** Bytes of an answer that may wait for one slow caller; less while memory is short. */
-    auto readAhead(std::size_t least) const -> std::size_t;
+    /** Bytes of an answer that may wait for one slow caller: `least` if over half of the budget is held. */
+    auto outputAllowance(std::size_t least) const -> std::size_t;
 
 private:
     struct Account {
@@ -59,10 +60,10 @@
 
 /**
  * Whether the framing of a request's body, in bytes of chunk sizes, extensions and trailers, is out of all
- * proportion to the body: more than a head may have beside 16 bytes for each byte of the body, of which a
- * chunk of one byte needs five.
+ * proportion to the body: more than the allowance and 16 bytes for each byte of the body, of which a chunk of
+ * one byte needs five. What the caller counts as framing may include the request's head.
  */
-auto isFramingExcessive(std::size_t framingBytes, std::size_t bodyBytes, std::size_t headerLimit) -> bool;
+auto isFramingExcessive(std::size_t framingBytes, std::size_t bodyBytes, std::size_t allowance) -> bool;
 
 /** The budget for callers on a VM with this much memory, in bytes. */
 auto callerBudgetOf(std::size_t memoryBytes) -> std::size_t;
--- a/include/camphorshunt/enginestate.h
+++ b/include/camphorshunt/enginestate.h
@@ -15,14 +15,14 @@
 
 auto engineStateName(EngineState state) -> std::string_view;
 
-/** What came of a query to an engine's address. */
+/** The result of a query to an engine's address. */
 struct EngineQueryResult {
     enum class Outcome : std::uint8_t {
-        /** A process accepted the connection. */
+        /** A process sent a complete response. */
         Answered,
         /** The host refused the connection: no process listens there. */
         Refused,
-        /** Nothing arrived in time, or the address could not be reached. */
+        /** No complete response arrived in time, or the address could not be reached. */
         Unanswered,
     };
 
--- a/src/camphorshuntrouter/callerconnection.cpp
+++ b/src/camphorshuntrouter/callerconnection.cpp
@@ -90,6 +90,8 @@
         const auto size = socket_.read_some(boost::asio::buffer(buffer.data(), buffer.size()), error);
         if (!closing_)
             input_.append(buffer.data(), size);
+        if (size > 0)
+            inputAt_ = steadyNow();
     } while (!error && !closing_ && input_.size() < maxReadAhead);
     if (error && error != boost::asio::error::would_block) {
         close();
@@ -189,7 +191,7 @@
     if (written > 0)
         outputProgressAt_ = steadyNow();
     output_.erase(0, written);
-    if (output_.empty())
+    if (output_.size() < output_.capacity() / 2)
         output_.shrink_to_fit();
     if (error && error != boost::asio::error::would_block) {
         // The pending wait for input then fails and notifies the exchange.
@@ -304,11 +306,14 @@
     relay_.removeCaller(*this);
 }
 
-auto CallerConnection::staysOpen() const -> bool { return relay_.keepsCallersAlive() || hasInput(); }
+auto CallerConnection::staysOpen() const -> bool
+{
+    return !shed_ && (relay_.keepsCallersAlive() || hasInput());
+}
 
 auto CallerConnection::isCongested() const -> bool
 {
-    return output_.size() > maxOutput && output_.size() > relay_.callerMemory().readAhead(maxOutput);
+    return output_.size() > maxOutput && output_.size() > relay_.callerMemory().outputAllowance(maxOutput);
 }
 
 auto CallerConnection::isUnfinished() const -> bool
@@ -332,6 +337,14 @@
             { "unsent-bytes", std::to_string(output_.size()) } });
 }
 
+auto CallerConnection::closeUnread() -> bool
+{
+    if (unreadBytes() > 0)
+        return false;
+    close();
+    return true;
+}
+
 auto CallerConnection::closeIfIdle() -> void
 {
     if (!open_ || closing_ || hasInput() || isUnfinished())
--- a/src/camphorshuntrouter/callerconnection.h
+++ b/src/camphorshuntrouter/callerconnection.h
@@ -48,8 +48,12 @@
     auto isIdle() const -> bool { return open_ && !closing_ && !hasInput() && !exchange_ && output_.empty(); }
     auto isUnused() const -> bool { return requests_ == 0; }
     auto waitingSince() const -> Time { return waitingSince_; }
+    /** Closes an idle connection at once; false if bytes of a request have arrived. */
+    auto closeUnread() -> bool;
 
     // For the exchange.
+    /** Tells the relay how much memory the connection holds. */
+    auto account() -> void;
     auto write(std::string bytes) -> void;
     /** The answer is complete; `keep` is false if its head announced that the connection closes. */
     auto finishAnswer(bool keep) -> void;
@@ -82,8 +86,6 @@
     auto refuse(unsigned status, std::string_view reason) -> void;
     /** Whether the unread rest or the framing of the request exceeds its limits; refuses it then. */
     auto refuseExcess() -> bool;
-    /** Tells the relay how much memory the connection holds. */
-    auto account() -> void;
     auto heldBytes() const -> std::size_t;
     auto flush() -> void;
     /** Goes on with what waited until the caller took its answers. */
@@ -113,6 +115,8 @@
     std::shared_ptr<Exchange> exchange_;
     /** When the connection became idle or was shut down, or the first byte of a request was parsed. */
     Time waitingSince_ {};
+    /** When the caller last sent bytes. */
+    Time inputAt_ {};
     /** When the caller last took bytes of the output, or the output began. */
     Time outputProgressAt_ {};
     bool open_ = true;
--- a/src/camphorshuntrouter/callerlimits/callerconnectionlimits.cpp
+++ b/src/camphorshuntrouter/callerlimits/callerconnectionlimits.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+/** Bytes; an empty string's inline buffer is part of the connection. */
+constexpr auto leastAccounted = std::size_t { 64 };
 /** Retry time of a caller that was refused as memory is short: another router is likely to serve it. */
 constexpr auto shedRetry = std::chrono::milliseconds(300);
 
@@ -35,7 +37,8 @@
 
 auto CallerConnection::heldBytes() const -> std::size_t
 {
-    auto held = input_.capacity() + output_.size();
+    // Of a body, the size counts: what is reserved for its announced length is not resident.
+    auto held = input_.capacity() + output_.capacity();
     if (parser_)
         held += consumed_ > 0
             ? std::min(consumed_, relay_.limits().headerBytes) + parser_->get().body().size()
@@ -47,31 +50,33 @@
 
 auto CallerConnection::account() -> void
 {
-    // The inline buffer of an empty string is part of the connection.
     const auto held = open_ ? heldBytes() : 0;
-    relay_.accountCaller(
-        *this, exchange_ ? exchange_->organisation() : OrganisationId {}, held > sizeof(input_) ? held : 0);
+    relay_.accountCaller(*this, exchange_ ? exchange_->organisation() : OrganisationId {},
+        held > leastAccounted ? held : 0, std::max(inputAt_, outputProgressAt_));
 }
 
 auto CallerConnection::shed() -> void
 {
-    if (!open_ || std::exchange(shed_, true))
+    // It may have become idle since it was chosen.
+    if (!open_ || (isIdle() && !shed_))
         return;
     const auto self = shared_from_this();
+    const auto isFirst = !std::exchange(shed_, true);
     constexpr auto reason = std::string_view("the memory for callers is used up");
     relay_.log(LogLevel::Warning, "caller-shed",
         { { "reason", std::string(reason) }, { "bytes", std::to_string(heldBytes()) },
             { "memory-held", std::to_string(relay_.callerMemory().held()) },
             { "memory-limit", std::to_string(relay_.callerMemory().capacity()) } });
     relay_.metrics().callerClosed("memory");
-    if (const auto exchange = exchange_) {
-        exchange->abandon(reason);
-    } else if (output_.empty()) {
-        write(platform::writeRouterAnswer({ 503, {}, reason, shedRetry, true }));
-    } else {
+    if (!isFirst || closing_ || !output_.empty()) {
+        // Answers that the caller does not take are part of what it holds.
         reset();
         return;
     }
+    if (const auto exchange = exchange_)
+        exchange->abandon(reason);
+    else
+        write(platform::writeRouterAnswer({ 503, {}, reason, shedRetry, true }));
     if (open_)
         closeGracefully();
 }
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -153,6 +153,7 @@
         = serializeForUpstream(routed(), upstream, copyFrom, inMilliseconds(left), answer_.lastEventId());
     const auto fresh = !route_->repeatable() && !onEngine_;
     connection_ = relay_.pool().send(upstream, std::move(bytes), isHead(), fresh, *this);
+    caller_->account();
     relay_.scheduleCheck(shared_from_this(), times_.sent + AttemptClock::connectLimit());
 }
 
@@ -212,7 +213,9 @@
     }
     if (answer_.hasAdvanced())
         recordProgress();
-    if (!text.empty())
+    if (text.empty())
+        caller_->account();
+    else
         passOn(std::move(text));
     if (answer_.isForeign())
         abandonAttempt(PlacementEnd::Broken, "the stream was not resumed");
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -50,7 +50,9 @@
 auto Exchange::heldBytes() const -> std::size_t
 {
     const auto body = message_.body().size();
-    return body + (connection_ ? connection_->unsentBytes() : 0) + answer_.pendingBytes();
+    const auto copy = connection_ ? connection_->unsentBytes() : 0;
+    const auto moved = move_ && move_->connection ? move_->connection->unsentBytes() : 0;
+    return body + copy + moved + answer_.pendingBytes();
 }
 
 auto Exchange::sendOwnAnswer(unsigned status, std::string_view reason, std::optional<milliseconds> retryAfter)
--- a/src/camphorshuntrouter/liveness/enginequery.cpp
+++ b/src/camphorshuntrouter/liveness/enginequery.cpp
@@ -74,7 +74,7 @@
     auto written(const ErrorCode& error) -> void
     {
         if (error) {
-            finish({ Outcome::Answered });
+            finish({ Outcome::Unanswered });
             return;
         }
         http::async_read(
@@ -85,10 +85,11 @@
 
     auto answered(const ErrorCode& error) -> void
     {
-        auto result = EngineQueryResult { Outcome::Answered };
-        if (!error)
-            result.startedAt = platform::startOfReport(parser_.get().body());
-        finish(result);
+        // A process that is about to end may still accept the connection.
+        if (error)
+            finish({ Outcome::Unanswered });
+        else
+            finish({ Outcome::Answered, platform::startOfReport(parser_.get().body()) });
     }
 
     auto finish(const EngineQueryResult& result) -> void
--- a/src/camphorshuntrouter/relay.h
+++ b/src/camphorshuntrouter/relay.h
@@ -73,8 +73,8 @@
     auto nextCallerNumber() -> std::uint64_t { return nextCaller_++; }
     auto removeCaller(const CallerConnection& caller) -> void;
     /** Sets the memory that a connection holds; connections are shed if there is not enough. */
-    auto accountCaller(const CallerConnection& caller, OrganisationId organisation, std::size_t bytes)
-        -> void;
+    auto accountCaller(const CallerConnection& caller, OrganisationId organisation, std::size_t bytes,
+        Time progressAt) -> void;
     auto callerMemory() const -> const CallerMemory& { return memory_; }
     /** Schedules a call of `Exchange::check` for this time. */
     auto scheduleCheck(const std::shared_ptr<Exchange>& exchange, Time time) -> void;
@@ -181,6 +181,8 @@
     std::unordered_map<std::uint64_t, std::weak_ptr<CallerConnection>> callers_;
     std::uint64_t nextCaller_ = 1;
     CallerMemory memory_;
+    /** Idle connections are not searched again before this time. */
+    Time nextRoom_ {};
     std::array<char, std::size_t { 16 } * 1024> readBuffer_ {};
     std::uint64_t nextNumber_ = 1;
     ThreadLoad load_;
--- a/src/camphorshuntrouter/relaycallers.cpp
+++ b/src/camphorshuntrouter/relaycallers.cpp
@@ -13,6 +13,8 @@
 
 /** Divisor: the part of all connections that is closed at a time if there are too many idle ones. */
 constexpr auto roomPart = std::size_t { 16 };
+/** Pause between two searches for idle connections, as each one takes time for every connection. */
+constexpr auto roomPause = Duration(std::chrono::milliseconds(100));
 
 } // namespace
 
@@ -22,10 +24,10 @@
     callers_.erase(caller.number());
 }
 
-auto Relay::accountCaller(const CallerConnection& caller, OrganisationId organisation, std::size_t bytes)
-    -> void
+auto Relay::accountCaller(
+    const CallerConnection& caller, OrganisationId organisation, std::size_t bytes, Time progressAt) -> void
 {
-    const auto shed = memory_.setHeld(steadyNow(), caller.number(), organisation, bytes);
+    const auto shed = memory_.setHeld(steadyNow(), caller.number(), organisation, bytes, progressAt);
     // Posted, as the connection that reports may be in the middle of a request.
     for (const auto number : shed) {
         const auto found = callers_.find(number);
@@ -39,8 +41,12 @@
 
 auto Relay::makeRoom() -> bool
 {
+    const auto now = steadyNow();
     if (callers_.size() < settings_.maxCallers)
         return true;
+    if (now < nextRoom_)
+        return false;
+    nextRoom_ = now + roomPause;
     auto idle = std::vector<std::shared_ptr<CallerConnection>> {};
     for (const auto& [number, weak] : callers_) {
         auto caller = weak.lock();
@@ -51,10 +57,14 @@
     const auto order
         = [](const auto& caller) { return std::pair(!caller->isUnused(), caller->waitingSince()); };
     std::ranges::sort(idle, {}, order);
-    idle.resize(std::min(idle.size(), std::max<std::size_t>(1, settings_.maxCallers / roomPart)));
+    auto toClose = std::max<std::size_t>(1, settings_.maxCallers / roomPart);
     for (const auto& caller : idle) {
+        if (toClose == 0)
+            break;
+        if (!caller->closeUnread())
+            continue;
+        --toClose;
         metrics_.callerClosed("idle");
-        caller->closeIfIdle();
     }
     return callers_.size() < settings_.maxCallers;
 }
--- a/src/camphorshuntrouter/storegateway.cpp
+++ b/src/camphorshuntrouter/storegateway.cpp
@@ -39,7 +39,8 @@
     for (const auto& record : page.records) {
         if (record.key == topic::configurationKey && record.value)
             content.configuration = record.value;
-        if (record.key.starts_with(topic::evacuationPrefix)) {
+        const auto namesDomain = record.key.size() > topic::evacuationPrefix.size();
+        if (namesDomain && record.key.starts_with(topic::evacuationPrefix)) {
             content.evacuations.records.push_back({ record.key.substr(topic::evacuationPrefix.size()),
                 record.value.has_value(), record.offset });
         }
--- a/src/libcamphorshunt/callerlimits/callermemory.cpp
+++ b/src/libcamphorshunt/callerlimits/callermemory.cpp
@@ -14,16 +14,16 @@
 /** Added to the time without progress, so that of connections in progress the largest one is shed. */
 constexpr auto minAge = Duration(std::chrono::milliseconds(10));
 /** Part of the budget, and bytes, of an answer that one slow caller may have waiting while memory is left. */
-constexpr auto readAheadPart = std::size_t { 16 };
-constexpr auto maxReadAhead = std::size_t { 2 } * 1024 * 1024;
+constexpr auto outputPart = std::size_t { 16 };
+constexpr auto maxOutput = std::size_t { 512 } * 1024;
 constexpr auto framingPerBodyByte = std::size_t { 16 };
 /** Divisor: the rest is for the program, its state, upstreams and the allocator's overhead. */
 constexpr auto memoryPart = std::size_t { 3 };
 
 } // namespace
 
-auto CallerMemory::setHeld(Time now, Connection connection, OrganisationId organisation, std::size_t bytes)
-    -> std::vector<Connection>
+auto CallerMemory::setHeld(Time now, Connection connection, OrganisationId organisation, std::size_t bytes,
+    std::optional<Time> progressAt) -> std::vector<Connection>
 {
     const auto found = accounts_.find(connection);
     const auto isUnchanged = found != accounts_.end() && found->second.bytes == bytes
@@ -33,7 +33,7 @@
     release(connection);
     if (bytes == 0)
         return {};
-    accounts_.emplace(connection, Account { organisation, bytes, now });
+    accounts_.emplace(connection, Account { organisation, bytes, progressAt.value_or(now) });
     byOrganisation_[organisation] += bytes;
     held_ += bytes;
     return held_ > capacity_ ? shed(now) : std::vector<Connection> {};
@@ -89,16 +89,16 @@
     return shed;
 }
 
-auto CallerMemory::readAhead(std::size_t least) const -> std::size_t
+auto CallerMemory::outputAllowance(std::size_t least) const -> std::size_t
 {
     if (held_ > capacity_ / 2)
         return least;
-    return std::max(least, std::min(capacity_ / readAheadPart, maxReadAhead));
+    return std::max(least, std::min(capacity_ / outputPart, maxOutput));
 }
 
-auto isFramingExcessive(std::size_t framingBytes, std::size_t bodyBytes, std::size_t headerLimit) -> bool
+auto isFramingExcessive(std::size_t framingBytes, std::size_t bodyBytes, std::size_t allowance) -> bool
 {
-    return framingBytes > headerLimit + framingPerBodyByte * bodyBytes;
+    return framingBytes > allowance + framingPerBodyByte * bodyBytes;
 }
 
 auto callerBudgetOf(std::size_t memoryBytes) -> std::size_t { return memoryBytes / memoryPart; }
--- a/src/libcamphorshunt/crashevidence.h
+++ b/src/libcamphorshunt/crashevidence.h
@@ -51,7 +51,7 @@
     /** Which engines count that broke off requests. */
     enum class Proof : std::uint8_t { Required, NotRequired };
 
-    /** The engine broke off this request, and does not live unless it shows that it does. */
+    /** The engine broke off this request, and may have ended. */
     auto recordBreak(Time now, const UpstreamProcess& engine, BrokenRequest request) -> void;
     /** The engine has ended; true if that was not known of the process. */
     auto recordEnd(const UpstreamProcess& engine) -> bool;
@@ -88,7 +88,7 @@
     auto suspectsOf(const UpstreamProcess& engine, std::size_t limit, Proof proof) const
         -> std::vector<std::vector<std::uint64_t>>;
 
-    /** Number of ended engines that had a request with all parts of the set. */
+    /** Number of engines, proven to have ended or not, that had a request with all parts of the set. */
     auto enginesWith(std::span<const std::uint64_t> set) const -> std::size_t;
 
     /** All broken requests, of the engine that ended first at first. */
--- a/src/libcamphorshunt/liveness/promptverdicts.cpp
+++ b/src/libcamphorshunt/liveness/promptverdicts.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-// How it is found out whether engines have ended, and which prompt parts are kept away for it.
+// Proof that engines have ended, and the verdicts on prompt parts that follow from it.
 
 namespace camphorshunt {
 
@@ -84,7 +84,7 @@
         return;
     }
     found->trial.reset();
-    // Nothing shows whether the engine bore the request, so that the next one is not tried at once.
+    // Nothing shows whether the engine survived the request, so that the next one is not tried at once.
     if (places_ && evidence_.mayHaveEnded(verdict.engine))
         found->until = now + found->length;
 }
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -83,9 +83,9 @@
     /** Quarantines parts under which engines are known to have ended. */
     auto settle(Time now) -> void;
 
-    /** Engines that are to be asked whether they still run; `recordState` gets the answers. */
+    /** Engines that are to be asked whether they still run; `recordQuery` gets the answers. */
     auto takeQueries() -> std::vector<UpstreamProcess> { return queries_.takeDue(); }
-    /** `result`: of a query to this process. Returns what follows from it, and when the engine broke off. */
+    /** `result`: of a query to this process. Returns the state of the engine that follows. */
     auto recordQuery(Time now, const UpstreamProcess& engine, const EngineQueryResult& result) -> EngineState;
     /** All engines that the directory lists. */
     auto recordDirectory(Time now, std::span<const UpstreamEntry> entries) -> void;
--- a/src/libcamphorshunt/warmup/placerwarmup.cpp
+++ b/src/libcamphorshunt/warmup/placerwarmup.cpp
@@ -1,6 +1,6 @@
 #include "placer.h"
 
-// How the placer spares engines that are cold, or may be.
+// Limits what the placer gives to engines that are cold, or may be.
 
 namespace camphorshunt {
 
--- a/tests/process/evacuationtest.cpp
+++ b/tests/process/evacuationtest.cpp
@@ -14,22 +14,24 @@
 /** Time in which an operator's record is to be in force at all routers. */
 constexpr auto timeInForce = 1s;
 constexpr auto routers = std::size_t { 2 };
-constexpr auto evacuated = std::size_t { 1 };
+constexpr auto evacuated = std::size_t { 0 };
+constexpr auto other = std::size_t { 1 };
 
-/** Two engines and two plain upstreams, of each one in the failure domain `zone-b`. */
+/** Two engines and two plain upstreams, of each one in the failure domain of the routers, and one in another.
+ */
 struct TwoDomains {
     TwoDomains()
         : fleet({ .routers = routers, .engines = 2, .plain = 2 })
     {
-        fleet.putUpstream(evacuated, "ready", 1, "zone-b");
-        fleet.putUpstream(2 + evacuated, "ready", 1, "zone-b");
+        fleet.putUpstream(other, "ready", 1, "zone-b");
+        fleet.putUpstream(2 + other, "ready", 1, "zone-b");
         REQUIRE(fleet.awaitReady());
         std::this_thread::sleep_for(timeInForce);
     }
 
     auto evacuate(std::string_view value = "{}") -> void
     {
-        fleet.put("keyed.op", "evacuate/zone-b", std::string(value));
+        fleet.put("keyed.op", "evacuate/zone-a", std::string(value));
     }
 
     /** Calls both services through all routers; returns whether all calls were served. */
--- a/tests/unit/callermemorytest.cpp
+++ b/tests/unit/callermemorytest.cpp
@@ -58,7 +58,7 @@
 TEST_CASE("A request within the limits is not shed while nothing else is held, on small and large VMs")
 {
     // The largest body of the users' limits, its copy for the upstream and a head.
-    constexpr auto request = 2 * 4 * mebibyte + std::size_t { 16 } * 1024;
+    constexpr auto request = std::size_t { 8 } * mebibyte + std::size_t { 16 } * 1024;
     for (const auto memoryMegabytes : { 88U, 120U, 512U }) {
         auto memory = CallerMemory(callerBudgetOf(memoryMegabytes * mebibyte));
         CHECK(memory.setHeld(Time { 1s }, 1, acme, request).empty());
@@ -105,9 +105,9 @@
 TEST_CASE("A slow caller may have more of its answer waiting while memory is left")
 {
     auto memory = CallerMemory(32 * mebibyte);
-    CHECK(memory.readAhead(mebibyte / 4) == 2 * mebibyte);
+    CHECK(memory.outputAllowance(mebibyte / 4) == mebibyte / 2);
     memory.setHeld(Time { 1s }, 1, acme, 20 * mebibyte);
-    CHECK(memory.readAhead(mebibyte / 4) == mebibyte / 4);
+    CHECK(memory.outputAllowance(mebibyte / 4) == mebibyte / 4);
 }
 
 TEST_CASE("Chunks of one byte are not excessive framing, chunk extensions without end are")
@@ -116,5 +116,19 @@
     constexpr auto body = 4 * mebibyte;
     CHECK_FALSE(isFramingExcessive(5 * body, body, headLimit));
     CHECK_FALSE(isFramingExcessive(headLimit, 0, headLimit));
-    CHECK(isFramingExcessive(headLimit + 17 * 1000, 1000, headLimit));
+    CHECK(isFramingExcessive(headLimit + std::size_t { 17 } * 1000, 1000, headLimit));
+}
+
+TEST_CASE("A caller that takes nothing is shed although its answer grows, and may be shed again")
+{
+    auto memory = CallerMemory(10 * mebibyte);
+    const auto begin = Time { 1s };
+    // Neither sends nor takes bytes, while its answer arrives.
+    CHECK(memory.setHeld(begin, 1, acme, 4 * mebibyte).empty());
+    CHECK(memory.setHeld(begin + 9s, 1, acme, 5 * mebibyte, begin).empty());
+    CHECK(memory.setHeld(begin + 9s, 2, acme, 3 * mebibyte).empty());
+    const auto shed = memory.setHeld(begin + 9s, 3, acme, 3 * mebibyte);
+    CHECK(shed == std::vector<CallerMemory::Connection> { 1 });
+    CHECK(memory.setHeld(begin + 9s, 1, acme, 5 * mebibyte, begin)
+        == std::vector<CallerMemory::Connection> { 1 });
 }
--- a/tests/unit/warmuptest.cpp
+++ b/tests/unit/warmuptest.cpp
@@ -59,27 +59,24 @@
         placer.setUpstreams(now, entries);
     }
 
-    /** `perStep` requests each 10 ms, which end after 100 ms. */
-    auto play(Duration length, int perStep) -> void
+    /** `count` requests each `interval`, which end after 100 ms. */
+    auto play(Duration length, int count, Duration interval = 10ms) -> void
     {
-        for (const auto end = now + length; now < end;) {
-            for (auto count = 0; count < perStep; ++count)
-                submit(request("acme", 20));
-            step();
-        }
-    }
-
-    auto step() -> void
-    {
-        now += 10ms;
-        placeWaiting();
-        for (const auto& [key, accepted] : std::exchange(placed, {})) {
-            arrivals[accepted.upstream].push_back(now);
-            start(key);
-            ends.emplace(now + 100ms, key);
+        auto next = now;
+        for (const auto end = now + length; now < end; now += 10ms) {
+            placeWaiting();
+            for (; next <= now; next += interval) {
+                for (auto index = 0; index < count; ++index)
+                    submit(request("acme", 20));
+            }
+            for (const auto& [key, accepted] : std::exchange(placed, {})) {
+                arrivals[accepted.upstream].push_back(now);
+                start(key);
+                ends.emplace(now + 100ms, key);
+            }
+            for (; !ends.empty() && ends.begin()->first <= now; ends.erase(ends.begin()))
+                PlacerFixture::end(ends.begin()->second);
         }
-        for (; !ends.empty() && ends.begin()->first <= now; ends.erase(ends.begin()))
-            end(ends.begin()->second);
     }
 
     auto arrivalsAt(std::size_t engine) -> std::vector<Time>& { return arrivals[entries.at(engine).id()]; }
@@ -94,12 +91,12 @@
 {
     auto engines = ColdEngines(4);
     engines.state(0, 3000ms);
-    engines.play(3s, 1);
+    engines.play(2990ms, 1, 20ms);
     CHECK(mostInASecond(engines.arrivalsAt(0)) <= 9);
     CHECK(engines.arrivalsAt(0).size() >= 18);
     CHECK(engines.refused.empty());
-    CHECK(engines.placer.warmupReport(engines.now - 10ms).engines == 1);
-    CHECK(engines.placer.warmupReport(engines.now).engines == 0);
+    CHECK(engines.placer.warmupReport(engines.now).engines == 1);
+    CHECK(engines.placer.warmupReport(engines.now + 10ms).engines == 0);
 }
 
 TEST_CASE("An engine that became cold without a statement yet gets no more than a cold one bears")
