--- a/include/camphorshunt/fleetconfiguration.h
+++ b/include/camphorshunt/fleetconfiguration.h
@@ -53,11 +53,11 @@
     }
 };
 
-/** What an engine bears while it is cold. */
+/** What an engine can handle while it is cold. */
 struct WarmupLimits {
     /** Zero if the service states no rate: then engines are not treated as cold. */
     double requestsPerSecond = 0;
-    /** An engine bears at most `requestsPerSecond * overshoot + slack` requests in any second. */
+    /** An engine can handle at most `requestsPerSecond * overshoot + slack` requests in any second. */
     double overshoot = 1;
     double slack = 0;
 };
@@ -73,7 +73,7 @@
     /** Tokens of cached prompt that an engine can copy from another per millisecond; zero if it cannot copy.
      */
     double copiedTokensPerMs = 0;
-    /** Requests a second that an engine bears while it is cold; zero if there is no limit. */
+    /** Requests a second that an engine can handle while it is cold; zero if there is no limit. */
     double coldRequestsPerSecond = 0;
 };
 
--- a/src/camphorshuntrouter/routersettings.h
+++ b/src/camphorshuntrouter/routersettings.h
@@ -35,7 +35,7 @@
     /** Maximum time from the stop signal to the end of the process. */
     std::chrono::milliseconds stopTime { 8000 };
     RetryWindow::Settings retries;
-    /** A cold engine bears its service's rate times `coldOvershoot`, plus `coldSlack`, in any second. */
+    /** A cold engine can handle its service's rate times `coldOvershoot`, plus `coldSlack`, in any second. */
     double coldOvershoot = 1;
     double coldSlack = 0;
 
--- a/src/libcamphorshunt/evacuation/evacuations.h
+++ b/src/libcamphorshunt/evacuation/evacuations.h
@@ -33,7 +33,7 @@
 /** An operator's record on one failure domain. */
 struct EvacuationRecord {
     std::string domain;
-    /** False if the evacuation is taken back. */
+    /** False if the evacuation is revoked. */
     bool active = false;
     std::uint64_t offset = 0;
 };
--- a/src/libcamphorshunt/liveness/promptverdicts.cpp
+++ b/src/libcamphorshunt/liveness/promptverdicts.cpp
@@ -143,7 +143,7 @@
     }
 }
 
-auto PromptQuarantine::takeBack(Time now, const UpstreamProcess& living) -> void
+auto PromptQuarantine::revoke(Time now, const UpstreamProcess& living) -> void
 {
     std::erase_if(quarantines_, [&](Quarantine& quarantine) {
         const auto erased = std::erase_if(quarantine.ended,
--- a/src/libcamphorshunt/placer.h
+++ b/src/libcamphorshunt/placer.h
@@ -46,7 +46,7 @@
          * their duration.
          */
         double copyWeight = 2.0;
-        /** What a cold engine bears beyond its service's rate: see `WarmupLimits`. */
+        /** What a cold engine can handle beyond its service's rate: see `WarmupLimits`. */
         double coldOvershoot = 1;
         double coldSlack = 0;
         std::uint64_t seed = 1;
--- a/src/libcamphorshunt/promptquarantine.cpp
+++ b/src/libcamphorshunt/promptquarantine.cpp
@@ -121,7 +121,7 @@
 
 auto PromptQuarantine::recordLife(Time now, const UpstreamProcess& engine, Time placedAt) -> void
 {
-    takeBack(now, engine);
+    revoke(now, engine);
     if (!evidence_.recordLife(now, engine, placedAt))
         return;
     queries_.forget(engine);
--- a/src/libcamphorshunt/promptquarantine.h
+++ b/src/libcamphorshunt/promptquarantine.h
@@ -169,7 +169,7 @@
     auto dropUnsupported() -> void;
     auto recordEnd(Time now, const UpstreamProcess& engine) -> void;
     /** Releases quarantines that too few ended engines support. */
-    auto takeBack(Time now, const UpstreamProcess& living) -> void;
+    auto revoke(Time now, const UpstreamProcess& living) -> void;
     /** When the first request may be placed, by these quarantines. */
     auto quarantinedUntil(Time now, std::span<const std::uint64_t> ids) const -> std::optional<Time>;
     auto reportCrashes(Time now) -> void;
--- a/src/libcamphorshunt/warmup/warmuprate.h
+++ b/src/libcamphorshunt/warmup/warmuprate.h
@@ -12,7 +12,7 @@
 /**
  * How many requests an engine may get from one placer while it is cold, which it is for some time after its
  * start and may become at any moment. An engine that became cold a moment ago looks warm, so that a warm one
- * does not get more in a second than a cold one bears at the utmost. Does nothing for a service that states
+ * does not get more in a second than a cold one can handle at most. Does nothing for a service that states
  * no rate.
  */
 class WarmupRate {
--- a/tests/unit/promptquarantinetest.cpp
+++ b/tests/unit/promptquarantinetest.cpp
@@ -442,7 +442,7 @@
     CHECK((fixture.quarantine.observedEngines() == 0) == !isReplaced);
 }
 
-TEST_CASE("A verdict is taken back if an engine behind it answers the request after the one it broke off")
+TEST_CASE("A verdict is revoked if an engine behind it answers the request after the one it broke off")
 {
     auto fixture = Fixture {};
     fixture.quarantineCrashing();
--- a/tests/unit/warmuptest.cpp
+++ b/tests/unit/warmuptest.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr auto limits = WarmupLimits { 9.3, 1.5, 5 };
-/** Requests that a cold engine bears in any second. */
+/** Requests that a cold engine can handle in any second. */
 constexpr auto bound = std::size_t { 18 };
 
 /** The most times within any second. */
@@ -99,7 +99,7 @@
     CHECK(engines.placer.warmupReport(engines.now + 10ms).engines == 0);
 }
 
-TEST_CASE("An engine that became cold without a statement yet gets no more than a cold one bears")
+TEST_CASE("An engine that became cold without a statement yet gets no more than a cold one can handle")
 {
     auto engines = ColdEngines(1);
     engines.play(3s, 4);
