--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -509,6 +509,13 @@
     record = Record(script)
     fleets = []
 
+    def stop_early(*_):
+        for fleet in fleets:
+            fleet.stop()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, stop_early)
+
     async def run():
         return await asyncio.wait_for(case(record, fleets), 115)
 
