--- a/review/stand2/fleet.py
+++ b/review/stand2/fleet.py
@@ -10,6 +10,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -55,14 +56,18 @@
 
 
 def free_ports(count):
-    sockets = []
-    for _ in range(count):
-        listener = socket.socket()
-        listener.bind((HOST, 0))
-        sockets.append(listener)
-    ports = [listener.getsockname()[1] for listener in sockets]
-    for listener in sockets:
-        listener.close()
+    """Free ports below the range from which the kernel takes those of outgoing connections, so that restarts find them free."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(10240, 32000)
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                listener.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -500,10 +505,28 @@
             writer.close()
 
 
+async def metric(router, name):
+    """A figure of the router's own metrics, or none."""
+    try:
+        reader, writer = await asyncio.open_connection(HOST, router.metrics)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: metrics\r\nConnection: close\r\n\r\n")
+        text = (await asyncio.wait_for(reader.read(), 2)).decode()
+        writer.close()
+    except (OSError, asyncio.TimeoutError):
+        return None
+    found = re.search(rf"^{name} (\S+)$", text, re.MULTILINE)
+    return float(found.group(1)) if found else None
+
+
 def status_of(answer):
     return int(answer.first.split(" ")[1]) if isinstance(answer, Message) else 0
 
 
+def is_fault(ends):
+    """The rule Fault: on two machines at least, processes have ended by themselves three times. `ends`: by machine."""
+    return sum(count >= 3 for count in ends.values()) >= 2
+
+
 def main(script, case):
     """Runs the case: a coroutine function that returns whether the rule held."""
     record = Record(script)
@@ -514,14 +537,16 @@
             fleet.stop()
         os._exit(2)
 
-    signal.signal(signal.SIGTERM, stop_early)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop_early)
+    signal.alarm(118)
 
     async def run():
         return await asyncio.wait_for(case(record, fleets), 115)
 
     try:
         held = asyncio.run(run())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # A fault of the script says nothing about the rule.
         record.line(f"the case could not run: {type(error).__name__} {error}")
         sys.exit(2)
     finally:
