Router: log why an upstream's answer counts as broken

Callers got 502 or a cut stream with the reason "the answer was cut" or "no answer" alone: the log told neither a reset from an early end nor a malformed chunk from too many interim responses.

Each place where a connection calls an answer broken now states why; attempt-failed has it in the new field fault, and silent-upstream-kept in its reason. What counts as broken is unchanged.

--- a/src/camphorshuntrouter/answerintake.cpp
+++ b/src/camphorshuntrouter/answerintake.cpp
@@ -92,6 +92,15 @@
     return answer_->notRun || !relay_ || relay_->isComplete(end);
 }
 
+auto AnswerIntake::incompleteness() const -> std::string_view
+{
+    const auto figures = streamFigures();
+    if (isForeign())
+        return "the stream does not continue the one before";
+    return figures && figures->endsInsideEvent ? "the stream ended inside an event"
+                                               : "the stream ended before its first event";
+}
+
 auto AnswerIntake::discardUnsent() -> void
 {
     if (!hasBegun())
--- a/src/camphorshuntrouter/answerintake.h
+++ b/src/camphorshuntrouter/answerintake.h
@@ -82,6 +82,8 @@
     auto consumeBody(std::string_view bytes) -> std::string;
     /** Whether an answer that ended in this way has a head and all of its body. */
     auto isComplete(AnswerEnd end) const -> bool;
+    /** What a stream lacks that has ended without being complete, for the log. */
+    auto incompleteness() const -> std::string_view;
     /** Ends a complete answer; returns the last bytes for the caller. */
     auto finish() -> std::string { return relay_->finish(); }
     /** Drops the current answer, unless part of it has been passed on. */
--- a/src/camphorshuntrouter/exchange.cpp
+++ b/src/camphorshuntrouter/exchange.cpp
@@ -125,6 +125,7 @@
     lastByteAt_ = sent;
     startReported_ = false;
     answerEnd_.reset();
+    answerFault_.clear();
     answer_.beginAttempt();
 }
 
@@ -221,41 +222,6 @@
         abandonAttempt(PlacementEnd::Broken, "the stream was not resumed");
 }
 
-auto Exchange::answerEnded(AnswerEnd end) -> void
-{
-    const auto self = shared_from_this();
-    answerEnd_ = end;
-    if (!answer_.isComplete(end)) {
-        abandonAttempt(PlacementEnd::Broken, answer_.hasHead() ? "the answer was cut" : "no answer");
-        return;
-    }
-    relay_.pool().release(connection_, answer_.idleTimeout());
-    if (answer_.notRun()) {
-        const auto refusal = answer_.misdirected() ? PlacementEnd::Misdirected : PlacementEnd::Full;
-        if (answer_.misdirected())
-            --sends_;
-        attemptFailed(endOfRefusal(refusal), false, placementEndName(refusal));
-        return;
-    }
-    const auto status = answer_.status();
-    if (promisesNotRun(status)) {
-        // The status would promise the caller that nothing has run, which the engine has not proved.
-        attemptFailed(endOfRefusal(PlacementEnd::Failed), true, "the upstream refused without proof");
-        return;
-    }
-    if (status >= 500 && !answer_.hasBegun()) {
-        mayHaveRun_ = true;
-        if (retryElsewhere(PlacementEnd::Failed, "the upstream failed"))
-            return;
-    } else {
-        endAttempt(isSuccess(status) ? PlacementEnd::Finished : PlacementEnd::Failed);
-    }
-    caller_->write(answer_.finish());
-    if (times_.firstByte == Time {})
-        times_.firstByte = steadyNow();
-    finish(isSuccess(status) ? RequestOutcome::Served : RequestOutcome::Passed, status, "");
-}
-
 auto Exchange::endAttempt(PlacementEnd end) -> void
 {
     withdrawMove();
@@ -287,7 +253,7 @@
 auto Exchange::endFailedAttempt(PlacementEnd end, std::string_view reason, bool again) -> void
 {
     auto failed = FailedAttempt { request_.attempt, upstream_->name, end, reason, mayHaveRun_, sends_, again,
-        startReported_ };
+        startReported_, answerFault_ };
     if (request_.prompt)
         failed.parts = request_.prompt->parts;
     relay_.log(LogLevel::Warning, "attempt-failed", failed.fields());
--- a/src/camphorshuntrouter/exchange.h
+++ b/src/camphorshuntrouter/exchange.h
@@ -207,6 +207,8 @@
     /** Time without reading, which is neither the upstream's silence nor part of its time limit. */
     Duration pausedTime_ {};
     std::optional<AnswerEnd> answerEnd_;
+    /** Why the answer of this attempt counts as broken, for the log. */
+    std::string answerFault_;
 
     AnswerIntake answer_;
 };
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -5,7 +5,8 @@
 #include "clock.h"
 #include "relay.h"
 
-// How an exchange ends: answers of the router's own, and the line that the log keeps.
+// How an exchange ends: the end of an upstream's answer, answers of the router's own, and the line that the
+// log keeps.
 
 namespace camphorshunt::router {
 
@@ -18,6 +19,42 @@
 
 } // namespace
 
+auto Exchange::answerEnded(AnswerEnd end) -> void
+{
+    const auto self = shared_from_this();
+    answerEnd_ = end;
+    if (!answer_.isComplete(end)) {
+        answerFault_ = end == AnswerEnd::Broken ? connection_->fault() : answer_.incompleteness();
+        abandonAttempt(PlacementEnd::Broken, answer_.hasHead() ? "the answer was cut" : "no answer");
+        return;
+    }
+    relay_.pool().release(connection_, answer_.idleTimeout());
+    if (answer_.notRun()) {
+        const auto refusal = answer_.misdirected() ? PlacementEnd::Misdirected : PlacementEnd::Full;
+        if (answer_.misdirected())
+            --sends_;
+        attemptFailed(endOfRefusal(refusal), false, placementEndName(refusal));
+        return;
+    }
+    const auto status = answer_.status();
+    if (promisesNotRun(status)) {
+        // The status would promise the caller that nothing has run, which the engine has not proved.
+        attemptFailed(endOfRefusal(PlacementEnd::Failed), true, "the upstream refused without proof");
+        return;
+    }
+    if (status >= 500 && !answer_.hasBegun()) {
+        mayHaveRun_ = true;
+        if (retryElsewhere(PlacementEnd::Failed, "the upstream failed"))
+            return;
+    } else {
+        endAttempt(isSuccess(status) ? PlacementEnd::Finished : PlacementEnd::Failed);
+    }
+    caller_->write(answer_.finish());
+    if (times_.firstByte == Time {})
+        times_.firstByte = steadyNow();
+    finish(isSuccess(status) ? RequestOutcome::Served : RequestOutcome::Passed, status, "");
+}
+
 auto Exchange::giveUp(std::string_view reason, std::optional<milliseconds> retryAfter) -> void
 {
     if (answer_.hasBegun()) {
--- a/src/camphorshuntrouter/exchangemove.cpp
+++ b/src/camphorshuntrouter/exchangemove.cpp
@@ -136,7 +136,8 @@
     sends_ -= counts ? 0 : 1;
     tried_.push_back(move.upstream->id());
     reportMoveEnd(move, end);
-    postponeMove(placementEndName(end), minMovePause);
+    const auto fault = move.connection->fault();
+    postponeMove(fault.empty() ? placementEndName(end) : fault, minMovePause);
 }
 
 auto Exchange::takeOver(PlacementEnd end, std::string_view reason) -> void
--- a/src/camphorshuntrouter/requestrecord.cpp
+++ b/src/camphorshuntrouter/requestrecord.cpp
@@ -59,6 +59,8 @@
               { "end", std::string(placementEndName(end)) }, { "reason", std::string(reason) },
               { "may-have-run", mayHaveRun ? "true" : "false" }, { "sends", std::to_string(sends) },
               { "again", again ? "true" : "false" }, { "begun", begun ? "true" : "false" } };
+    if (!fault.empty())
+        fields.push_back({ "fault", std::string(fault) });
     const auto shared = sharedParts(parts);
     if (shared.empty())
         return fields;
--- a/src/camphorshuntrouter/requestrecord.h
+++ b/src/camphorshuntrouter/requestrecord.h
@@ -64,6 +64,8 @@
     bool again = false;
     /** Bytes of the answer's body have arrived. */
     bool begun = false;
+    /** What is wrong with the upstream's answer; empty if nothing was found. */
+    std::string_view fault {};
     std::span<const PromptPart> parts {};
 
     auto fields() const -> std::vector<LogField>;
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -75,6 +75,7 @@
     reusable_ = false;
     skippedAnswers_ = 0;
     skippedBytes_ = 0;
+    fault_.clear();
     beginParser();
     write();
 }
@@ -158,13 +159,26 @@
             read();
         return;
     }
-    auto ended = boost::beast::error_code {};
-    if (error == boost::asio::error::eof && parser_->is_header_done())
-        parser_->put_eof(ended);
-    else
-        ended = error;
+    const auto end = endOfConnection(error);
     if (open_ && notifyListener())
-        endAnswer(!ended && parser_->is_done() && !mismatched_ ? AnswerEnd::Connection : AnswerEnd::Broken);
+        endAnswer(end);
+}
+
+auto UpstreamConnection::endOfConnection(const boost::system::error_code& error) -> AnswerEnd
+{
+    if (error != boost::asio::error::eof) {
+        fault_ = "the connection failed: " + error.message();
+    } else if (!parser_->is_header_done()) {
+        fault_ = "the connection ended before the answer's head was complete";
+    } else if (mismatched_) {
+        fault_ = "the connection ended after an answer to another request";
+    } else {
+        auto incomplete = boost::beast::error_code {};
+        parser_->put_eof(incomplete);
+        if (incomplete || !parser_->is_done())
+            fault_ = "the connection ended inside the body";
+    }
+    return fault_.empty() ? AnswerEnd::Connection : AnswerEnd::Broken;
 }
 
 auto UpstreamConnection::handleBytes(std::string_view bytes) -> void
@@ -178,13 +192,13 @@
         bytes.remove_prefix(parse(bytes));
         if (!notifyListener())
             return;
-        answered = parser_->is_done() && !malformed_;
+        answered = parser_->is_done() && fault_.empty();
     } while (answered && skipMismatched());
-    answered = answered && !malformed_;
+    answered = answered && fault_.empty();
     pending_ = std::string(bytes);
-    if (!answered && pending_.size() > maxPendingBytes)
-        malformed_ = true;
-    if (malformed_)
+    if (!answered && fault_.empty() && pending_.size() > maxPendingBytes)
+        fault_ = "a header line or a chunk's head exceeds the size limit";
+    if (!fault_.empty())
         endAnswer(AnswerEnd::Broken);
     else if (answered)
         endAnswer(AnswerEnd::Framed);
@@ -197,7 +211,7 @@
         return false;
     countSkipped(0);
     beginParser();
-    return !malformed_;
+    return fault_.empty();
 }
 
 /** An upstream that only sends what is no answer to the request counts as broken. */
@@ -207,7 +221,7 @@
         ++skippedAnswers_;
     skippedBytes_ += bytes;
     if (skippedAnswers_ > maxSkippedAnswers || skippedBytes_ > maxSkippedBytes)
-        malformed_ = true;
+        fault_ = "too many interim responses or answers to other requests";
 }
 
 auto UpstreamConnection::parse(std::string_view bytes) -> std::size_t
@@ -218,13 +232,13 @@
         const auto size = parser_->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
         used += size;
         if (error && error != http::error::need_more) {
-            malformed_ = true;
+            fault_ = "the answer is malformed: " + error.message();
             break;
         }
         const auto isInterim = parser_->is_header_done() && parser_->get().result_int() < firstFinalStatus;
         if (parser_->is_done() && isInterim) {
             countSkipped(0);
-            if (malformed_)
+            if (!fault_.empty())
                 break;
             beginParser();
             continue;
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -102,6 +102,8 @@
     /** Idle after a complete answer, and the upstream keeps the connection open. */
     auto isReusable() const -> bool { return open_ && listener_ == nullptr && reusable_; }
     auto isConnected() const -> bool { return connected_; }
+    /** Why the last answer counts as broken, for the log; empty unless it does. */
+    auto fault() const -> std::string_view { return fault_; }
     /** No other answer can have been sent here: the request is the first one, and no answer was skipped. */
     auto isFirstAnswer() const -> bool { return requests_ == 1 && skippedAnswers_ == 0; }
     auto upstream() const -> UpstreamId { return upstream_; }
@@ -116,6 +118,8 @@
     auto read() -> void;
     auto readDone(const boost::system::error_code& error, std::size_t size) -> void;
     auto handleBytes(std::string_view bytes) -> void;
+    /** Decides whether an answer that the connection's end or failure ends is complete. */
+    auto endOfConnection(const boost::system::error_code& error) -> AnswerEnd;
     auto parse(std::string_view bytes) -> std::size_t;
     auto notifyListener() -> bool;
     auto endAnswer(AnswerEnd end) -> void;
@@ -146,8 +150,9 @@
     bool isHead_ = false;
     bool headReported_ = false;
     bool mismatched_ = false;
-    bool malformed_ = false;
     bool reusable_ = false;
+    /** What is wrong with the answer; empty unless it is broken. */
+    std::string fault_;
 };
 
 } // namespace camphorshunt::router
--- a/tests/unit/failedattempttest.cpp
+++ b/tests/unit/failedattempttest.cpp
@@ -24,3 +24,19 @@
     failed.parts = std::span(parts).last(1);
     CHECK(valueOf("parts") == "none");
 }
+
+TEST_CASE("The line of a failed attempt tells why the answer counts as broken")
+{
+    auto failed
+        = FailedAttempt { "id", "engine", PlacementEnd::Broken, "the answer was cut", true, 1, false, true };
+    const auto faults = [&failed] {
+        auto listed = std::vector<LogField> {};
+        std::ranges::copy_if(failed.fields(), std::back_inserter(listed),
+            [](const LogField& field) { return field.name == "fault"; });
+        return listed;
+    };
+    CHECK(faults().empty());
+    failed.fault = "the connection ended inside the body";
+    REQUIRE(faults().size() == 1);
+    CHECK(faults().front().value == "the connection ended inside the body");
+}
