Router: do not take an answer that was reset during the upload for a complete one

Callers got the part of an answer that had arrived as a complete 200, if the upstream had sent it without a length and reset the connection while the request was still being written.

Cause: the kernel reports the error of a connection once. strace of the test on the code before: epoll reports EPOLLIN, EPOLLOUT and EPOLLERR together, the write of the request returns ECONNRESET, which write() dropped, and the reads that follow return the bytes that had arrived and then 0, as after an orderly close. The time limit of unacknowledged bytes behaves in the same way (ETIMEDOUT), if the answer is unread because its caller takes it slowly. Answers with a length or chunks were held, as their framing tells, and so was a reset that the read met first.

Change: while a connection has an error, the request is not written on, so that the read gets it. The kernel gives it to the read after the bytes that arrived, or an end of file if the upstream had ended its side before. A write that still meets the error first keeps it: the end of file after it counts as a broken answer, unless the upstream's end had been seen before, or the error is EPIPE, which the kernel reports for a connection that failed after the orderly end.

--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "socketinput.h"
 #include "socketoptions.h"
 
 namespace camphorshunt::router {
@@ -117,14 +118,30 @@
         written_ = 0;
         return;
     }
-    // The read fails with any other error too, after delivering an answer that may have arrived before it.
-    if (error != boost::asio::error::would_block)
+    if (error == boost::asio::error::would_block) {
+        socket_.async_wait(
+            Tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code& waitError) {
+                if (self->open_ && !waitError)
+                    self->writeReady();
+            });
         return;
-    socket_.async_wait(
-        Tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code& waitError) {
-            if (self->open_ && !waitError)
-                self->write();
-        });
+    }
+    // Each error is reported once: a read gets the bytes that have arrived, and then an end of file as after
+    // an orderly end. A pipe is broken if the upstream did end its side in order before the connection
+    // failed.
+    if (!inputEnded_ && error != boost::asio::error::broken_pipe)
+        lostError_ = error;
+}
+
+auto UpstreamConnection::writeReady() -> void
+{
+    const auto input = inputOf(socket_);
+    // The error is left to the read, to which the kernel reports it only if the upstream had not ended its
+    // side.
+    if (input.failed)
+        return;
+    inputEnded_ = input.ended;
+    write();
 }
 
 auto UpstreamConnection::resumeReading() -> void
@@ -168,6 +185,8 @@
 {
     if (error != boost::asio::error::eof) {
         fault_ = "the connection failed: " + error.message();
+    } else if (lostError_) {
+        fault_ = "the connection failed during the request: " + lostError_.message();
     } else if (!parser_->is_header_done()) {
         fault_ = "the connection ended before the answer's head was complete";
     } else if (mismatched_) {
--- a/tests/unit/cutheadtest.cpp
+++ b/tests/unit/cutheadtest.cpp
@@ -38,14 +38,8 @@
     for (const auto& cut : cutHeads()) {
         CAPTURE(cut, withReset, isKept);
         auto upstream = ScriptedUpstream {};
-        auto first = OneAnswer { "first" };
-        if (isKept) {
-            upstream.send(first);
-            upstream.answer("HTTP/1.1 200 OK\r\nX-Attempt-Id: first\r\nX-Response-Signature: s\r\n"
-                            "Keep-Alive: timeout=30\r\nContent-Length: 4\r\n\r\ndone");
-            REQUIRE(first.ended == AnswerEnd::Framed);
-            upstream.pool.release(first.connection, first.intake.idleTimeout());
-        }
+        if (isKept)
+            upstream.keepConnection();
         auto second = OneAnswer { "second" };
         upstream.send(second);
         upstream.answer(cut);
--- a/tests/unit/scriptedupstream.h
+++ b/tests/unit/scriptedupstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -30,7 +31,12 @@
         expected.isFirstAnswer = connection->isFirstAnswer();
         return intake.consumeHead(header, expected) != router::AnswerIntake::Head::Mismatched;
     }
-    auto bodyArrived(std::string_view bytes) -> void override { intake.consumeBody(bytes); }
+    auto bodyArrived(std::string_view bytes) -> void override
+    {
+        passed += intake.consumeBody(bytes);
+        if (pausesOnBody)
+            connection->pauseReading();
+    }
     auto answerEnded(router::AnswerEnd end) -> void override { ended = end; }
 
     std::string attempt;
@@ -38,6 +44,10 @@
     router::AnswerIntake intake;
     std::shared_ptr<router::UpstreamConnection> connection;
     std::optional<router::AnswerEnd> ended;
+    /** Bytes for the caller. */
+    std::string passed;
+    /** Stops reading as soon as a part of the body has arrived. */
+    bool pausesOnBody = false;
 };
 
 /** An upstream whose answers the test writes. */
@@ -50,23 +60,65 @@
         entry.endpoint = { "127.0.0.1", acceptor.local_endpoint().port() };
     }
 
-    auto send(OneAnswer& answer) -> void
+    auto send(OneAnswer& answer, std::string request = "GET / HTTP/1.1\r\nX-Attempt-Id: x\r\n\r\n") -> void
     {
-        answer.connection
-            = pool.send(entry, "GET / HTTP/1.1\r\nX-Attempt-Id: x\r\n\r\n", false, false, answer);
+        answer.connection = pool.send(entry, std::move(request), false, false, answer);
         if (!socket.is_open())
             acceptor.accept(socket);
         run();
-        auto request = std::string {};
-        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        auto received = std::string {};
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n");
+    }
+
+    /** Answers a first request, so that the next one is sent on the same connection. */
+    auto keepConnection() -> void
+    {
+        auto first = OneAnswer { "first" };
+        send(first);
+        answer("HTTP/1.1 200 OK\r\nX-Attempt-Id: first\r\nX-Response-Signature: s\r\n"
+               "Keep-Alive: timeout=30\r\nContent-Length: 4\r\n\r\ndone");
+        REQUIRE(first.ended == router::AnswerEnd::Framed);
+        pool.release(first.connection, first.intake.idleTimeout());
+    }
+
+    /** Sends a request whose body stays in part unsent, as this upstream reads no more than its head. */
+    auto sendUpload(OneAnswer& answer) -> void
+    {
+        constexpr auto receiveBuffer = 4096;
+        constexpr auto bodyBytes = std::size_t { 8 } * 1024 * 1024;
+        acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
+        send(answer,
+            "POST / HTTP/1.1\r\nX-Attempt-Id: x\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+                + std::string(bodyBytes, 'u'));
+        REQUIRE(answer.connection->unsentBytes() > 0);
+    }
+
+    /** Sends bytes that the router reads only when it runs next, unless it has closed the connection. */
+    auto write(std::string_view text) -> void
+    {
+        auto closed = boost::system::error_code {};
+        boost::asio::write(socket, boost::asio::buffer(text), closed);
     }
 
     auto answer(std::string_view text) -> void
     {
-        boost::asio::write(socket, boost::asio::buffer(text));
+        write(text);
         run();
     }
 
+    /** Ends the answers in order; the rest of a request can still arrive. */
+    auto shutDown() -> void { socket.shutdown(Tcp::socket::shutdown_send); }
+
+    /** Reads what has arrived; true if any bytes had. */
+    auto drain() -> bool
+    {
+        auto bytes = std::array<char, 65536> {};
+        auto any = false;
+        while (socket.available() > 0)
+            any = socket.read_some(boost::asio::buffer(bytes)) > 0;
+        return any;
+    }
+
     /** Ends the connection, as if all had been sent or with a reset. */
     auto end(bool withReset) -> void
     {
