Take no message for an answer whose status HTTP does not have

Callers got an answer with status 0, all of it if its connection ended it, and the head and a part of the body if it had a length of 400,000 bytes. The next reader could be taken in too: an answer that stood in the body of such a message, or after it, was taken for the answer by the router and by the client of the store, the daemon and the tools.

Cause: nobody checked the status. The router and the client took each number below 200 for an interim response; the router looked at it only once the message was complete, so one without an end, or with a body larger than one read, was passed on by its head; the client read the next head from the bytes of its body. The query of an engine took an interim response for the report.

Change: net::kindOf says what a head announces, as soon as it is complete, for all three readers: an answer, an interim response, or neither. A status outside 100 to 599 is neither, and 101 too, as no request asks for an upgrade. The listener sees no head of what is no answer, so that it neither takes a request over nor tells of its upstream.

--- a/src/camphorshuntrouter/liveness/enginequery.cpp
+++ b/src/camphorshuntrouter/liveness/enginequery.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,8 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "httpresponsekind.h"
+
 #include "platform/enginereport.h"
 
 namespace camphorshunt::router {
@@ -36,7 +39,6 @@
         : stream_(context)
         , handler_(std::move(handler))
     {
-        parser_.body_limit(maxReportBytes);
     }
 
     auto start(const Endpoint& engine) -> void
@@ -77,19 +79,27 @@
             finish({ Outcome::Unanswered });
             return;
         }
-        http::async_read(
-            stream_, buffer_, parser_, [self = shared_from_this()](const ErrorCode& readError, std::size_t) {
-                self->answered(readError);
-            });
+        read();
+    }
+
+    auto read() -> void
+    {
+        parser_.emplace();
+        parser_->body_limit(maxReportBytes);
+        http::async_read(stream_, buffer_, *parser_,
+            [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->answered(error); });
     }
 
     auto answered(const ErrorCode& error) -> void
     {
+        const auto kind = error ? std::nullopt : std::optional(net::kindOf(parser_->get().base()));
         // A process that is about to end may still accept the connection.
-        if (error)
-            finish({ Outcome::Unanswered });
+        if (kind == net::HttpResponseKind::Answer)
+            finish({ Outcome::Answered, platform::startOfReport(parser_->get().body()) });
+        else if (kind == net::HttpResponseKind::Interim)
+            read();
         else
-            finish({ Outcome::Answered, platform::startOfReport(parser_.get().body()) });
+            finish({ Outcome::Unanswered });
     }
 
     auto finish(const EngineQueryResult& result) -> void
@@ -101,7 +111,7 @@
     boost::beast::tcp_stream stream_;
     EngineQuerySender::Handler handler_;
     http::request<http::empty_body> request_;
-    http::response_parser<http::string_body> parser_;
+    std::optional<http::response_parser<http::string_body>> parser_;
     boost::beast::flat_buffer buffer_ { maxReportBytes };
 };
 
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "httpresponsekind.h"
 #include "socketinput.h"
 #include "socketoptions.h"
 
@@ -18,8 +19,6 @@
 /** Interim responses, answers to other requests and bytes of these that are skipped before an answer. */
 constexpr auto maxSkippedAnswers = 8U;
 constexpr auto maxSkippedBytes = std::size_t { 1024 } * 1024;
-/** Lower statuses are interim responses, which precede the answer. */
-constexpr auto firstFinalStatus = 200U;
 
 } // namespace
 
@@ -83,6 +82,7 @@
 
 auto UpstreamConnection::beginParser() -> void
 {
+    headAccepted_ = false;
     headReported_ = false;
     mismatched_ = false;
     parser_.emplace();
@@ -187,7 +187,7 @@
         fault_ = "the connection failed: " + error.message();
     } else if (lostError_) {
         fault_ = "the connection failed during the request: " + lostError_.message();
-    } else if (!parser_->is_header_done()) {
+    } else if (!headAccepted_) {
         fault_ = "the connection ended before the answer's head was complete";
     } else if (mismatched_) {
         fault_ = "the connection ended after an answer to another request";
@@ -250,28 +250,45 @@
         auto error = boost::beast::error_code {};
         const auto size = parser_->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
         used += size;
-        if (error && error != http::error::need_more) {
-            fault_ = "the answer is malformed: " + error.message();
-            break;
-        }
-        const auto isInterim = parser_->is_header_done() && parser_->get().result_int() < firstFinalStatus;
-        if (parser_->is_done() && isInterim) {
-            countSkipped(0);
+        const auto isNewHead = parser_->is_header_done() && !headAccepted_;
+        if (isNewHead && !acceptHead()) {
             if (!fault_.empty())
                 break;
-            beginParser();
             continue;
         }
+        if (error && error != http::error::need_more) {
+            fault_ = "the answer is malformed: " + error.message();
+            break;
+        }
         if (size == 0)
             break;
     }
     return used;
 }
 
+auto UpstreamConnection::acceptHead() -> bool
+{
+    const auto& head = parser_->get().base();
+    switch (net::kindOf(head)) {
+    case net::HttpResponseKind::Answer:
+        headAccepted_ = true;
+        return true;
+    case net::HttpResponseKind::Interim:
+        countSkipped(0);
+        if (fault_.empty())
+            beginParser();
+        break;
+    case net::HttpResponseKind::InvalidStatus:
+        fault_ = "the answer's status is invalid: " + std::to_string(head.result_int());
+        break;
+    }
+    return false;
+}
+
 /** Passes parsed bytes to the listener; false if the listener has closed the connection. */
 auto UpstreamConnection::notifyListener() -> bool
 {
-    if (listener_ != nullptr && !headReported_ && parser_->is_header_done()) {
+    if (listener_ != nullptr && !headReported_ && headAccepted_) {
         headReported_ = true;
         mismatched_ = !listener_->headArrived(parser_->get().base());
     }
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -122,6 +122,8 @@
     /** Decides whether an answer that the connection's end or failure ends is complete. */
     auto endOfConnection(const boost::system::error_code& error) -> AnswerEnd;
     auto parse(std::string_view bytes) -> std::size_t;
+    /** Whether the head that has just arrived is that of an answer; skips an interim response. */
+    auto acceptHead() -> bool;
     auto notifyListener() -> bool;
     auto endAnswer(AnswerEnd end) -> void;
     auto beginAnswer() -> void;
@@ -149,6 +151,7 @@
     bool paused_ = false;
     bool readPending_ = false;
     bool isHead_ = false;
+    bool headAccepted_ = false;
     bool headReported_ = false;
     bool mismatched_ = false;
     bool reusable_ = false;
--- a/src/libnet/httpclientcall.cpp
+++ b/src/libnet/httpclientcall.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "httpresponsekind.h"
+
 namespace camphorshunt::net {
 
 namespace asio = boost::asio;
@@ -15,7 +17,6 @@
 namespace {
 
 constexpr auto httpVersion = 11U;
-constexpr auto firstFinalStatus = 200U;
 
 auto messageOf(HttpRequest&& request, const Endpoint& endpoint) -> http::request<http::string_body>
 {
@@ -152,11 +153,13 @@
         end(HttpCallEnd::Broken);
         return;
     }
-    if (parser_->get().result_int() < firstFinalStatus) {
-        if (++interimAnswers_ > maxInterimAnswers)
-            end(HttpCallEnd::Broken);
-        else
-            readHead();
+    const auto kind = kindOf(parser_->get().base());
+    if (kind == HttpResponseKind::Interim && ++interimAnswers_ <= maxInterimAnswers) {
+        readHead();
+        return;
+    }
+    if (kind != HttpResponseKind::Answer) {
+        end(HttpCallEnd::Broken);
         return;
     }
     stopTimer();
--- a/tests/process/brokenanswertest.cpp
+++ b/tests/process/brokenanswertest.cpp
@@ -204,3 +204,37 @@
         }
     }
 }
+
+/** Checks that clients of all routes get failures of the router itself from upstreams that answer so. */
+auto checkOwnFailures(const RawUpstream::Answer& answerTo) -> void
+{
+    auto raw = RawFleet(answerTo, End::InOrder);
+    for (const auto& route : routes) {
+        const auto answer = call(raw.fleet.router(0).callers, request(route, 8));
+        CAPTURE(route, answer.status);
+        CHECK(answer.isComplete());
+        CHECK(answer.status >= 500);
+        CHECK(isOwn(answer));
+    }
+}
+
+TEST_CASE("No client gets an answer whose status is 000")
+{
+    const auto* const body = GENERATE("\r\nwrong", "Content-Length: 5\r\n\r\nwrong",
+        "Content-Length: 400000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n");
+    CAPTURE(body);
+    checkOwnFailures([body](std::string_view attempt) {
+        const auto text = head("000 Unknown", attempt) + body;
+        return text.ends_with("400000\r\n\r\n") ? text + std::string(400000, 'w') : text;
+    });
+}
+
+TEST_CASE("No client gets an answer whose head has a line that is no field")
+{
+    using namespace std::string_literals;
+    const auto line = GENERATE("X Bad: 1"s, "X\x01"s + "Bad: 1", "X-Bad: a\0b"s, "X-Bad: a\rb"s);
+    CAPTURE(line);
+    checkOwnFailures([&line](std::string_view attempt) {
+        return head("200 OK", attempt) + line + "\r\nContent-Length: 4\r\n\r\ngood";
+    });
+}
--- a/tests/unit/answerfaulttest.cpp
+++ b/tests/unit/answerfaulttest.cpp
@@ -44,6 +44,8 @@
         == "the connection ended after an answer to another request");
     CHECK(faultOf(repeat("HTTP/1.1 100 Continue\r\n\r\n", 9), false)
         == "too many interim responses or answers to other requests");
+    CHECK(faultOf("HTTP/1.1 000 Unknown\r\n\r\n", false) == "the answer's status is invalid: 0");
+    CHECK(faultOf(signedHead + "X Bad: 1\r\n\r\n", false) == "the answer is malformed: bad field");
     CHECK(faultOf(signedHead + "Content-Length: 1\r\n\r\nx", false).empty());
     CHECK(faultOf(signedHead + "\r\nx", false).empty());
 }
--- /dev/null
+++ b/tests/unit/enginequerytest.cpp
@@ -0,0 +1,58 @@
+#include "liveness/enginequery.h"
+
+#include "httptestsupport.h"
+#include "invalidheads.h"
+
+using namespace camphorshunt;
+using namespace camphorshunt::router;
+using namespace camphorshunt::net::test;
+
+namespace {
+
+/** The result of a query that an engine answers with these bytes. */
+auto queried(std::string answer, ConnectionEnd end) -> EngineQueryResult
+{
+    auto context = boost::asio::io_context {};
+    const auto engine = RawServer(context, std::move(answer), end);
+    auto result = std::optional<EngineQueryResult> {};
+    EngineQuerySender(context).send(
+        engine.endpoint(), [&result](const EngineQueryResult& given) { result = given; });
+    REQUIRE(runUntil(context, [&result] { return result.has_value(); }));
+    return *result;
+}
+
+constexpr auto report = std::string_view(R"({"born":77})");
+using Outcome = EngineQueryResult::Outcome;
+
+} // namespace
+
+TEST_CASE("The start of an engine is taken from a complete answer only")
+{
+    const auto body = std::string(report);
+    const auto head = std::string("HTTP/1.1 200 OK\r\n");
+    const auto framed = head + "Content-Length: 11\r\n\r\n" + body;
+    for (const auto& whole : { framed, "HTTP/1.1 100 Continue\r\n\r\n" + framed,
+             head + "Transfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n0\r\n\r\n" }) {
+        CAPTURE(whole);
+        const auto result = queried(whole, ConnectionEnd::None);
+        CHECK(result.outcome == Outcome::Answered);
+        CHECK(result.startedAt == std::chrono::milliseconds(77));
+    }
+    CHECK(queried(head + "\r\n" + body, ConnectionEnd::InOrder).startedAt == std::chrono::milliseconds(77));
+    for (const auto& cut : { head + "\r\n" + body, head + "Content-Length: 12\r\n\r\n" + body,
+             head + "Transfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n" }) {
+        CAPTURE(cut);
+        CHECK(queried(cut, ConnectionEnd::Reset).outcome == Outcome::Unanswered);
+    }
+}
+
+TEST_CASE("An engine whose query is answered with what is no answer has not answered")
+{
+    for (const auto& answers : { test::answersOfInvalidStatusLine(""), test::answersOfInvalidFields("") }) {
+        for (auto invalid : answers) {
+            CAPTURE(invalid.name);
+            CHECK(queried(invalid.text, invalid.ends ? ConnectionEnd::InOrder : ConnectionEnd::None).outcome
+                == Outcome::Unanswered);
+        }
+    }
+}
--- a/tests/unit/httptestsupport.h
+++ b/tests/unit/httptestsupport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -111,4 +112,53 @@
     bool closed_ = false;
 };
 
+enum class ConnectionEnd { None, InOrder, Reset };
+
+/** Answers the first request with these bytes, whatever they are, and then ends the connection in this way.
+ */
+class RawServer {
+public:
+    RawServer(boost::asio::io_context& context, std::string answer, ConnectionEnd end)
+        : acceptor_(context, { boost::asio::ip::address_v4::loopback(), 0 })
+        , socket_(context)
+        , answer_(std::move(answer))
+        , end_(end)
+    {
+        acceptor_.async_accept(socket_, [this](const boost::system::error_code& error) {
+            if (!error)
+                awaitRequest();
+        });
+    }
+
+    auto endpoint() const -> Endpoint { return { "127.0.0.1", acceptor_.local_endpoint().port() }; }
+
+private:
+    auto awaitRequest() -> void
+    {
+        socket_.async_read_some(
+            boost::asio::buffer(request_), [this](const boost::system::error_code& error, std::size_t) {
+                if (!error)
+                    respond();
+            });
+    }
+
+    auto respond() -> void
+    {
+        boost::asio::async_write(socket_, boost::asio::buffer(answer_),
+            [this](const boost::system::error_code& error, std::size_t) {
+                if (error || end_ == ConnectionEnd::None)
+                    return;
+                if (end_ == ConnectionEnd::Reset)
+                    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+                socket_.close();
+            });
+    }
+
+    Tcp::acceptor acceptor_;
+    Tcp::socket socket_;
+    std::string answer_;
+    ConnectionEnd end_;
+    std::array<char, 4096> request_ {};
+};
+
 } // namespace camphorshunt::net::test
--- a/tests/unit/storeclienttest.cpp
+++ b/tests/unit/storeclienttest.cpp
@@ -9,13 +9,15 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "httptestsupport.h"
+#include "invalidheads.h"
+
 using namespace camphorshunt;
+using namespace camphorshunt::net::test;
 using namespace std::chrono_literals;
 
 namespace {
 
-using Tcp = boost::asio::ip::tcp;
-
 /** A store whose answer never ends: `pause` between pieces of `size` bytes. */
 struct EndlessStore {
     EndlessStore(boost::asio::io_context& context, std::chrono::milliseconds between, std::size_t size)
@@ -74,6 +76,24 @@
     return outcome;
 }
 
+/** Whether a read and a write succeed at a store that answers with these bytes. */
+auto succeeds(const std::string& answer, ConnectionEnd end) -> std::pair<bool, bool>
+{
+    auto context = boost::asio::io_context {};
+    const auto reading = RawServer(context, answer, end);
+    const auto writing = RawServer(context, answer, end);
+    auto reader = platform::StoreClient(context, reading.endpoint());
+    auto writer = platform::StoreClient(context, writing.endpoint());
+    auto isRead = std::optional<bool> {};
+    auto isWritten = std::optional<bool> {};
+    reader.readNewest(
+        "keyed.op", "", [&isRead](const Result<platform::KeyedPage>& page) { isRead = page.has_value(); });
+    writer.put(
+        "keyed.op", "key", "value", [&isWritten](const Result<void>& done) { isWritten = done.has_value(); });
+    REQUIRE(runUntil(context, [&] { return isRead && isWritten; }));
+    return { *isRead, *isWritten };
+}
+
 } // namespace
 
 // A call was given up only after a pause between two bytes, and the reader of the store waited for it for
@@ -92,3 +112,33 @@
     CHECK(outcome.failed);
     CHECK(outcome.sent < std::size_t { 16 } * 1024 * 1024);
 }
+
+TEST_CASE("A call of the store succeeds only with a complete answer")
+{
+    const auto page = std::string(R"({"items":[],"has_more":false,"end":0})");
+    const auto head = std::string("HTTP/1.1 200 OK\r\n");
+    const auto size = page.size();
+    const auto chunk = "25\r\n" + page + "\r\n";
+    REQUIRE(size == 0x25);
+    const auto both = std::pair(true, true);
+    const auto neither = std::pair(false, false);
+    CHECK(succeeds(head + "Content-Length: 37\r\n\r\n" + page, ConnectionEnd::None) == both);
+    CHECK(succeeds(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n", ConnectionEnd::None)
+        == both);
+    for (const auto end : { ConnectionEnd::InOrder, ConnectionEnd::Reset }) {
+        CHECK(succeeds(head + "Content-Length: 38\r\n\r\n" + page, end) == neither);
+        CHECK(succeeds(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk, end) == neither);
+        CHECK(succeeds(head + "\r\n" + page, end) == neither);
+    }
+}
+
+TEST_CASE("A call of the store that is answered with what is no answer fails")
+{
+    for (const auto& answers : { test::answersOfInvalidStatusLine(""), test::answersOfInvalidFields("") }) {
+        for (const auto& invalid : answers) {
+            CAPTURE(invalid.name);
+            const auto end = invalid.ends ? ConnectionEnd::InOrder : ConnectionEnd::None;
+            CHECK(succeeds(invalid.text, end) == std::pair(false, false));
+        }
+    }
+}
