Take no answer in a transfer coding other than chunked

Callers got a complete 200 with bytes that are not the upstream's body: the raw chunks of an answer with `chunked, gzip` and no length, or a body in an encoding of which the head passed on tells nothing, as Transfer-Encoding is a field of one connection.

Cause: Beast knows `chunked` as the last coding alone. It passes over any other, takes the body by its length or to the connection's end, and removes of `gzip, chunked` only the chunks.

Change: net::kindOf, which the router, the client of the store, the daemon and the tools, and the query of an engine share, accepts no Transfer-Encoding or a single `chunked`. No request here asks for another coding.

--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -281,6 +281,9 @@
     case net::HttpResponseKind::InvalidStatus:
         fault_ = "the answer's status is invalid: " + std::to_string(head.result_int());
         break;
+    case net::HttpResponseKind::UnknownCoding:
+        fault_ = "the answer has a transfer coding other than chunked";
+        break;
     }
     return false;
 }
--- a/src/libnet/httpresponsekind.h
+++ b/src/libnet/httpresponsekind.h
@@ -13,9 +13,11 @@
     Interim,
     /** The status is outside 100 to 599, or accepts an upgrade, for which no request here asks. */
     InvalidStatus,
+    /** The body has a transfer coding other than `chunked`, so that its extent or its bytes are unknown. */
+    UnknownCoding,
 };
 
-/** Decides by the rules of RFC 9110, section 15. */
+/** Decides by the rules of RFC 9110, section 15, and RFC 9112, sections 6 and 7. */
 auto kindOf(const boost::beast::http::response_header<>& head) -> HttpResponseKind;
 
 } // namespace camphorshunt::net
--- a/tests/process/brokenanswertest.cpp
+++ b/tests/process/brokenanswertest.cpp
@@ -238,3 +238,13 @@
         return head("200 OK", attempt) + line + "\r\nContent-Length: 4\r\n\r\ngood";
     });
 }
+
+TEST_CASE("No client gets an answer in a transfer coding other than chunked")
+{
+    const auto* const coding = GENERATE("gzip", "gzip, chunked", "chunked, gzip");
+    const auto* const rest = GENERATE("Content-Length: 4\r\n\r\ngood", "\r\n4\r\ngood\r\n0\r\n\r\n");
+    CAPTURE(coding, rest);
+    checkOwnFailures([coding, rest](std::string_view attempt) {
+        return head("200 OK", attempt) + "Transfer-Encoding: " + coding + "\r\n" + rest;
+    });
+}
--- a/tests/unit/enginequerytest.cpp
+++ b/tests/unit/enginequerytest.cpp
@@ -48,7 +48,8 @@
 
 TEST_CASE("An engine whose query is answered with what is no answer has not answered")
 {
-    for (const auto& answers : { test::answersOfInvalidStatusLine(""), test::answersOfInvalidFields("") }) {
+    for (const auto& answers : { test::answersOfInvalidStatusLine(""), test::answersOfInvalidFields(""),
+             test::answersOfUnknownCoding("") }) {
         for (auto invalid : answers) {
             CAPTURE(invalid.name);
             CHECK(queried(invalid.text, invalid.ends ? ConnectionEnd::InOrder : ConnectionEnd::None).outcome
--- a/tests/unit/invalidheads.h
+++ b/tests/unit/invalidheads.h
@@ -68,4 +68,21 @@
     return answers;
 }
 
+/** Transfer codings other than `chunked`, which is the only one that a request here accepts. */
+inline auto answersOfUnknownCoding(std::string_view fields) -> std::vector<InvalidAnswer>
+{
+    auto answers = std::vector<InvalidAnswer> {};
+    for (const auto* const coding :
+        { "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked" }) {
+        const auto name = std::string(coding);
+        const auto head = "HTTP/1.1 200 OK\r\n" + std::string(fields) + "Transfer-Encoding: " + name + "\r\n";
+        answers.push_back({ name + " to the end", head + "\r\n4\r\ngood\r\n0\r\n\r\n", true });
+        answers.push_back({ name + " in chunks", head + "\r\n4\r\ngood\r\n0\r\n\r\n" });
+        answers.push_back({ name + " with a length", head + "Content-Length: 4\r\n\r\ngood" });
+        answers.push_back(
+            { name + " in two fields", head + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n" });
+    }
+    return answers;
+}
+
 } // namespace camphorshunt::test
--- a/tests/unit/invalidheadtest.cpp
+++ b/tests/unit/invalidheadtest.cpp
@@ -127,6 +127,16 @@
     checkClientRejects(answersOfInvalidFields(fields));
 }
 
+TEST_CASE("An answer in a transfer coding other than chunked is no answer")
+{
+    checkAllRejected(answersOfUnknownCoding(fields));
+}
+
+TEST_CASE("A call whose answer is in a transfer coding other than chunked is broken")
+{
+    checkClientRejects(answersOfUnknownCoding(fields));
+}
+
 TEST_CASE("Interim responses before an answer are skipped")
 {
     const auto interim
--- a/tests/unit/storeclienttest.cpp
+++ b/tests/unit/storeclienttest.cpp
@@ -134,7 +134,8 @@
 
 TEST_CASE("A call of the store that is answered with what is no answer fails")
 {
-    for (const auto& answers : { test::answersOfInvalidStatusLine(""), test::answersOfInvalidFields("") }) {
+    for (const auto& answers : { test::answersOfInvalidStatusLine(""), test::answersOfInvalidFields(""),
+             test::answersOfUnknownCoding("") }) {
         for (const auto& invalid : answers) {
             CAPTURE(invalid.name);
             const auto end = invalid.ends ? ConnectionEnd::InOrder : ConnectionEnd::None;
