Daemon: pass an upstream's failure on only if all of it has arrived

Callers of the daemon got the part of an error answer that had arrived as a whole answer with its length.

Cause: with the head of an error status the result of the attempt was settled as failed, whatever happened to the body, and a failed attempt's body is passed on in one piece.

Change: such an attempt has failed only if its call ends as complete, and is broken, silent or cancelled otherwise, as with other answers. A refusal with 429 or 503 still stands once its head is complete: none of its body is passed on.

--- a/src/camphorshuntd/attempt.cpp
+++ b/src/camphorshuntd/attempt.cpp
@@ -186,7 +186,8 @@
     // After the upstream's end marker the answer is complete, however the connection ended.
     if (mode_ == Mode::Stream && reader_->isComplete())
         return AttemptResult::Complete;
-    if (earlyResult_)
+    const auto isCutFailure = earlyResult_ == AttemptResult::Failed && end != net::HttpCallEnd::Complete;
+    if (earlyResult_ && !isCutFailure)
         return *earlyResult_;
     switch (end) {
     case net::HttpCallEnd::Complete:
--- a/tests/unit/daemonattempttest.cpp
+++ b/tests/unit/daemonattempttest.cpp
@@ -158,3 +158,24 @@
     CHECK(bench.run("plain-service").result == AttemptResult::Refused);
     CHECK_FALSE(bench.whole);
 }
+
+// An error that broke off was passed on as far as it had come, and looked whole.
+TEST_CASE("An answer of an upstream that fails is passed on only if it is complete")
+{
+    auto breaksOff = true;
+    auto bench = AttemptBench([&breaksOff](auto& exchange, const auto& echo) {
+        exchange.beginStream(500, echoed(echo));
+        exchange.write("a part of");
+        if (breaksOff)
+            exchange.abort();
+        else
+            exchange.finish();
+    });
+    const auto* const kind = GENERATE("plain-service", "model-engine");
+    CHECK(bench.run(kind).result == AttemptResult::Broken);
+    CHECK_FALSE(bench.whole);
+    breaksOff = false;
+    CHECK(bench.run(kind).result == AttemptResult::Failed);
+    REQUIRE(bench.whole);
+    CHECK(bench.whole->body == "a part of");
+}
