Router: send nothing behind a head that has no body

Callers that sent a HEAD request and another request on the same connection got the second answer behind bytes that belong to none: the last chunk "0" if the upstream's head had no length, or the JSON body of the router's own answer. A 204 on a route with streams was followed by a last chunk too.

Cause: AnswerRelay::finish ended every answer without a length with a last chunk, and writeRouterAnswer wrote its body, whatever the request's method and the status were.

Change: a HEAD request's answer ends with its head, and an answer whose status has no body has the length 0.

--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "eventstream.h"
+#include "httpresponsetext.h"
 
 #include "platform/callerwire.h"
 #include "platform/text.h"
@@ -42,7 +43,9 @@
     , lastAnswer_(lastAnswer)
     , status_(header.result_int())
 {
-    if (mode_ != Mode::ResumableStream)
+    if (!net::statusHasBody(static_cast<std::uint16_t>(status_)))
+        length_ = 0;
+    else if (mode_ != Mode::ResumableStream)
         length_ = lengthOf(header);
 }
 
@@ -144,7 +147,7 @@
     if (mode_ == Mode::Buffered && !isHead_)
         length_ = pending_.size();
     auto text = framed(std::exchange(pending_, {}));
-    if (!length_)
+    if (!length_ && !isHead_)
         text += lastChunk;
     return text;
 }
--- a/src/camphorshuntrouter/exchangeend.cpp
+++ b/src/camphorshuntrouter/exchangeend.cpp
@@ -98,7 +98,7 @@
     const auto self = shared_from_this();
     keepAlive_ = keepAlive_ && caller_->staysOpen();
     caller_->write(
-        platform::writeRouterAnswer({ status, request_.attempt, reason, retryAfter, !keepAlive_ }));
+        platform::writeRouterAnswer({ status, request_.attempt, reason, retryAfter, !keepAlive_, isHead() }));
     finish(promisesNotRun(status) ? RequestOutcome::Refused : RequestOutcome::Failed, status, reason);
 }
 
--- a/tests/process/brokenanswertest.cpp
+++ b/tests/process/brokenanswertest.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/serialize.hpp>
@@ -169,6 +170,23 @@
     return text;
 }
 
+/** What a client receives on one connection for these two requests, of which the first is a HEAD request. */
+auto answersAfterHead(const Endpoint& router, const std::string& target) -> std::string
+{
+    const auto fields = std::string(" HTTP/1.1\r\nHost: fleet.example\r\nAuthorization: Bearer key-acme\r\n"
+                                    "X-Deadline-Ms: 3000\r\nX-Attempt-Id: head-then-");
+    auto context = asio::io_context {};
+    auto socket = Tcp::socket(context);
+    socket.connect({ asio::ip::make_address(router.address), router.port });
+    asio::write(socket, asio::buffer("HEAD " + target + fields + "one\r\n\r\n"));
+    auto received = std::string {};
+    asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n");
+    asio::write(socket, asio::buffer("GET " + target + fields + "two\r\nConnection: close\r\n\r\n"));
+    auto error = boost::system::error_code {};
+    asio::read(socket, asio::dynamic_buffer(received), error);
+    return received.substr(received.find("\r\n\r\n") + 4);
+}
+
 const auto routes = std::vector<std::string> { "plain", "book", "pay", "stream", "resume" };
 constexpr auto uploadBytes = std::size_t { 3000000 };
 constexpr auto callsPerRoute = 4;
@@ -248,3 +266,15 @@
         return head("200 OK", attempt) + "Transfer-Encoding: " + coding + "\r\n" + rest;
     });
 }
+
+// The bytes of a body behind the head would be taken for the beginning of the next answer.
+TEST_CASE("Nothing follows the head that answers a HEAD request but the next answer")
+{
+    auto raw
+        = RawFleet([](std::string_view attempt) { return head("200 OK", attempt) + "\r\n"; }, End::InOrder);
+    const auto* const target = GENERATE("/plain/call", "/book/call", "/nowhere/call");
+    CAPTURE(target);
+    const auto answers = answersAfterHead(raw.fleet.router(0).callers, target);
+    CAPTURE(answers);
+    CHECK(answers.starts_with("HTTP/1.1 "));
+}
--- a/tests/unit/answerrelaytest.cpp
+++ b/tests/unit/answerrelaytest.cpp
@@ -148,3 +148,18 @@
     CHECK(bodyOf(relay.consume("id: 4\ndata: d\n\n: comment\n\n")) == "id: 4\ndata: d\n\n: comment\n\n");
     CHECK(relay.isComplete(AnswerEnd::Framed));
 }
+
+// The bytes of a body behind such a head would be taken for the beginning of the next answer.
+TEST_CASE("Nothing follows the head of an answer that has no body")
+{
+    const auto mode = GENERATE(
+        AnswerRelay::Mode::Buffered, AnswerRelay::Mode::Stream, AnswerRelay::Mode::ResumableStream);
+    const auto isHead = GENERATE(false, true);
+    auto made = header();
+    if (!isHead)
+        made.result(204);
+    auto relay = AnswerRelay(made, mode, isHead, false);
+    const auto text = relay.finish();
+    CAPTURE(text);
+    CHECK(text.find("\r\n\r\n") == text.size() - 4);
+}
