--- a/tests/unit/enginequerytest.cpp
+++ b/tests/unit/enginequerytest.cpp
@@ -31,16 +31,18 @@
     const auto body = std::string(report);
     const auto head = std::string("HTTP/1.1 200 OK\r\n");
     const auto framed = head + "Content-Length: 11\r\n\r\n" + body;
-    for (const auto& whole : { framed, "HTTP/1.1 100 Continue\r\n\r\n" + framed,
-             head + "Transfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n0\r\n\r\n" }) {
+    const auto tooShort = head + "Content-Length: 12\r\n\r\n" + body;
+    const auto chunk = head + "Transfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n";
+    const auto behindInterim = "HTTP/1.1 100 Continue\r\n\r\n" + framed;
+    const auto unframed = head + "\r\n" + body;
+    for (const auto& whole : { framed, behindInterim, chunk + "0\r\n\r\n" }) {
         CAPTURE(whole);
         const auto result = queried(whole, ConnectionEnd::None);
         CHECK(result.outcome == Outcome::Answered);
         CHECK(result.startedAt == std::chrono::milliseconds(77));
     }
-    CHECK(queried(head + "\r\n" + body, ConnectionEnd::InOrder).startedAt == std::chrono::milliseconds(77));
-    for (const auto& cut : { head + "\r\n" + body, head + "Content-Length: 12\r\n\r\n" + body,
-             head + "Transfer-Encoding: chunked\r\n\r\nb\r\n" + body + "\r\n" }) {
+    CHECK(queried(unframed, ConnectionEnd::InOrder).startedAt == std::chrono::milliseconds(77));
+    for (const auto& cut : { unframed, tooShort, chunk }) {
         CAPTURE(cut);
         CHECK(queried(cut, ConnectionEnd::Reset).outcome == Outcome::Unanswered);
     }
@@ -50,7 +52,7 @@
 {
     for (const auto& answers : { test::answersOfInvalidStatusLine(""), test::answersOfInvalidFields(""),
              test::answersOfUnknownCoding("") }) {
-        for (auto invalid : answers) {
+        for (const auto& invalid : answers) {
             CAPTURE(invalid.name);
             CHECK(queried(invalid.text, invalid.ends ? ConnectionEnd::InOrder : ConnectionEnd::None).outcome
                 == Outcome::Unanswered);
--- a/tests/unit/storeclienttest.cpp
+++ b/tests/unit/storeclienttest.cpp
@@ -117,18 +117,18 @@
 {
     const auto page = std::string(R"({"items":[],"has_more":false,"end":0})");
     const auto head = std::string("HTTP/1.1 200 OK\r\n");
-    const auto size = page.size();
-    const auto chunk = "25\r\n" + page + "\r\n";
-    REQUIRE(size == 0x25);
+    const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n25\r\n" + page + "\r\n";
+    const auto tooShort = head + "Content-Length: 38\r\n\r\n" + page;
+    const auto unframed = head + "\r\n" + page;
+    REQUIRE(page.size() == 37);
     const auto both = std::pair(true, true);
     const auto neither = std::pair(false, false);
     CHECK(succeeds(head + "Content-Length: 37\r\n\r\n" + page, ConnectionEnd::None) == both);
-    CHECK(succeeds(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n", ConnectionEnd::None)
-        == both);
+    CHECK(succeeds(chunked + "0\r\n\r\n", ConnectionEnd::None) == both);
     for (const auto end : { ConnectionEnd::InOrder, ConnectionEnd::Reset }) {
-        CHECK(succeeds(head + "Content-Length: 38\r\n\r\n" + page, end) == neither);
-        CHECK(succeeds(head + "Transfer-Encoding: chunked\r\n\r\n" + chunk, end) == neither);
-        CHECK(succeeds(head + "\r\n" + page, end) == neither);
+        CHECK(succeeds(tooShort, end) == neither);
+        CHECK(succeeds(chunked, end) == neither);
+        CHECK(succeeds(unframed, end) == neither);
     }
 }
 
