--- a/tests/unit/cutheadtest.cpp
+++ b/tests/unit/cutheadtest.cpp
@@ -1,6 +1,6 @@
 #include "httptestsupport.h"
 #include "scriptedupstream.h"
-#include "takeover.h"
+#include "takeoverattempt.h"
 
 using namespace camphorshunt;
 using namespace camphorshunt::router;
@@ -54,22 +54,7 @@
 {
     for (const auto& cut : cutHeads()) {
         CAPTURE(cut);
-        auto upstream = ScriptedUpstream {};
-        auto rejected = std::optional<PlacementEnd> {};
-        auto handlers = TakeoverListener::Handlers {};
-        handlers.onRejected = [&rejected](PlacementEnd end) { rejected = end; };
-        handlers.onAccepted = [](const platform::ResponseHeader&) {
-            FAIL("a cut head was accepted");
-            return true;
-        };
-        const auto listener = std::make_shared<TakeoverListener>("second", std::nullopt, std::move(handlers));
-        const auto connection
-            = upstream.pool.send(upstream.entry, "GET / HTTP/1.1\r\n\r\n", false, false, *listener);
-        upstream.acceptor.accept(upstream.socket);
-        upstream.run();
-        upstream.answer(cut);
-        upstream.end(false);
-        CHECK(rejected == PlacementEnd::Broken);
+        CHECK(endOfTakeover(cut) == PlacementEnd::Broken);
     }
 }
 
--- a/tests/unit/invalidheadtest.cpp
+++ b/tests/unit/invalidheadtest.cpp
@@ -1,7 +1,7 @@
 #include "httptestsupport.h"
 #include "invalidheads.h"
 #include "scriptedupstream.h"
-#include "takeover.h"
+#include "takeoverattempt.h"
 
 // Answers whose head HTTP does not allow reach neither callers nor any other reader, and nothing that stands
 // in them or after them is taken for an answer.
@@ -61,23 +61,7 @@
 {
     for (const auto& invalid : answers) {
         CAPTURE(invalid.name);
-        auto upstream = ScriptedUpstream {};
-        auto rejected = std::optional<PlacementEnd> {};
-        auto handlers = TakeoverListener::Handlers {};
-        handlers.onRejected = [&rejected](PlacementEnd end) { rejected = end; };
-        handlers.onAccepted = [](const platform::ResponseHeader&) {
-            FAIL_CHECK("the message was accepted");
-            return true;
-        };
-        const auto listener = std::make_shared<TakeoverListener>("second", std::nullopt, std::move(handlers));
-        const auto connection
-            = upstream.pool.send(upstream.entry, "GET / HTTP/1.1\r\n\r\n", false, false, *listener);
-        upstream.acceptor.accept(upstream.socket);
-        upstream.run();
-        upstream.answer(invalid.text);
-        upstream.end(false);
-        CHECK(rejected == PlacementEnd::Broken);
-        connection->close();
+        CHECK(endOfTakeover(invalid.text) == PlacementEnd::Broken);
     }
 }
 
