--- a/src/camphorshuntrouter/answerrelay.cpp
+++ b/src/camphorshuntrouter/answerrelay.cpp
@@ -43,7 +43,7 @@
     , lastAnswer_(lastAnswer)
     , status_(header.result_int())
 {
-    if (!net::statusHasBody(static_cast<std::uint16_t>(status_)))
+    if (!isHead && !net::statusHasBody(static_cast<std::uint16_t>(status_)))
         length_ = 0;
     else if (mode_ != Mode::ResumableStream)
         length_ = lengthOf(header);
--- a/src/camphorshuntrouter/liveness/enginequery.cpp
+++ b/src/camphorshuntrouter/liveness/enginequery.cpp
@@ -30,6 +30,7 @@
 
 constexpr auto connectTimeout = std::chrono::milliseconds(500);
 constexpr auto answerTimeout = std::chrono::milliseconds(500);
+constexpr auto maxInterimResponses = 8U;
 constexpr auto maxReportBytes = std::size_t { 64 } * 1024;
 
 /** One query, which exists until its last operation has ended. */
@@ -96,7 +97,7 @@
         // A process that is about to end may still accept the connection.
         if (kind == net::HttpResponseKind::Answer)
             finish({ Outcome::Answered, platform::startOfReport(parser_->get().body()) });
-        else if (kind == net::HttpResponseKind::Interim)
+        else if (kind == net::HttpResponseKind::Interim && ++interimResponses_ <= maxInterimResponses)
             read();
         else
             finish({ Outcome::Unanswered });
@@ -112,6 +113,7 @@
     EngineQuerySender::Handler handler_;
     http::request<http::empty_body> request_;
     std::optional<http::response_parser<http::string_body>> parser_;
+    unsigned interimResponses_ = 0;
     boost::beast::flat_buffer buffer_ { maxReportBytes };
 };
 
--- a/src/camphorshuntrouter/socketinput.h
+++ b/src/camphorshuntrouter/socketinput.h
@@ -4,15 +4,15 @@
 
 namespace camphorshunt::router {
 
-/** What the kernel knows of the peer's side of a connection, whether or not its bytes have been read yet. */
+/** What the kernel knows of a connection's incoming side, whether or not its bytes have been read yet. */
 struct SocketInput {
-    /** No bytes follow on those that have arrived. */
+    /** The peer has closed its side, or the connection has failed: no more bytes arrive. */
     bool ended = false;
-    /** The connection has failed. The next read beyond the bytes that have arrived tells why, or a write. */
+    /** The connection has failed. The next write gets the error, or the next read behind those bytes. */
     bool failed = false;
 };
 
-/** Leaves the connection's error to the call that comes next. */
+/** Does not take the connection's error from the call that comes next. */
 auto inputOf(boost::asio::ip::tcp::socket& socket) -> SocketInput;
 
 } // namespace camphorshunt::router
--- a/src/camphorshuntrouter/upstreamconnection.cpp
+++ b/src/camphorshuntrouter/upstreamconnection.cpp
@@ -126,18 +126,17 @@
             });
         return;
     }
-    // Each error is reported once: a read gets the bytes that have arrived, and then an end of file as after
-    // an orderly end. A pipe is broken if the upstream did end its side in order before the connection
-    // failed.
+    // The kernel reports the error of a connection to one call only. A read after this write gets the bytes
+    // that have arrived and then an end of file, as after an orderly close. EPIPE means that the upstream had
+    // closed its side in order before the connection failed.
     if (!inputEnded_ && error != boost::asio::error::broken_pipe)
-        lostError_ = error;
+        writeError_ = error;
 }
 
 auto UpstreamConnection::writeReady() -> void
 {
     const auto input = inputOf(socket_);
-    // The error is left to the read, to which the kernel reports it only if the upstream had not ended its
-    // side.
+    // Leaves the error to the read, which gets it only if the upstream had not closed its side in order.
     if (input.failed)
         return;
     inputEnded_ = input.ended;
@@ -185,8 +184,8 @@
 {
     if (error != boost::asio::error::eof) {
         fault_ = "the connection failed: " + error.message();
-    } else if (lostError_) {
-        fault_ = "the connection failed during the request: " + lostError_.message();
+    } else if (writeError_) {
+        fault_ = "the connection failed during the request: " + writeError_.message();
     } else if (!headAccepted_) {
         fault_ = "the connection ended before the answer's head was complete";
     } else if (mismatched_) {
--- a/src/camphorshuntrouter/upstreamconnection.h
+++ b/src/camphorshuntrouter/upstreamconnection.h
@@ -115,6 +115,7 @@
 
     auto connected(const boost::system::error_code& error) -> void;
     auto write() -> void;
+    /** Goes on with a write for which the socket had no room. */
     auto writeReady() -> void;
     auto read() -> void;
     auto readDone(const boost::system::error_code& error, std::size_t size) -> void;
@@ -155,10 +156,10 @@
     bool headReported_ = false;
     bool mismatched_ = false;
     bool reusable_ = false;
-    /** The upstream has ended its side in order, though bytes of it may be unread. */
+    /** The upstream has closed its side in order, though bytes of it may be unread. */
     bool inputEnded_ = false;
-    /** The failure of the connection that a write met, and which no read will therefore report. */
-    boost::system::error_code lostError_;
+    /** The connection's error, if a write has met it first, so that no read reports it. */
+    boost::system::error_code writeError_;
     /** What is wrong with the answer; empty unless it is broken. */
     std::string fault_;
 };
--- a/tests/unit/answerrelaytest.cpp
+++ b/tests/unit/answerrelaytest.cpp
@@ -163,3 +163,13 @@
     CAPTURE(text);
     CHECK(text.find("\r\n\r\n") == text.size() - 4);
 }
+
+TEST_CASE("The answer to a HEAD request keeps the length that it announces")
+{
+    const auto status = GENERATE(200U, 304U);
+    auto made = header();
+    made.result(status);
+    made.set("Content-Length", "500");
+    auto relay = AnswerRelay(made, AnswerRelay::Mode::Buffered, true, false);
+    CHECK(relay.finish().find("Content-Length: 500\r\n") != std::string::npos);
+}
--- a/tests/unit/enginequerytest.cpp
+++ b/tests/unit/enginequerytest.cpp
@@ -59,3 +59,12 @@
         }
     }
 }
+
+TEST_CASE("An engine that sends interim responses without end has not answered")
+{
+    auto responses = std::string {};
+    for (auto index = 0; index < 1000; ++index)
+        responses += "HTTP/1.1 100 Continue\r\n\r\n";
+    responses += "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n" + std::string(report);
+    CHECK(queried(std::move(responses), ConnectionEnd::None).outcome == Outcome::Unanswered);
+}
