--- a/tests/unit/enginequerytest.cpp
+++ b/tests/unit/enginequerytest.cpp
@@ -66,5 +66,5 @@
     for (auto index = 0; index < 1000; ++index)
         responses += "HTTP/1.1 100 Continue\r\n\r\n";
     responses += "HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n" + std::string(report);
-    CHECK(queried(std::move(responses), ConnectionEnd::None).outcome == Outcome::Unanswered);
+    CHECK(queried(responses, ConnectionEnd::None).outcome == Outcome::Unanswered);
 }
