Tests: an answer that ended in order before its request is written

The router takes EPIPE for a sign that the upstream had ended its side before, but no test failed without that: found by taking each part of the decision out in turn. No product file changes.

--- a/tests/unit/brokenanswertest.cpp
+++ b/tests/unit/brokenanswertest.cpp
@@ -125,6 +125,27 @@
     CHECK_FALSE(answer.connection->isOpen());
 }
 
+// The upstream's host answers the first bytes of the request with a reset, after the orderly end.
+TEST_CASE("A ready answer that ended in order before its request is written is delivered whole")
+{
+    const auto events = GENERATE(std::size_t { 1 }, std::size_t { 4000 });
+    auto upstream = ScriptedUpstream {};
+    upstream.keepConnection();
+    const auto [head, body] = unfinishedAnswer(Framing::None, events);
+    upstream.write(head + body);
+    upstream.shutDown();
+    upstream.socket.close();
+    auto answer = OneAnswer { "second" };
+    answer.route.kind = RequestKind::Stream;
+    answer.connection
+        = upstream.pool.send(upstream.entry, uploadOf(std::size_t { 8 } * 1024 * 1024), false, false, answer);
+    REQUIRE(answer.connection->isConnected());
+    upstream.run();
+    CHECK(answer.ended == AnswerEnd::Connection);
+    CHECK(answer.connection->fault().empty());
+    CHECK(answer.intake.streamFigures()->events == events);
+}
+
 TEST_CASE("An answer whose connection is reset after the request is not complete")
 {
     const auto framing = GENERATE(Framing::None, Framing::Length, Framing::Chunks);
--- a/tests/unit/scriptedupstream.h
+++ b/tests/unit/scriptedupstream.h
@@ -50,6 +50,12 @@
     bool pausesOnBody = false;
 };
 
+inline auto uploadOf(std::size_t bodyBytes) -> std::string
+{
+    return "POST / HTTP/1.1\r\nX-Attempt-Id: x\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
+        + std::string(bodyBytes, 'u');
+}
+
 /** An upstream whose answers the test writes. */
 struct ScriptedUpstream {
     using Tcp = boost::asio::ip::tcp;
@@ -87,9 +93,7 @@
         constexpr auto receiveBuffer = 4096;
         constexpr auto bodyBytes = std::size_t { 8 } * 1024 * 1024;
         acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
-        send(answer,
-            "POST / HTTP/1.1\r\nX-Attempt-Id: x\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n"
-                + std::string(bodyBytes, 'u'));
+        send(answer, uploadOf(bodyBytes));
         REQUIRE(answer.connection->unsentBytes() > 0);
     }
 
