Review: a script that fails or is interrupted says that the case could not run

A fault of a script exited with 1, as a broken rule does. SIGTERM and SIGHUP now end its routers as an interrupt does.

--- a/review/harness-3/fleet.py
+++ b/review/harness-3/fleet.py
@@ -390,9 +390,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.say(f"disruption: {'on' if trouble else 'off'}")
+    # Both end the case as an interrupt does, which stops the fleet.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
+    signal.signal(signal.SIGHUP, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         held = asyncio.run(asyncio.wait_for(case(record, trouble), 110))
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except KeyboardInterrupt:
+        record.say("the case was interrupted")
+        sys.exit(2)
+    except Exception as error:  # pylint: disable=broad-except
+        # A fault of the script says nothing about the rule.
         record.say(f"the case could not run: {error!r}")
         sys.exit(2)
     record.say("the rule held" if held else "the rule was broken")
